Serve one request end to end, as separate processes

Cause: the project starts; nothing served a request yet.

Change: a workspace of packages with a daemon on nact, the pure decisions about a group (routing, acknowledgement by a majority, change of primary with a fence), stand-ins for a database and for the platform, a demonstration with roaming callers, and a runner for tests that reads KNOWN-RED.txt.

Ruled out: pg-gateway's own handling of queries (it answers each with an error) and reading answers through the pg library (it decodes binary values); both libraries log in and then hand their socket over.

Before: nothing ran.

--- /dev/null
+++ b/packages/checks/src/index.ts
@@ -0,0 +1,2 @@
+/** Public exports of `@quetzalreel/checks`. */
+export {type KnownRed, parseKnownRed} from './known-red.js';
--- /dev/null
+++ b/packages/common/src/index.ts
@@ -0,0 +1,10 @@
+/** Public exports of `@quetzalreel/common`. */
+export {
+  Clock,
+  type Disposable,
+  ManualClock,
+  manualClock,
+  systemClock,
+} from './clock.js';
+export {TypedError, messageOf} from './errors.js';
+export {type DisposableStore, disposableStore} from './store.js';
--- /dev/null
+++ b/packages/daemon/src/group-actor.ts
@@ -0,0 +1,308 @@
+/**
+ * The actor of one group: feeds events to the pure decisions of the `group`
+ * package and carries out their effects.
+ */
+import {
+  type Clock,
+  type Disposable,
+  disposableStore,
+  messageOf,
+} from '@quetzalreel/common';
+import type {GroupConfig, KindConfig} from '@quetzalreel/config';
+import {
+  type Attempt,
+  type EndpointConnection,
+  type EndpointControl,
+  type EndpointDriver,
+  type EndpointStatus,
+  FencedError,
+} from '@quetzalreel/endpoint';
+import {
+  type Grant,
+  type GroupEffect,
+  type GroupEvent,
+  type GroupLimits,
+  type GroupState,
+  type RefusalReason,
+  initialGroup,
+  stepGroup,
+} from '@quetzalreel/group';
+import {type Position, formatPosition} from '@quetzalreel/position';
+import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
+import {type ConnectionPool, connectionPool} from './connection-pool.js';
+import type {Log} from './log.js';
+import {type PollTimes, type Poller, startPolling} from './poller.js';
+
+/** A request as a caller's session states it. */
+export interface RequestInput {
+  readonly needsPrimary: boolean;
+  readonly kind: KindConfig;
+  readonly floor: Position | undefined;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+  readonly bytes: number;
+  readonly avoid: readonly string[];
+}
+
+/** The answer to a request for a place. */
+export type Placement =
+  | {readonly grant: Grant; readonly id: number}
+  | {readonly refused: RefusalReason};
+
+/** What became of a committed write. */
+export type AckResult = 'acknowledged' | 'unknown';
+
+/** A group as callers' sessions use it. */
+export interface GroupHandle extends Disposable {
+  readonly name: string;
+  /** Asks for a place; resolves when there is one or it is refused. */
+  request(input: RequestInput): Promise<Placement>;
+  /** Gives a place back. */
+  release(endpoint: string): void;
+  /** Resolves when the write at `position` is safe, or at `deadline`. */
+  written(id: number, position: Position, deadline: number): Promise<AckResult>;
+  take(endpoint: string): Promise<EndpointConnection>;
+  give(connection: EndpointConnection, reusable: boolean): void;
+  configure(cfg: GroupConfig): void;
+  /** Asks for a planned change of primary. */
+  order(target: string): void;
+  /** Reads placed so far, by the role of the endpoint. */
+  readonly reads: Readonly<Record<'primary' | 'replica', number>>;
+  /** The state as it is now, for operators. */
+  readonly state: GroupState;
+}
+
+/** What a group's actor works with. */
+export interface GroupContext {
+  readonly system: ActorSystemRef;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly instance: string;
+  readonly limits: GroupLimits;
+  readonly times: PollTimes;
+  /** Time between two looks at deadlines, in milliseconds. */
+  readonly tickMs: number;
+  readonly driverOf: (cfg: GroupConfig['endpoints'][number]) => EndpointDriver;
+  readonly capacityOf: (cfg: GroupConfig['endpoints'][number]) => number;
+}
+
+interface EndpointParts {
+  readonly address: string;
+  readonly control: EndpointControl;
+  readonly poller: Poller;
+  readonly pool: ConnectionPool;
+}
+
+/** Starts the actor of a group. */
+export function startGroup(
+  cfg: GroupConfig,
+  context: GroupContext,
+): GroupHandle {
+  const {clock, log, system} = context;
+  const parts = new Map<string, EndpointParts>();
+  const owned = disposableStore();
+  const placements = new Map<number, (placement: Placement) => void>();
+  const acks = new Map<number, (result: AckResult) => void>();
+  let state = initialGroup(cfg, context.instance, context.limits);
+  const reads = {primary: 0, replica: 0};
+  let lastId = 0;
+
+  const actor = spawn(
+    system,
+    (current: GroupState, event: GroupEvent) => {
+      const result = stepGroup(current, event, clock.now());
+      state = result.state;
+      for (const effect of result.effects) perform(effect);
+      return state;
+    },
+    `group-${cfg.name}`,
+    {initialState: state},
+  );
+  const send = (event: GroupEvent) => dispatch(actor, event);
+
+  function perform(effect: GroupEffect): void {
+    switch (effect.type) {
+      case 'grant':
+        logGrant(effect.id, effect.grant);
+        if (effect.grant.reason !== 'write') reads[effect.grant.role]++;
+        settlePlacement(effect.id, {grant: effect.grant, id: effect.id});
+        return;
+      case 'refuse':
+        log.info(
+          {group: cfg.name, req: effect.id, why: effect.reason},
+          'refused',
+        );
+        settlePlacement(effect.id, {refused: effect.reason});
+        return;
+      case 'acknowledge':
+        settleAck(effect.id, 'acknowledged');
+        return;
+      case 'unknown':
+        log.warn({group: cfg.name, req: effect.id, why: effect.why}, 'unknown');
+        settleAck(effect.id, 'unknown');
+        return;
+      case 'poll':
+        for (const {poller} of parts.values()) poller.wake();
+        return;
+      case 'failoverStep': {
+        const {from, to, term, why} = effect;
+        log.warn({group: cfg.name, from, to, term, why}, 'change of primary');
+        return;
+      }
+      default:
+        void control(effect);
+    }
+  }
+
+  function logGrant(id: number, grant: Grant): void {
+    log.info(
+      {
+        group: cfg.name,
+        req: id,
+        endpoint: grant.endpoint,
+        role: grant.role,
+        why: grant.reason,
+        term: grant.term,
+        floor: formatPosition(grant.floor),
+        position: formatPosition(grant.position),
+      },
+      'routed',
+    );
+  }
+
+  function settlePlacement(id: number, placement: Placement): void {
+    placements.get(id)?.(placement);
+    placements.delete(id);
+  }
+
+  function settleAck(id: number, result: AckResult): void {
+    acks.get(id)?.(result);
+    acks.delete(id);
+  }
+
+  /** Carries out a control call and reports its answer. */
+  async function control(
+    effect: Extract<GroupEffect, {attempt: Attempt}>,
+  ): Promise<void> {
+    const {endpoint, attempt} = effect;
+    const part = parts.get(endpoint);
+    if (!part) return;
+    const askedAt = clock.now();
+    try {
+      const status = await call(part.control, effect);
+      const type = EVENT_AFTER[effect.type];
+      if (type === 'status') send({type, endpoint, status, askedAt});
+      else send({type, endpoint, attempt, status, askedAt});
+    } catch (err) {
+      const why = messageOf(err);
+      log.info({group: cfg.name, endpoint, call: effect.type, why}, 'control');
+      if (err instanceof FencedError) send({type: 'refused', attempt});
+    }
+  }
+
+  function call(
+    endpoint: EndpointControl,
+    effect: Extract<GroupEffect, {attempt: Attempt}>,
+  ): Promise<EndpointStatus> {
+    if (effect.type === 'fence') return endpoint.fence(effect.attempt);
+    if (effect.type === 'promote') return endpoint.promote(effect.attempt);
+    const upstream = state.view.endpoints.get(effect.upstream)!.cfg;
+    const {host, port} = upstream;
+    return endpoint.follow(effect.attempt, {host, port});
+  }
+
+  function addEndpoint(endpoint: GroupConfig['endpoints'][number]): void {
+    const {name} = endpoint;
+    const driver = context.driverOf(endpoint);
+    const pollControl = driver.control();
+    const poller = startPolling(pollControl, clock, context.times, {
+      answered: (status, askedAt) =>
+        send({type: 'status', endpoint: name, status, askedAt}),
+      failed: (reach, askedAt) =>
+        send({type: 'failed', endpoint: name, reach, askedAt}),
+      isAwaited: () => state.held.length > 0 || state.waiting.length > 0,
+    });
+    parts.set(name, {
+      address: `${endpoint.host}:${endpoint.port}`,
+      control: pollControl,
+      poller,
+      pool: connectionPool(driver),
+    });
+    const capacity = context.capacityOf(endpoint);
+    send({type: 'capacity', endpoint: name, capacity});
+  }
+
+  function removeEndpoint(name: string): void {
+    const part = parts.get(name);
+    parts.delete(name);
+    part?.poller.dispose();
+    part?.pool.dispose();
+  }
+
+  function configure(next: GroupConfig): void {
+    send({type: 'configured', cfg: next});
+    const wanted = new Map(next.endpoints.map(item => [item.name, item]));
+    for (const [name, part] of parts) {
+      const endpoint = wanted.get(name);
+      const same =
+        endpoint && part.address === `${endpoint.host}:${endpoint.port}`;
+      if (!same) removeEndpoint(name);
+    }
+    for (const [name, endpoint] of wanted) {
+      if (!parts.has(name)) addEndpoint(endpoint);
+    }
+  }
+
+  function tick(): Disposable {
+    const timer = setInterval(() => send({type: 'tick'}), context.tickMs);
+    return {dispose: () => clearInterval(timer)};
+  }
+
+  configure(cfg);
+  owned.add(tick());
+  owned.add({dispose: () => [...parts.keys()].forEach(removeEndpoint)});
+  owned.add({dispose: () => stop(actor)});
+
+  return {
+    name: cfg.name,
+    reads,
+    get state() {
+      return state;
+    },
+    request(input) {
+      const id = ++lastId;
+      const req = {...input, id, arrivedAt: clock.now()};
+      return new Promise(resolve => {
+        placements.set(id, resolve);
+        send({type: 'requested', req});
+      });
+    },
+    release: endpoint => send({type: 'released', endpoint}),
+    written(id, position, deadline) {
+      return new Promise(resolve => {
+        acks.set(id, resolve);
+        send({type: 'written', id, position, deadline});
+      });
+    },
+    async take(endpoint) {
+      const part = parts.get(endpoint);
+      if (!part) throw new Error(`no endpoint ${endpoint}`);
+      return part.pool.take();
+    },
+    give(connection, reusable) {
+      const part = parts.get(connection.endpoint);
+      if (part) part.pool.give(connection, reusable);
+      else connection.dispose();
+    },
+    configure,
+    order: target => send({type: 'ordered', target}),
+    dispose: () => owned.dispose(),
+  };
+}
+
+/** The event that reports the answer to each control call. */
+const EVENT_AFTER = {
+  fence: 'promised',
+  promote: 'promoted',
+  follow: 'status',
+} as const;
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,25 @@
+#!/usr/bin/env node
+/** The command `quetzalreeld`. */
+import {messageOf} from '@quetzalreel/common';
+import {command, run} from 'cmd-ts';
+import {startDaemon} from './daemon.js';
+import {SETTING_FLAGS, checkSettings} from './settings.js';
+
+const app = command({
+  name: 'quetzalreeld',
+  description: 'Database proxy with session consistency.',
+  args: SETTING_FLAGS,
+  handler: async args => {
+    const daemon = await startDaemon(checkSettings(args));
+    const ports = {port: daemon.port, admin: daemon.adminPort};
+    process.stdout.write(JSON.stringify(ports) + '\n');
+    process.once('SIGTERM', () => {
+      daemon.dispose();
+    });
+  },
+});
+
+run(app, process.argv.slice(2)).catch(err => {
+  process.stderr.write(`quetzalreeld: ${messageOf(err)}\n`);
+  process.exitCode = 2;
+});
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,139 @@
+/** The daemon's own settings: flags, each with an environment variable. */
+import {TypedError} from '@quetzalreel/common';
+import {number, option, string} from 'cmd-ts';
+
+/** A setting of the daemon is missing or impossible. */
+export class SettingError extends TypedError {
+  constructor(flag: string, what: string, remedy: string) {
+    super('SettingError', `--${flag} ${what}`, remedy);
+  }
+}
+
+/** Settings of one daemon. */
+export interface Settings {
+  /** Identity of this instance. */
+  readonly instance: string;
+  readonly dataCentre: string;
+  /** Address that callers and operators connect to. */
+  readonly host: string;
+  /** Port for callers; 0 takes a free one. */
+  readonly port: number;
+  /** Port for operators and metrics; 0 takes a free one. */
+  readonly adminPort: number;
+  /** Base address of the platform's object API. */
+  readonly platformUrl: string;
+  readonly endpointUser: string;
+  readonly endpointPassword: string;
+  /** Instances that share the endpoints' connections. */
+  readonly instances: number;
+  /** Largest message that a caller may send, in bytes. */
+  readonly maxMessageBytes: number;
+  /** Least severe level that is logged. */
+  readonly logLevel: string;
+}
+
+const env = (name: string) => `QUETZALREEL_${name}`;
+
+/** The flags of `quetzalreeld`. */
+export const SETTING_FLAGS = {
+  instance: option({
+    type: string,
+    long: 'instance',
+    env: env('INSTANCE'),
+    description: 'identity of this instance, unique in the fleet',
+  }),
+  dataCentre: option({
+    type: string,
+    long: 'data-centre',
+    env: env('DATA_CENTRE'),
+    description: 'data centre of this instance',
+  }),
+  host: option({
+    type: string,
+    long: 'host',
+    env: env('HOST'),
+    defaultValue: () => '127.0.0.1',
+    description: 'IP number to listen on',
+  }),
+  port: option({
+    type: number,
+    long: 'port',
+    env: env('PORT'),
+    defaultValue: () => 6432,
+    description: 'port for callers, 0 for a free one',
+  }),
+  adminPort: option({
+    type: number,
+    long: 'admin-port',
+    env: env('ADMIN_PORT'),
+    defaultValue: () => 6433,
+    description: 'port for operators and metrics, 0 for a free one',
+  }),
+  platformUrl: option({
+    type: string,
+    long: 'platform-url',
+    env: env('PLATFORM_URL'),
+    description: "base address of the platform's object API",
+  }),
+  endpointUser: option({
+    type: string,
+    long: 'endpoint-user',
+    env: env('ENDPOINT_USER'),
+    defaultValue: () => 'quetzalreel',
+    description: 'user for logging in to endpoints',
+  }),
+  endpointPassword: option({
+    type: string,
+    long: 'endpoint-password',
+    env: env('ENDPOINT_PASSWORD'),
+    defaultValue: () => '',
+    description: 'password for it; give it by the environment variable',
+  }),
+  instances: option({
+    type: number,
+    long: 'instances',
+    env: env('INSTANCES'),
+    defaultValue: () => 8,
+    description: "instances that share the endpoints' connections",
+  }),
+  maxMessageBytes: option({
+    type: number,
+    long: 'max-message-bytes',
+    env: env('MAX_MESSAGE_BYTES'),
+    defaultValue: () => 4 * 1024 * 1024,
+    description: 'largest message that a caller may send',
+  }),
+  logLevel: option({
+    type: string,
+    long: 'log-level',
+    env: env('LOG_LEVEL'),
+    defaultValue: () => 'info',
+    description: 'trace, debug, info, warn, error or fatal',
+  }),
+};
+
+const MAX_PORT = 65535;
+
+/** Returns the settings unchanged, or throws SettingError. */
+export function checkSettings(settings: Settings): Settings {
+  for (const [flag, port] of [
+    ['port', settings.port],
+    ['admin-port', settings.adminPort],
+  ] as const) {
+    if (Number.isInteger(port) && port >= 0 && port <= MAX_PORT) continue;
+    throw new SettingError(flag, `is ${port}`, 'Give a whole number to 65535.');
+  }
+  if (!/^[\w.-]{1,64}$/.test(settings.instance)) {
+    const remedy = 'Use up to 64 letters, digits, dots and dashes.';
+    throw new SettingError('instance', 'is no usable name', remedy);
+  }
+  if (!URL.canParse(settings.platformUrl)) {
+    const remedy = 'Give an address such as http://10.0.0.1:8080.';
+    throw new SettingError('platform-url', 'is no address', remedy);
+  }
+  if (!Number.isInteger(settings.instances) || settings.instances < 1) {
+    const remedy = 'Give the number of instances, 1 or more.';
+    throw new SettingError('instances', `is ${settings.instances}`, remedy);
+  }
+  return settings;
+}
--- /dev/null
+++ b/packages/group/src/group.ts
@@ -0,0 +1,362 @@
+/**
+ * The decisions about one group: a function from a state and an event to the
+ * next state and what is to be done. No clock, socket or log is used here.
+ */
+import type {GroupConfig} from '@quetzalreel/config';
+import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
+import type {Position} from '@quetzalreel/position';
+import {type HeldAck, settleAcks} from './acks.js';
+import {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverLimits,
+  type FailoverResult,
+  type FailoverState,
+  advance,
+  initialFailover,
+  orderChange,
+  promoted,
+  promised,
+  refused,
+  strays,
+} from './failover.js';
+import {floorAfter} from './floor.js';
+import {type Grant, type GroupRequest, RefusalReason} from './request.js';
+import {choose} from './routing.js';
+import {
+  type GroupView,
+  Reach,
+  attemptOf,
+  primaryOf,
+  viewOf,
+  withEndpoint,
+  withFailure,
+  withStatus,
+} from './view.js';
+
+/** Bounds of a group in one instance. */
+export interface GroupLimits extends FailoverLimits {
+  /** Requests that may wait at a time. */
+  readonly maxWaiting: number;
+  /** Bytes of requests that may wait at a time. */
+  readonly maxWaitingBytes: number;
+}
+
+/** All that one instance decides on for a group. */
+export interface GroupState {
+  readonly instance: string;
+  readonly limits: GroupLimits;
+  readonly view: GroupView;
+  readonly failover: FailoverState;
+  /** Requests without a place, the first to be served first. */
+  readonly waiting: readonly GroupRequest[];
+  readonly waitingBytes: number;
+  readonly held: readonly HeldAck[];
+}
+
+/** What can happen to a group. */
+export type GroupEvent =
+  | {readonly type: 'configured'; readonly cfg: GroupConfig}
+  | {readonly type: 'requested'; readonly req: GroupRequest}
+  | {readonly type: 'cancelled'; readonly id: number}
+  | {readonly type: 'released'; readonly endpoint: string}
+  | {
+      readonly type: 'capacity';
+      readonly endpoint: string;
+      readonly capacity: number;
+    }
+  | {
+      readonly type: 'written';
+      readonly id: number;
+      readonly position: Position;
+      readonly deadline: number;
+    }
+  | {
+      readonly type: 'status';
+      readonly endpoint: string;
+      readonly status: EndpointStatus;
+      readonly askedAt: number;
+    }
+  | {
+      readonly type: 'failed';
+      readonly endpoint: string;
+      readonly reach: 'silent' | 'down';
+      /** When the call that failed was sent. */
+      readonly askedAt: number;
+    }
+  | {
+      readonly type: 'promised' | 'promoted';
+      readonly endpoint: string;
+      readonly attempt: Attempt;
+      readonly status: EndpointStatus;
+      readonly askedAt: number;
+    }
+  | {readonly type: 'refused'; readonly attempt: Attempt}
+  | {readonly type: 'ordered'; readonly target: string}
+  | {readonly type: 'tick'};
+
+/** What is to be done after an event. */
+export type GroupEffect =
+  | FailoverEffect
+  | {readonly type: 'grant'; readonly id: number; readonly grant: Grant}
+  | {
+      readonly type: 'refuse';
+      readonly id: number;
+      readonly reason: RefusalReason;
+    }
+  | {readonly type: 'acknowledge'; readonly id: number}
+  | {readonly type: 'unknown'; readonly id: number; readonly why: string}
+  /** Ask every endpoint for its status now. */
+  | {readonly type: 'poll'};
+
+/** A state and what is to be done on the way to it. */
+export interface GroupResult {
+  readonly state: GroupState;
+  readonly effects: readonly GroupEffect[];
+}
+
+/** A group that nothing is known of. */
+export function initialGroup(
+  cfg: GroupConfig,
+  instance: string,
+  limits: GroupLimits,
+): GroupState {
+  return {
+    instance,
+    limits,
+    view: viewOf(cfg),
+    failover: initialFailover(),
+    waiting: [],
+    waitingBytes: 0,
+    held: [],
+  };
+}
+
+/** The next state of a group. `now` is monotonic milliseconds. */
+export function stepGroup(
+  state: GroupState,
+  event: GroupEvent,
+  now: number,
+): GroupResult {
+  switch (event.type) {
+    case 'configured':
+      return settle({...state, view: viewOf(event.cfg, state.view)}, now);
+    case 'requested':
+      return accept(state, event.req, now);
+    case 'cancelled':
+      return {state: without(state, event.id), effects: []};
+    case 'released':
+      return placeWaiting(released(state, event.endpoint), now);
+    case 'capacity': {
+      const {endpoint, capacity} = event;
+      const view = withEndpoint(state.view, endpoint, {capacity});
+      return placeWaiting({...state, view}, now);
+    }
+    case 'written':
+      return hold(state, event, now);
+    case 'status': {
+      const {endpoint, status, askedAt} = event;
+      const view = withStatus(state.view, endpoint, status, askedAt);
+      return settle({...state, view}, now);
+    }
+    case 'failed': {
+      const {endpoint, reach, askedAt} = event;
+      const view = withFailure(state.view, endpoint, reach, askedAt);
+      return settle({...state, view}, now);
+    }
+    case 'tick':
+      return settle(state, now);
+    default:
+      return stepFailover(state, event, now);
+  }
+}
+
+type FailoverEvent = Extract<
+  GroupEvent,
+  {type: 'promised' | 'promoted' | 'refused' | 'ordered'}
+>;
+
+function stepFailover(
+  state: GroupState,
+  event: FailoverEvent,
+  now: number,
+): GroupResult {
+  let view = state.view;
+  if (event.type === 'promised' || event.type === 'promoted') {
+    view = withStatus(view, event.endpoint, event.status, event.askedAt);
+  }
+  const context = failoverContext({...state, view}, now);
+  const result = failoverResult(state.failover, event, context);
+  const settled = settle({...state, view, failover: result.state}, now);
+  return {
+    state: settled.state,
+    effects: [...result.effects, ...settled.effects],
+  };
+}
+
+function failoverResult(
+  state: FailoverState,
+  event: FailoverEvent,
+  context: FailoverContext,
+): FailoverResult {
+  switch (event.type) {
+    case 'promised': {
+      const {endpoint, attempt, status} = event;
+      return promised(state, endpoint, attempt, status, context);
+    }
+    case 'promoted':
+      return promoted(state, event.endpoint, event.attempt, context);
+    case 'refused':
+      return refused(state, event.attempt, context);
+    case 'ordered':
+      return orderChange(state, event.target, context);
+  }
+}
+
+function failoverContext(state: GroupState, now: number): FailoverContext {
+  const {view, limits, instance} = state;
+  return {view, limits, instance, now};
+}
+
+/** Takes in a request: gives it a place, lets it wait, or refuses it. */
+function accept(
+  state: GroupState,
+  req: GroupRequest,
+  now: number,
+): GroupResult {
+  const placed = place(state, req, now);
+  if (placed) return placed;
+  const bytes = state.waitingBytes + req.bytes;
+  const full =
+    state.waiting.length >= state.limits.maxWaiting ||
+    bytes > state.limits.maxWaitingBytes;
+  if (full) {
+    const reason = RefusalReason.QueueFull;
+    return {state, effects: [{type: 'refuse', id: req.id, reason}]};
+  }
+  const waiting = [...state.waiting, req];
+  const effects: GroupEffect[] = req.floor ? [] : [{type: 'poll'}];
+  return {state: {...state, waiting, waitingBytes: bytes}, effects};
+}
+
+/** Gives a request a place; undefined when there is none now. */
+function place(
+  state: GroupState,
+  req: GroupRequest,
+  now: number,
+): GroupResult | undefined {
+  const floor = req.floor ?? floorAfter(state.view, req.arrivedAt);
+  if (!floor) return undefined;
+  if (req.needsPrimary && state.failover.step === 'draining') return undefined;
+  const choice = choose(state.view, {...req, floor}, now);
+  if (!choice) return undefined;
+  const {endpoint, reason} = choice;
+  const name = endpoint.cfg.name;
+  const view = withEndpoint(state.view, name, {busy: endpoint.busy + 1});
+  const grant: Grant = {
+    endpoint: name,
+    role: endpoint.status!.role,
+    term: primaryOf(state.view)?.status?.term ?? endpoint.status!.term,
+    floor,
+    position: endpoint.status!.last,
+    reason,
+  };
+  return {
+    state: {...state, view},
+    effects: [{type: 'grant', id: req.id, grant}],
+  };
+}
+
+function released(state: GroupState, name: string): GroupState {
+  const busy = state.view.endpoints.get(name)?.busy ?? 0;
+  const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
+  return {...state, view};
+}
+
+function without(state: GroupState, id: number): GroupState {
+  const waiting = state.waiting.filter(req => req.id !== id);
+  const waitingBytes = waiting.reduce((sum, req) => sum + req.bytes, 0);
+  return {...state, waiting, waitingBytes};
+}
+
+/** Gives places to waiting requests, the first first. */
+function placeWaiting(state: GroupState, now: number): GroupResult {
+  if (state.waiting.length === 0) return {state, effects: []};
+  let current = state;
+  const effects: GroupEffect[] = [];
+  const waiting: GroupRequest[] = [];
+  let waitingBytes = 0;
+  for (const req of state.waiting) {
+    if (now >= req.deadline) {
+      const reason = RefusalReason.Deadline;
+      effects.push({type: 'refuse', id: req.id, reason});
+      continue;
+    }
+    const placed = place(current, req, now);
+    if (placed) {
+      current = placed.state;
+      effects.push(...placed.effects);
+      continue;
+    }
+    waiting.push(req);
+    waitingBytes += req.bytes;
+  }
+  return {state: {...current, waiting, waitingBytes}, effects};
+}
+
+/** Holds a committed write until a majority has it. */
+function hold(
+  state: GroupState,
+  event: Extract<GroupEvent, {type: 'written'}>,
+  now: number,
+): GroupResult {
+  const {id, position, deadline} = event;
+  const held = [...state.held, {id, position, deadline}];
+  const settled = settleHeld({...state, held}, now);
+  const effects = [...settled.effects];
+  if (settled.state.held.length > 0) effects.push({type: 'poll'});
+  return {state: settled.state, effects};
+}
+
+function settleHeld(state: GroupState, now: number): GroupResult {
+  const outcome = settleAcks(state.held, state.view, now);
+  const effects: GroupEffect[] = [];
+  for (const {id} of outcome.done) effects.push({type: 'acknowledge', id});
+  for (const {id} of outcome.unknown) {
+    const why = 'no majority held it in time';
+    effects.push({type: 'unknown', id, why});
+  }
+  return {state: {...state, held: outcome.held}, effects};
+}
+
+/** Draws every conclusion from what is known now. */
+function settle(state: GroupState, now: number): GroupResult {
+  const acks = settleHeld(state, now);
+  const change = advance(acks.state.failover, failoverContext(acks.state, now));
+  const changed = {...acks.state, failover: change.state};
+  const placed = placeWaiting(changed, now);
+  return {
+    state: placed.state,
+    effects: [
+      ...acks.effects,
+      ...change.effects,
+      ...followStrays(changed),
+      ...placed.effects,
+    ],
+  };
+}
+
+/** Tells endpoints that missed a change to follow the primary. */
+function followStrays(state: GroupState): GroupEffect[] {
+  if (state.failover.step !== 'steady') return [];
+  const primary = primaryOf(state.view);
+  const attempt = primary && attemptOf(primary);
+  if (!attempt || primary.reach !== Reach.Up) return [];
+  const upstream = primary.cfg.name;
+  return strays(state.view).map(({cfg}) => ({
+    type: 'follow',
+    endpoint: cfg.name,
+    attempt,
+    upstream,
+  }));
+}
--- /dev/null
+++ b/packages/group/src/index.ts
@@ -0,0 +1,48 @@
+/** Public exports of `@quetzalreel/group`. */
+export {type HeldAck, isOnMajority, settleAcks} from './acks.js';
+export {type Chart, readChart} from './chart.js';
+export {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverLimits,
+  type FailoverResult,
+  type FailoverState,
+  type FailoverStep,
+  advance,
+  initialFailover,
+  orderChange,
+  promised,
+  promoted,
+  refused,
+  strays,
+} from './failover.js';
+export {floorAfter} from './floor.js';
+export {
+  type GroupEffect,
+  type GroupEvent,
+  type GroupLimits,
+  type GroupResult,
+  type GroupState,
+  initialGroup,
+  stepGroup,
+} from './group.js';
+export {
+  type Grant,
+  type GroupRequest,
+  Reason,
+  RefusalReason,
+} from './request.js';
+export {type Choice, type FlooredRequest, choose} from './routing.js';
+export {
+  type EndpointView,
+  type GroupView,
+  Reach,
+  ageOf,
+  highestTerm,
+  primaryOf,
+  viewOf,
+  withEndpoint,
+  withFailure,
+  withStatus,
+  writablePrimary,
+} from './view.js';
--- /dev/null
+++ b/packages/position/src/index.ts
@@ -0,0 +1,11 @@
+/** Public exports of `@quetzalreel/position`. */
+export {
+  ORIGIN,
+  type Position,
+  comparePositions,
+  formatPosition,
+  laterOf,
+  majorityOf,
+  parsePosition,
+  reaches,
+} from './position.js';
--- /dev/null
+++ b/packages/standin/src/replication.ts
@@ -0,0 +1,166 @@
+/**
+ * Replication between stand-in databases. A replica asks its primary with
+ * `SELECT quetzalreel_replicate(term, runs)` and gets rows without end: first
+ * the primary's runs, then records, with an empty row as heartbeat.
+ */
+import {type EndpointConnection, pgDriver} from '@quetzalreel/endpoint';
+import {type Frame, dataRow, query} from '@quetzalreel/wire';
+import type {Database, Upstream} from './database.js';
+import {type DatabaseFaults, REPLICATION_NAME} from './faults.js';
+import {type LogRecord, type TermRun, sharedLength} from './log.js';
+
+const HEARTBEAT_MS = 20;
+const RECONNECT_MS = 20;
+const CONNECT_TIMEOUT_MS = 1000;
+/** Most records sent at one go, so that heartbeats come between. */
+const BATCH_RECORDS = 500;
+
+/** Streams the log to a replica until `send` fails or the term ends. */
+export function serveReplica(
+  db: Database,
+  term: number,
+  replicaRuns: readonly TermRun[],
+  send: (bytes: Buffer) => void,
+  drop: () => void,
+): () => void {
+  if (!db.serves(term)) {
+    drop();
+    return () => {};
+  }
+  const runs = db.log.runs();
+  let next = sharedLength(runs, replicaRuns);
+  send(dataRow([JSON.stringify({runs})]));
+  const push = () => {
+    if (!db.serves(term)) {
+      stop();
+      drop();
+      return;
+    }
+    const end = Math.min(db.log.length, next + BATCH_RECORDS);
+    for (; next < end; next++) {
+      send(dataRow([JSON.stringify({record: db.log.at(next)})]));
+    }
+  };
+  const unlisten = db.onChange(push);
+  const beat = setInterval(() => {
+    push();
+    send(dataRow([null]));
+  }, HEARTBEAT_MS);
+  const stop = () => {
+    unlisten();
+    clearInterval(beat);
+  };
+  push();
+  return stop;
+}
+
+/** Keeps a replica in step with whichever primary it is told to follow. */
+export function followUpstream(
+  name: string,
+  db: Database,
+  faults: DatabaseFaults,
+): () => void {
+  let current: EndpointConnection | undefined;
+  let following: Upstream | undefined;
+  let stopped = false;
+
+  const check = () => {
+    if (db.upstream === following) return;
+    following = db.upstream;
+    current?.dispose();
+    current = undefined;
+    if (following) void keepUp(following);
+  };
+
+  const active = (upstream: Upstream) => !stopped && db.upstream === upstream;
+
+  async function keepUp(upstream: Upstream): Promise<void> {
+    while (active(upstream)) {
+      try {
+        await receiveFrom(upstream);
+      } catch {
+        // The primary is down or changed; the loop asks again.
+      }
+      await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
+    }
+  }
+
+  async function receiveFrom(upstream: Upstream): Promise<void> {
+    const connection = await connectTo(name, upstream);
+    if (!active(upstream)) {
+      connection.dispose();
+      return;
+    }
+    current = connection;
+    const runs = JSON.stringify(db.log.runs());
+    const sql = `SELECT quetzalreel_replicate(${upstream.term}, '${runs}')`;
+    const receiver = recordReceiver(db, faults, upstream.term, connection);
+    await new Promise<void>(resolve => {
+      connection.send(query(sql), {
+        frame: receiver,
+        broken: () => resolve(),
+      });
+    });
+  }
+
+  const unlisten = db.onChange(check);
+  check();
+  return () => {
+    stopped = true;
+    unlisten();
+    current?.dispose();
+  };
+}
+
+function connectTo(
+  name: string,
+  upstream: Upstream,
+): Promise<EndpointConnection> {
+  const address = {
+    name,
+    host: upstream.host,
+    port: upstream.port,
+    user: REPLICATION_NAME,
+    password: '',
+    database: REPLICATION_NAME,
+    applicationName: REPLICATION_NAME,
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+  };
+  return pgDriver(address, {callTimeoutMs: CONNECT_TIMEOUT_MS}).connect();
+}
+
+/** Applies records after the lag, in order. */
+function recordReceiver(
+  db: Database,
+  faults: DatabaseFaults,
+  term: number,
+  connection: EndpointConnection,
+): (frame: Frame) => void {
+  let queue: Array<{readonly due: number; readonly record: LogRecord}> = [];
+  let timer: NodeJS.Timeout | undefined;
+  const apply = () => {
+    timer = undefined;
+    const now = performance.now();
+    while (queue.length > 0 && queue[0]!.due <= now) {
+      const {record} = queue.shift()!;
+      if (!connection.open) return;
+      if (!db.receive(term, record)) {
+        queue = [];
+        connection.dispose();
+        return;
+      }
+    }
+    if (queue.length > 0) timer = setTimeout(apply, queue[0]!.due - now);
+  };
+  return frame => {
+    if (frame.type !== 'D') return;
+    db.heard();
+    const text = frame.bytes.toString('utf8', 11);
+    if (text === '') return;
+    const row = JSON.parse(text) as {runs?: TermRun[]; record?: LogRecord};
+    if (row.runs && db.align(term, row.runs) < 0) connection.dispose();
+    if (!row.record) return;
+    queue.push({due: performance.now() + faults.lagMs, record: row.record});
+    if (!timer) apply();
+  };
+}
--- /dev/null
+++ b/packages/standin/src/run-database.ts
@@ -0,0 +1,45 @@
+/** Puts a whole stand-in database together. */
+import {type Database, type Upstream, database} from './database.js';
+import {databaseControl} from './database-control.js';
+import {
+  type DatabaseServer,
+  type DatabaseSizes,
+  databaseServer,
+} from './database-server.js';
+import {type DatabaseFaults, noFaults} from './faults.js';
+import {followUpstream} from './replication.js';
+
+/** How to run a stand-in database. */
+export interface RunDatabaseOptions extends DatabaseSizes {
+  readonly name: string;
+  /** Port for clients, or 0 for a free one. */
+  readonly port: number;
+  readonly upstream: Upstream | undefined;
+  readonly lagMs: number;
+  readonly serviceMs: number;
+  readonly distanceMs: number;
+}
+
+/** A running stand-in database. */
+export interface RunningDatabase {
+  readonly db: Database;
+  readonly server: DatabaseServer;
+  readonly faults: DatabaseFaults;
+  readonly controlPort: number;
+}
+
+/** Runs a database in this process. */
+export async function runDatabase(
+  options: RunDatabaseOptions,
+): Promise<RunningDatabase> {
+  const db = database({
+    name: options.name,
+    upstream: options.upstream,
+    now: () => performance.now(),
+  });
+  const faults = noFaults(options);
+  const server = await databaseServer(db, faults, options, options.port);
+  const controlPort = await databaseControl(db, server, faults, 0);
+  followUpstream(options.name, db, faults);
+  return {db, server, faults, controlPort};
+}
--- /dev/null
+++ b/packages/statement/src/index.ts
@@ -0,0 +1,8 @@
+/** Public exports of `@quetzalreel/statement`. */
+export {
+  type Statement,
+  StatementClass,
+  classify,
+  readComment,
+  splitStatements,
+} from './classify.js';
--- /dev/null
+++ b/packages/wire/src/frontend.ts
@@ -0,0 +1,99 @@
+/** Reads and builds the messages that a client sends. */
+import {type Frame, FrameError} from './frames.js';
+import {message} from './backend.js';
+
+/** A Parse message: a statement by name, empty for the unnamed one. */
+export interface ParseMessage {
+  readonly name: string;
+  readonly sql: string;
+}
+
+/** A Bind message, its values as text; null is SQL's NULL. */
+export interface BindMessage {
+  readonly portal: string;
+  readonly statement: string;
+  readonly values: ReadonlyArray<string | null>;
+}
+
+/** A Describe or Close message: of a statement (S) or a portal (P). */
+export interface TargetMessage {
+  readonly target: 'S' | 'P';
+  readonly name: string;
+}
+
+/** The text of a Query message. */
+export function readQuery(frame: Frame): string {
+  return readString(frame, 5).text;
+}
+
+/** Reads a Parse message. Throws FrameError when it is cut short. */
+export function readParse(frame: Frame): ParseMessage {
+  const name = readString(frame, 5);
+  const sql = readString(frame, name.end);
+  return {name: name.text, sql: sql.text};
+}
+
+/** Reads a Bind message. Throws FrameError when it is cut short. */
+export function readBind(frame: Frame): BindMessage {
+  const portal = readString(frame, 5);
+  const statement = readString(frame, portal.end);
+  const names = {portal: portal.text, statement: statement.text};
+  try {
+    return {...names, values: readValues(frame.bytes, statement.end)};
+  } catch {
+    throw cutShort(frame);
+  }
+}
+
+function readValues(bytes: Buffer, start: number): Array<string | null> {
+  const formats = bytes.readInt16BE(start);
+  let at = start + 2 + formats * 2;
+  const count = bytes.readInt16BE(at);
+  at += 2;
+  const values: Array<string | null> = [];
+  for (let i = 0; i < count; i++) {
+    const size = bytes.readInt32BE(at);
+    at += 4;
+    values.push(size < 0 ? null : bytes.toString('utf8', at, at + size));
+    at += Math.max(size, 0);
+  }
+  if (at > bytes.length) throw new RangeError('values end past the message');
+  return values;
+}
+
+/** Reads a Describe or Close message. */
+export function readTarget(frame: Frame): TargetMessage {
+  const target = frame.bytes[5] === 0x53 ? 'S' : 'P';
+  return {target, name: readString(frame, 6).text};
+}
+
+/** A Query message. */
+export function query(sql: string): Buffer {
+  return message('Q', Buffer.from(`${sql}\0`));
+}
+
+/** A Parse message without declared parameter types. */
+export function parse(name: string, sql: string): Buffer {
+  return message('P', Buffer.from(`${name}\0${sql}\0\0\0`));
+}
+
+/** A Close message of a prepared statement. */
+export function closeStatement(name: string): Buffer {
+  return message('C', Buffer.from(`S${name}\0`));
+}
+
+/** Terminate. */
+export const TERMINATE = message('X', Buffer.alloc(0));
+
+function readString(frame: Frame, start: number): {text: string; end: number} {
+  const end = frame.bytes.indexOf(0, start);
+  if (end < 0) throw cutShort(frame);
+  return {text: frame.bytes.toString('utf8', start, end), end: end + 1};
+}
+
+function cutShort(frame: Frame): FrameError {
+  return new FrameError(
+    `a message of type ${JSON.stringify(frame.type)} is cut short`,
+    'Use a driver that speaks protocol 3.',
+  );
+}
