Split a session by what it serves, one module each

Cause: one module served reads, writes and transactions, and three lines of work would have met in it.

Ruled out: one class with a method for each request; its state was shared by parts that do not need it.

--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -13,7 +13,7 @@
 import type {GroupHandle} from './group-actor.js';
 import type {Log} from './log.js';
 import {type CallerRequest, requestReader} from './request-reader.js';
-import {callerSession} from './session-actor.js';
+import {callerSession} from './session.js';
 
 /** What the listener works with. */
 export interface ListenerContext {
--- /dev/null
+++ b/packages/daemon/src/placement.ts
@@ -0,0 +1,66 @@
+/** Finds a request a place on an endpoint and a connection to it. */
+import {messageOf} from '@quetzalreel/common';
+import type {KindConfig} from '@quetzalreel/config';
+import type {EndpointConnection} from '@quetzalreel/endpoint';
+import type {Grant} from '@quetzalreel/group';
+import {SqlState} from '@quetzalreel/wire';
+import type {RequestContext} from './session-context.js';
+
+/** A request that wants a place. */
+export interface PlaceRequest {
+  readonly needsPrimary: boolean;
+  readonly kind: KindConfig;
+  /** Monotonic milliseconds. */
+  readonly deadline: number;
+  readonly bytes: number;
+  /** Endpoints that failed it already. */
+  readonly avoid: readonly string[];
+}
+
+/** A granted place and a connection that nothing was sent on. */
+export interface Placed {
+  readonly grant: Grant;
+  /** Identity of the request in its group. */
+  readonly id: number;
+  readonly connection: EndpointConnection;
+}
+
+/** Tries of a request that has not been sent. */
+const MAX_TRIES = 4;
+
+/** A place, or undefined after the caller was told that nothing ran. */
+export async function findPlace(
+  context: RequestContext,
+  wanted: PlaceRequest,
+): Promise<Placed | undefined> {
+  const {group, floor, log, reply} = context;
+  for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
+    const input = {...wanted, floor: floor.current};
+    const placement = await group.request(input);
+    if ('refused' in placement) {
+      reply.fail(SqlState.NotRun, `not run: ${placement.refused}`);
+      return undefined;
+    }
+    const {grant, id} = placement;
+    floor.raise(grant.floor);
+    try {
+      const connection = await group.take(grant.endpoint);
+      return {grant, id, connection};
+    } catch (err) {
+      log.info({endpoint: grant.endpoint, why: messageOf(err)}, 'connect');
+      group.release(grant.endpoint);
+    }
+  }
+  reply.fail(SqlState.NotRun, 'not run: no connection to an endpoint');
+  return undefined;
+}
+
+/** Gives a place and its connection back. */
+export function giveBack(
+  context: RequestContext,
+  placed: Placed,
+  reusable: boolean,
+): void {
+  context.group.release(placed.grant.endpoint);
+  context.group.give(placed.connection, reusable);
+}
--- /dev/null
+++ b/packages/model/src/index.ts
@@ -0,0 +1,2 @@
+/** Public exports of `@quetzalreel/model`. */
+export {};
--- /dev/null
+++ b/packages/pool/src/index.ts
@@ -0,0 +1,2 @@
+/** Public exports of `@quetzalreel/pool`. */
+export {};
