--- /dev/null
+++ b/packages/login/test/test-login.ts
@@ -0,0 +1,78 @@
+import assert from 'node:assert/strict';
+import net from 'node:net';
+import {test} from 'node:test';
+import {Worker} from 'node:worker_threads';
+import {query} from '@quetzalreel/wire';
+import {type LoggedInClient, login} from '../src/login.js';
+
+const TIMEOUT_MS = 5000;
+/** Time that a client has for its query while the server is busy. */
+const BUSY_MS = 100;
+
+function startup(user: string): Buffer {
+  const text = Buffer.from(`user\0${user}\0database\0d\0\0`);
+  const head = Buffer.alloc(8);
+  head.writeInt32BE(text.length + 8, 0);
+  head.writeInt32BE(196608, 4);
+  return Buffer.concat([head, text]);
+}
+
+/** A client in a thread of its own: it asks as soon as it may, and ends. */
+const CLIENT = `
+  const net = require('node:net');
+  const {port, startup, asked} = require('node:worker_threads').workerData;
+  const client = net.connect(port, '127.0.0.1', () => client.write(startup));
+  const READY = Buffer.from([0x5a, 0, 0, 0, 5]);
+  client.on('data', chunk => chunk.includes(READY) && client.end(asked));
+`;
+
+function busyFor(delayMs: number): void {
+  const end = performance.now() + delayMs;
+  while (performance.now() < end);
+}
+
+/** A login whose end falls together with other work of the process. */
+function loginWhileBusy(
+  socket: net.Socket,
+): Promise<LoggedInClient | undefined> {
+  return login(socket, {
+    timeoutMs: TIMEOUT_MS,
+    parameters: {},
+    async onStartup() {
+      await new Promise(resolve => {
+        setTimeout(resolve, 1);
+        setTimeout(() => busyFor(BUSY_MS), 1);
+      });
+      return undefined;
+    },
+  });
+}
+
+async function bytesAfterLogin(socket: net.Socket): Promise<Buffer> {
+  const client = await loginWhileBusy(socket);
+  const parts = [...client!.early];
+  client!.socket.on('data', chunk => parts.push(chunk));
+  client!.socket.resume();
+  await new Promise(resolve => client!.socket.on('end', resolve));
+  return Buffer.concat(parts);
+}
+
+for (const size of [10, 40_000]) {
+  test(`a query of ${size} letters that comes with the login's end is kept`, async () => {
+    const asked = query('SELECT 1'.padEnd(size));
+    const server = net.createServer();
+    await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+    const {port} = server.address() as net.AddressInfo;
+    const workerData = {port, startup: startup('u'), asked};
+    const client = new Worker(CLIENT, {eval: true, workerData});
+    const socket = await new Promise<net.Socket>(resolve =>
+      server.once('connection', resolve),
+    );
+    const bytes = await bytesAfterLogin(socket);
+    socket.destroy();
+    server.close();
+    await client.terminate();
+    assert.equal(bytes.length, asked.length);
+    assert.ok(bytes.equals(asked));
+  });
+}
