Let callers of the bench keep connections, work in waves and be judged

Cause: the demonstration's callers only inserted rows and read them back, and the two deployments could not be run.

Change: mixes of kinds for both deployments, callers that roam over kept connections, and a checker that knows versions, transactions and ages.

--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -1,127 +1,207 @@
 /** A caller that writes, reads its own writes and roams between proxies. */
-import {SqlState} from '@quetzalreel/wire';
-import pg from 'pg';
 import {uniformInt} from 'pure-rand/distribution/uniformInt';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
-import type {ReadRecord, WriteRecord} from './history.js';
+import {type ProxyAddress, roamingClient} from './roaming.js';
+import {type ReadRecord, type WriteRecord, valueOf} from './history.js';
+import {type MixPart, Operation} from './workloads.js';
+
+/** Where reads are sent. */
+export const ReadPolicy = {
+  /** The product decides. */
+  Product: 'product',
+  /** Baseline: every read goes to the primary. */
+  PrimaryOnly: 'primary-only',
+  /** Baseline: reads go to the primary for a time after a write. */
+  PrimaryAfterWrite: 'primary-after-write',
+} as const;
+
+/** One of the values of `ReadPolicy`. */
+export type ReadPolicy = (typeof ReadPolicy)[keyof typeof ReadPolicy];
+
+/** What callers of one group share. */
+export interface Board {
+  /** Keys that were acknowledged, for browsing. */
+  readonly keys: string[];
+  /** Places left in the present wave. */
+  places: number;
+  /** Called when the last place of a wave is taken. */
+  onFilled(): void;
+}
 
 /** What a caller does. */
 export interface CallerOptions {
   readonly name: string;
   readonly group: string;
-  readonly proxies: ReadonlyArray<{
-    readonly host: string;
-    readonly port: number;
-  }>;
+  readonly proxies: readonly ProxyAddress[];
   readonly seed: number;
-  /** Part of the requests that are reads, in per cent. */
-  readonly readPercent: number;
+  readonly mix: readonly MixPart[];
+  /** Largest age of each read kind, milliseconds. */
+  readonly maxAgeMs: Readonly<Record<string, number>>;
+  readonly policy: ReadPolicy;
   /** Requests between two changes of proxy. */
   readonly requestsPerProxy: number;
   /** Longest wait for an answer, milliseconds. */
   readonly timeoutMs: number;
   /** Pause between two requests, milliseconds. */
   readonly thinkMs: number;
+  readonly board: Board;
 }
 
 /** What a caller recorded. */
 export interface CallerRecords {
   readonly writes: WriteRecord[];
   readonly reads: ReadRecord[];
+  /** Reads that a baseline sent to the primary. */
+  readonly forcedReads: number;
 }
 
 /** Table that callers write to. */
 export const ENTRY_TABLE = 'entries';
+/** Time after a write in which a baseline reads from the primary. */
+const PRIMARY_AFTER_WRITE_MS = 1000;
 
-const OUTCOME_OF_CODE: Readonly<Record<string, WriteRecord['outcome']>> = {
-  [SqlState.NotRun]: 'notRun',
-  [SqlState.OutcomeUnknown]: 'unknown',
-};
+interface Change {
+  readonly key: string;
+  readonly version: number;
+}
 
 /** Works until `stopped` says so; resolves with what was seen. */
 export async function runCaller(
   options: CallerOptions,
   stopped: () => boolean,
 ): Promise<CallerRecords> {
-  const records: CallerRecords = {writes: [], reads: []};
+  const {board} = options;
+  const writes: WriteRecord[] = [];
+  const reads: ReadRecord[] = [];
   const random = xoroshiro128plus(options.seed);
   const pick = (size: number) => uniformInt(random, 0, size - 1);
-  let client: pg.Client | undefined;
-  let left = 0;
-  let lastKey: string | undefined;
+  const client = roamingClient(options, pick);
+  const total = options.mix.reduce((sum, part) => sum + part.weight, 0);
+  /** Rows that this caller may change, with their acknowledged versions. */
+  const owned = new Map<string, number>();
+  let ownKeys: string[] = [];
   let count = 0;
+  let forcedReads = 0;
+  let lastWriteAt = -Infinity;
 
-  async function connected(): Promise<pg.Client> {
-    if (client && left-- > 0) return client;
-    await leave();
-    const proxy = options.proxies[pick(options.proxies.length)]!;
-    const opened = new pg.Client({
-      host: proxy.host,
-      port: proxy.port,
-      user: options.name,
-      database: options.group,
-      connectionTimeoutMillis: options.timeoutMs,
-      query_timeout: options.timeoutMs,
-    });
-    opened.on('error', () => {});
-    await opened.connect();
-    client = opened;
-    left = options.requestsPerProxy;
-    return opened;
+  function nextPart(): MixPart {
+    const wave = options.mix.find(part => part.operation === Operation.Post);
+    if (board.places > 0 && wave) return wave;
+    let at = pick(total);
+    for (const part of options.mix) {
+      if (at < part.weight) return part;
+      at -= part.weight;
+    }
+    return options.mix[0]!;
   }
 
-  async function leave(): Promise<void> {
-    const old = client;
-    client = undefined;
-    await old?.end().catch(() => {});
+  const fresh = (): Change => ({key: `${options.name}-${++count}`, version: 1});
+
+  function amended(): Change {
+    if (ownKeys.length === 0) return fresh();
+    const key = ownKeys[pick(ownKeys.length)]!;
+    return {key, version: owned.get(key)! + 1};
   }
 
-  async function write(on: pg.Client): Promise<void> {
-    const key = `${options.name}-${++count}`;
+  async function write(
+    part: MixPart,
+    changes: readonly Change[],
+  ): Promise<void> {
+    const isPair = changes.length > 1;
+    const transaction = isPair ? {transaction: changes[1]!.key} : {};
     const startedAt = performance.now();
-    try {
-      const sql = `INSERT INTO ${ENTRY_TABLE} (key, value) VALUES ($1, $2)`;
-      await on.query(sql, [key, 'written']);
-      const endedAt = performance.now();
-      records.writes.push({key, startedAt, endedAt, outcome: 'acked'});
-      lastKey = key;
-    } catch (err) {
-      const code = (err as {code?: string}).code ?? '';
-      const outcome = OUTCOME_OF_CODE[code] ?? 'unknown';
-      const endedAt = performance.now();
-      records.writes.push({key, startedAt, endedAt, outcome, code});
-      if (!(code in OUTCOME_OF_CODE)) await leave();
+    const statements = changes.map(change => statementOf(part.kind, change));
+    const outcome = isPair
+      ? await client.transaction(statements)
+      : await client.write(statements[0]!);
+    const endedAt = performance.now();
+    const {name: caller, group} = options;
+    const who = {caller, group, proxy: client.proxy};
+    const times = {startedAt, endedAt};
+    for (const change of changes) {
+      writes.push({...change, ...who, ...times, ...outcome, ...transaction});
+    }
+    lastWriteAt = endedAt;
+    for (const change of changes) settle(change, outcome.outcome);
+    const isPost = part.operation === Operation.Post;
+    if (isPost && outcome.outcome === 'acked') takePlace();
+  }
+
+  /** A row whose state is in doubt is neither changed nor browsed again. */
+  function settle(change: Change, outcome: WriteRecord['outcome']): void {
+    if (outcome === 'acked') {
+      owned.set(change.key, change.version);
+      if (change.version === 1) board.keys.push(change.key);
+    } else if (outcome === 'unknown') {
+      owned.delete(change.key);
     }
+    ownKeys = [...owned.keys()].slice(-OWN_KEYS);
   }
 
-  async function read(on: pg.Client, key: string): Promise<void> {
+  function takePlace(): void {
+    if (board.places === 0) return;
+    board.places--;
+    if (board.places === 0) board.onFilled();
+  }
+
+  async function read(part: MixPart, key: string): Promise<void> {
+    const isForced = isForcedToPrimary();
+    if (isForced) forcedReads++;
+    const named = `SELECT value FROM ${ENTRY_TABLE} WHERE key = '${key}'`;
+    const sql = isForced
+      ? `BEGIN; ${named}; COMMIT`
+      : `/*kind='${part.kind}'*/ ${named}`;
     const startedAt = performance.now();
-    const record = (rows: number, outcome: ReadRecord['outcome']) => {
-      const endedAt = performance.now();
-      records.reads.push({key, startedAt, endedAt, rows, outcome});
-    };
-    try {
-      const sql = `SELECT value FROM ${ENTRY_TABLE} WHERE key = $1`;
-      const res = await on.query(sql, [key]);
-      record(res.rows.length, 'done');
-    } catch (err) {
-      const code = (err as {code?: string}).code ?? '';
-      record(0, code === SqlState.NotRun ? 'notRun' : 'failed');
-      if (code !== SqlState.NotRun) await leave();
+    const answer = await client.read(sql);
+    const endedAt = performance.now();
+    const maxAgeMs = options.maxAgeMs[part.kind] ?? 0;
+    const who = {caller: options.name, proxy: client.proxy};
+    reads.push({key, startedAt, endedAt, maxAgeMs, ...who, ...answer});
+  }
+
+  function isForcedToPrimary(): boolean {
+    if (options.policy === ReadPolicy.PrimaryOnly) return true;
+    if (options.policy === ReadPolicy.Product) return false;
+    return performance.now() - lastWriteAt < PRIMARY_AFTER_WRITE_MS;
+  }
+
+  async function perform(part: MixPart): Promise<void> {
+    switch (part.operation) {
+      case Operation.Post:
+        return write(part, [fresh()]);
+      case Operation.PostPair:
+        return write(part, [fresh(), fresh()]);
+      case Operation.Amend:
+        return write(part, [amended()]);
+      case Operation.AmendWithHistory:
+        return write(part, [amended(), fresh()]);
+      case Operation.ReadOwn:
+        if (ownKeys.length === 0) return write(part, [fresh()]);
+        return read(part, ownKeys.at(-1 - pick(Math.min(3, ownKeys.length)))!);
+      case Operation.Browse:
+        if (board.keys.length === 0) return;
+        return read(part, board.keys[pick(board.keys.length)]!);
     }
   }
 
   while (!stopped()) {
-    try {
-      const on = await connected();
-      const reads = lastKey !== undefined && pick(100) < options.readPercent;
-      if (reads) await read(on, lastKey!);
-      else await write(on);
-    } catch {
-      await leave();
-    }
-    await new Promise(resolve => setTimeout(resolve, options.thinkMs));
+    const part = nextPart();
+    if (await client.connect()) await perform(part);
+    const pause = board.places > 0 ? 0 : options.thinkMs;
+    await new Promise(resolve => setTimeout(resolve, pause));
   }
-  await leave();
-  return records;
+  await client.end();
+  return {writes, reads, forcedReads};
+}
+
+/** Own rows that a caller remembers. */
+const OWN_KEYS = 50;
+
+function statementOf(kind: string, {key, version}: Change): string {
+  const value = valueOf(key, version);
+  const sql =
+    version === 1
+      ? `INSERT INTO ${ENTRY_TABLE} (key, value) VALUES ('${key}', '${value}')`
+      : `UPDATE ${ENTRY_TABLE} SET value = '${value}' WHERE key = '${key}'`;
+  return `/*kind='${kind}'*/ ${sql}`;
 }
--- a/packages/bench/src/demo-main.ts
+++ b/packages/bench/src/demo-main.ts
@@ -1,6 +1,6 @@
 /** The command `npm run demo`. */
 import {boolean, command, flag, number, option, run} from 'cmd-ts';
-import {DEMO_SIZES, runDemo} from './demo.js';
+import {DEMO, runDemo} from './demo.js';
 import {startFleet} from './fleet.js';
 import {isClean} from './history.js';
 
@@ -15,7 +15,7 @@
     callers: option({type: number, long: 'callers', defaultValue: () => 12}),
   },
   handler: async ({hold, seed, callers}) => {
-    const fleet = await startFleet({...DEMO_SIZES, logLevel: 'warn'});
+    const fleet = await startFleet({...DEMO.sizes, logLevel: 'warn'});
     if (hold) {
       const {proxies, endpoints, platform} = fleet;
       print(JSON.stringify({proxies, endpoints, platform}));
@@ -24,7 +24,7 @@
       return;
     }
     try {
-      const options = {callers, seed, beforeMs: 2000, afterMs: 3000};
+      const options = {callers, seed, loadMs: 5000};
       const result = await runDemo(fleet, options, print);
       print(JSON.stringify(result));
       process.exitCode = isClean(result) && result.acked > 0 ? 0 : 1;
--- a/packages/bench/src/index.ts
+++ b/packages/bench/src/index.ts
@@ -1,5 +1,12 @@
 /** Public exports of `@quetzalreel/bench`. */
-export {type CallerOptions, type CallerRecords, runCaller} from './caller.js';
+export {
+  type Board,
+  type CallerOptions,
+  type CallerRecords,
+  ReadPolicy,
+  runCaller,
+} from './caller.js';
+export {type RunFigures, type RunOptions, runExperiment} from './experiment.js';
 export {
   type Fleet,
   type FleetEndpoint,
@@ -14,4 +21,6 @@
   type WriteRecord,
   checkHistory,
   isClean,
+  valueOf,
 } from './history.js';
+export {ARCHIVE, ENTRIES, WORKLOADS, type Workload} from './workloads.js';
