Bound the queue's work for each event

Cause: each release walked all waiting requests and rebuilt the array, so the cost of one event grew with the overload that caused the waiting. Change: requests wait in three lanes by what they need (a floor, the primary, any endpoint). Ruled out: one array with a start index (older states would share it); a heap by deadline (cancelled entries have to be kept in it).

--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -40,6 +40,7 @@
   withEndpoint,
   withFailure,
   withStatus,
+  writablePrimary,
 } from './view.js';
 
 /** Bounds of a group in one instance. */
@@ -273,14 +274,16 @@
   return {...state, view};
 }
 
-/** Gives places to waiting requests, the first first. */
+/** Gives places to waiting requests, the first of each need first. */
 function placeWaiting(state: GroupState, now: number): GroupResult {
   if (state.waiting.length === 0) return {state, effects: []};
   const effects: GroupEffect[] = [];
   const drained = drain(state.waiting, state, now, (current, req) => {
+    if (isHopeless(current, req)) return 'stop';
     const placed = place(current, req, now);
-    if (placed) effects.push(...placed.effects);
-    return placed?.state;
+    if (!placed) return 'pass';
+    effects.push(...placed.effects);
+    return {placed: placed.state};
   });
   for (const {id} of drained.expired) {
     effects.push({type: 'refuse', id, reason: RefusalReason.Deadline});
@@ -288,6 +291,25 @@
   return {state: {...drained.state, waiting: drained.queue}, effects};
 }
 
+/** Whether neither this request nor a later one of its lane has a place. */
+function isHopeless(state: GroupState, req: GroupRequest): boolean {
+  const {view, failover} = state;
+  if (!hasAnyRoom(view)) return true;
+  // A majority that reported after a later arrival did so after this one.
+  if (!req.floor && !floorAfter(view, req.arrivedAt)) return true;
+  if (!req.floor || !req.needsPrimary) return false;
+  const primary = writablePrimary(view);
+  if (!primary || failover.step === 'draining') return true;
+  return primary.busy >= primary.capacity;
+}
+
+function hasAnyRoom(view: GroupView): boolean {
+  for (const {reach, busy, capacity} of view.endpoints.values()) {
+    if (reach === Reach.Up && busy < capacity) return true;
+  }
+  return false;
+}
+
 /** Holds a committed write until a majority has it. */
 function hold(
   state: GroupState,
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -28,12 +28,16 @@
 } from './group.js';
 export {
   type DrainOutcome,
+  Need,
+  type Offer,
   type QueueLimits,
   type RequestQueue,
   dequeue,
   drain,
   emptyQueue,
   enqueue,
+  needOf,
+  waitingIn,
 } from './queue.js';
 export {
   type Grant,
