Tell a held write's outcome as unknown once a later term has begun

Cause: a write committed at a primary that then died kept its caller until the kind's deadline of 10 s, although both other endpoints had promised a later term and the record could come to no majority any more. Change: an endpoint that promised a later term without the record no longer counts as one that may still get it; without a possible majority the outcome is told as unknown at once. Ruled out: telling it on the first sign of a later term.

--- a/packages/group/src/acks.ts
+++ b/packages/group/src/acks.ts
@@ -2,6 +2,7 @@
  * Writes that the primary has committed and whose callers wait until a
  * majority of endpoints holds them.
  */
+import type {EndpointStatus} from '@quetzalreel/endpoint';
 import {type Position, majorityOf} from '@quetzalreel/position';
 import type {GroupView} from './view.js';
 
@@ -31,12 +32,31 @@
 export function isOnMajority(view: GroupView, position: Position): boolean {
   let holders = 0;
   for (const {status} of view.endpoints.values()) {
-    if (!status || status.last.term !== position.term) continue;
-    if (status.last.offset >= position.offset) holders++;
+    if (status && holds(status, position)) holders++;
   }
   return holders >= majorityOf(view.endpoints.size);
 }
 
+/**
+ * Whether a record of an earlier term can still come to be on a majority. An
+ * endpoint that promised a later term takes no more records of this one, so
+ * without the record it stays without it, or gets it unseen from a primary of
+ * the later term.
+ */
+export function isStillPossible(view: GroupView, position: Position): boolean {
+  let possible = 0;
+  for (const {status} of view.endpoints.values()) {
+    if (!status || status.promisedTerm <= position.term) possible++;
+    else if (holds(status, position)) possible++;
+  }
+  return possible >= majorityOf(view.endpoints.size);
+}
+
+function holds(status: EndpointStatus, position: Position): boolean {
+  const {term, offset} = status.last;
+  return term === position.term && offset >= position.offset;
+}
+
 /** Sorts held writes by what is known now. */
 export function settleAcks(
   held: readonly HeldAck[],
@@ -50,6 +70,7 @@
   for (const ack of held) {
     if (isOnMajority(view, ack.position)) done.push(ack);
     else if (now >= ack.deadline) unknown.push(ack);
+    else if (!isStillPossible(view, ack.position)) unknown.push(ack);
     else left.push(ack);
   }
   return {done, unknown, held: left};
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -323,7 +323,7 @@
   const effects: GroupEffect[] = [];
   for (const {id} of outcome.done) effects.push({type: 'acknowledge', id});
   for (const {id} of outcome.unknown) {
-    const why = 'no majority held it in time';
+    const why = 'a later term began, or no majority held it in time';
     effects.push({type: 'unknown', id, why});
   }
   return {state: {...state, held: outcome.held}, effects};
