--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -9,8 +9,22 @@
   type GroupConfig,
   type KindConfig,
 } from './configuration.js';
+export {configurationWarnings} from './cross-checks.js';
+export {
+  type FollowerEffect,
+  type FollowerEvent,
+  type FollowerResult,
+  type FollowerState,
+  type InForce,
+  Source,
+  initialFollower,
+  stepFollower,
+} from './follower.js';
+export {digestOf} from './digest.js';
+export {type PlatformLoad, pacing} from './pacing.js';
 export {
   ConfigurationError,
   type ConfigurationProblem,
-  parseConfiguration,
-} from './schema.js';
+  formatProblem,
+} from './problems.js';
+export {parseConfiguration} from './schema.js';
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -1,9 +1,15 @@
 /** The JSON schema of the configuration, and its check. */
-import {TypedError} from '@quetzalreel/common';
-import {Ajv, type ErrorObject} from 'ajv';
+import {Ajv} from 'ajv';
 import type {Configuration} from './configuration.js';
+import {crossProblems} from './cross-checks.js';
+import {ConfigurationError, problemOf} from './problems.js';
 
-const NAME = {type: 'string', pattern: '^[a-z0-9][a-z0-9_.-]{0,62}$'};
+const NAME = {
+  type: 'string',
+  pattern: '^[a-z0-9][a-z0-9_.-]{0,62}$',
+  description:
+    'write 1 to 63 of a to z, 0 to 9, "_", "." and "-", a letter or digit first',
+};
 
 const ENDPOINT = {
   type: 'object',
@@ -53,6 +59,7 @@
     secret: {
       type: 'string',
       pattern: '^scrypt\\$[\\w-]+\\$[\\w-]+$',
+      description: 'write scrypt$<salt>$<hash> as `qrctl secret` prints it',
     },
   },
 };
@@ -70,28 +77,6 @@
   },
 };
 
-/** One thing that is wrong with a configuration. */
-export interface ConfigurationProblem {
-  /** Where, as a JSON pointer. */
-  readonly path: string;
-  /** What stands there; undefined when something is missing. */
-  readonly value: unknown;
-  /** What to do about it. */
-  readonly remedy: string;
-}
-
-/** A configuration was refused; nothing of it was taken. */
-export class ConfigurationError extends TypedError {
-  /** Every problem found, in the order of the document. */
-  readonly problems: readonly ConfigurationProblem[];
-
-  constructor(problems: readonly ConfigurationProblem[]) {
-    const list = problems.map(p => `${p.path || '/'}: ${p.remedy}`).join('; ');
-    super('ConfigurationError', 'the configuration is refused', list);
-    this.problems = problems;
-  }
-}
-
 const validate = new Ajv({
   allErrors: true,
   useDefaults: true,
@@ -109,40 +94,7 @@
     throw new ConfigurationError((validate.errors ?? []).map(problemOf));
   }
   const cfg = copy as unknown as Configuration;
-  const repeated = repeatedNames(cfg);
-  if (repeated.length > 0) throw new ConfigurationError(repeated);
+  const problems = crossProblems(cfg);
+  if (problems.length > 0) throw new ConfigurationError(problems);
   return cfg;
 }
-
-function problemOf(err: ErrorObject): ConfigurationProblem {
-  return {
-    path: err.instancePath,
-    value: err.keyword === 'required' ? undefined : err.data,
-    remedy: `${err.message ?? 'is not valid'} (${JSON.stringify(err.params)})`,
-  };
-}
-
-function repeatedNames(cfg: Configuration): ConfigurationProblem[] {
-  const endpoints = cfg.groups.flatMap(group => group.endpoints);
-  return [
-    ...repeatsIn('/groups', cfg.groups),
-    ...repeatsIn('/groups/endpoints', endpoints),
-    ...repeatsIn('/kinds', cfg.kinds),
-    ...repeatsIn('/callers', cfg.callers),
-  ];
-}
-
-function repeatsIn(
-  path: string,
-  items: ReadonlyArray<{readonly name: string}>,
-): ConfigurationProblem[] {
-  const seen = new Set<string>();
-  const problems: ConfigurationProblem[] = [];
-  for (const {name} of items) {
-    if (seen.has(name)) {
-      problems.push({path, value: name, remedy: `rename the second ${name}`});
-    }
-    seen.add(name);
-  }
-  return problems;
-}
--- a/packages/config/test/test-schema.ts
+++ b/packages/config/test/test-schema.ts
@@ -1,6 +1,10 @@
 import assert from 'node:assert/strict';
 import {test} from 'node:test';
-import {ConfigurationError, parseConfiguration} from '../src/index.js';
+import {
+  ConfigurationError,
+  configurationWarnings,
+  parseConfiguration,
+} from '../src/index.js';
 
 const ENDPOINT = {name: 'e1', host: '127.0.0.1', port: 5, dataCentre: 'recife'};
 
@@ -24,7 +28,7 @@
     assert.ok(err instanceof ConfigurationError);
     const paths = err.problems.map(problem => problem.path).sort();
     assert.deepEqual(paths, [
-      '',
+      '/extra',
       '/generation',
       '/groups/0/endpoints',
       '/groups/0/name',
@@ -32,10 +36,94 @@
   }
 });
 
-test('a name that stands twice is refused', () => {
-  const groups = [{name: 'g', endpoints: [ENDPOINT, ENDPOINT]}];
-  assert.throws(
-    () => parseConfiguration({generation: 1, groups}),
+/** A configuration of one group, with `change` laid over it. */
+function document(change: object): unknown {
+  const e = (name: string, port: number) => ({...ENDPOINT, name, port});
+  const endpoints = [e('e1', 1), e('e2', 2), e('e3', 3)];
+  return {generation: 1, groups: [{name: 'g', endpoints}], ...change};
+}
+
+const group = (name: string, ...endpoints: object[]) => ({name, endpoints});
+const leaving = {...ENDPOINT, leaving: true};
+
+const REFUSED: ReadonlyArray<[string, object, string, RegExp]> = [
+  ['a missing field', {groups: [{name: 'g'}]}, '/groups/0/endpoints', /add/],
+  ['an unknown field', {grops: []}, '/grops', /remove this field/],
+  ['a text for a number', {generation: '4'}, '/generation', /whole number/],
+  ['a number too low', {generation: 0}, '/generation', /at least 1/],
+  [
+    'a name with a blank',
+    {kinds: [{name: 'a b', access: 'read'}]},
+    '/kinds/0/name',
+    /a to z/,
+  ],
+  [
+    'a word that is not offered',
+    {kinds: [{name: 'k', access: 'both'}]},
+    '/kinds/0/access',
+    /one of read, write/,
+  ],
+  [
+    'an endpoint that stands twice',
+    {groups: [group('g', ENDPOINT, {...ENDPOINT, port: 6})]},
+    '/groups/0/endpoints/1/name',
     /rename the second e1/,
+  ],
+  [
+    'an address that stands twice',
+    {groups: [group('g', ENDPOINT, {...ENDPOINT, name: 'e2'})]},
+    '/groups/0/endpoints/1',
+    /e1 has this one/,
+  ],
+  [
+    'a group that leaves as a whole',
+    {groups: [group('g', leaving)]},
+    '/groups/0/endpoints',
+    /keep one endpoint of g/,
+  ],
+  [
+    'a kind with the name of a built-in one',
+    {kinds: [{name: 'default-read', access: 'read'}]},
+    '/kinds/0/name',
+    /another name/,
+  ],
+  [
+    'an ack rule on a read',
+    {kinds: [{name: 'k', access: 'read', ack: 'primary'}]},
+    '/kinds/0/ack',
+    /reads have no ack/,
+  ],
+];
+
+for (const [name, change, path, remedy] of REFUSED) {
+  test(`${name} is refused with path, value and remedy`, () => {
+    try {
+      parseConfiguration(document(change));
+      assert.fail('was accepted');
+    } catch (err) {
+      assert.ok(err instanceof ConfigurationError);
+      const found = err.problems.find(problem => problem.path === path);
+      assert.match(found?.remedy ?? JSON.stringify(err.problems), remedy);
+      assert.doesNotMatch(err.message, /must |params|\{"/);
+    }
+  });
+}
+
+test('a secret is not shown when it is refused', () => {
+  const callers = [{name: 'c', secret: 'plain-hunter2'}];
+  assert.throws(
+    () => parseConfiguration(document({callers})),
+    (err: Error) => !err.message.includes('hunter2'),
   );
 });
+
+test('groups of one, of an even number or of one data centre are warned of', () => {
+  const e = (i: number) => ({...ENDPOINT, name: `e${i}`, port: i});
+  const groups = [group('one', e(1)), group('two', e(2), e(3))];
+  const cfg = parseConfiguration(document({groups}));
+  const told = configurationWarnings(cfg).map(warning => warning.remedy);
+  assert.equal(told.length, 3);
+  assert.match(told[0]!, /one alone/);
+  assert.match(told[1]!, /no more losses than 1/);
+  assert.match(told[2]!, /spread two/);
+});
