Keep a request that arrives while a login is handed over

Cause: between the end of a login and the next turn of the event loop the socket had no reader but a byte counter, so a request that came at once was dropped. Callers waited out their own timeout of 12 s; it hit new connections to endpoints, which log in to a stand-in through the same code, in bursts. Change: what arrives until the hand-over is kept and read first. Ruled out: held acknowledgements alone.

--- a/packages/login/src/login.ts
+++ b/packages/login/src/login.ts
@@ -37,7 +37,7 @@
   /** Database named at login; the user's name when none was. */
   readonly database: string;
   readonly parameters: Readonly<Record<string, string>>;
-  /** Messages that came together with the password, to be read first. */
+  /** Bytes that came before the client was handed over, to be read first. */
   readonly early: readonly Buffer[];
 }
 
@@ -98,10 +98,14 @@
         const database = parameters['database'] ?? parameters.user;
         const user = parameters.user;
         // The library resumes the socket after this call returns, so the
-        // client is handed over on the next turn.
-        setImmediate(() =>
-          finish({socket: open, user, database, parameters, early}),
-        );
+        // client is handed over on the next turn; what arrives until then is
+        // kept.
+        const keep = (chunk: Buffer) => early.push(chunk);
+        open.on('data', keep);
+        setImmediate(() => {
+          open.off('data', keep);
+          finish({socket: open, user, database, parameters, early});
+        });
       },
     });
   });
