Carry a session's floor in signed tokens, and keep its settings apart

Cause: a caller that roams had to wait for a majority each time; SET and SHOW of the proxy's settings fell through to an endpoint; a SET inside a transaction stayed on a connection that other callers got; a read whose function writes could be sent twice; Flush without Sync was never answered. Change: signed tokens (HMAC, QR003 when forged, cut or ahead of the group), a keeper of floors, commands of the proxy, one place where requests are refused; connections with left-over state are closed; a replica's "read-only" sends the statement to the primary as a write; a connect that fails is tried again until the deadline, on another endpoint if there is one. Seen: without the majority round tests 3, 4, 5 and 7 of test-session fail, with the floor ignored on replicas 1 to 4, with the token ignored 5 and 9. Conclusion: read-your-writes holds in the cases made here.

--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -3,6 +3,7 @@
 import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
 import type {Configuration} from '@quetzalreel/config';
 import {type LoggedInClient, login} from '@quetzalreel/login';
+import type {TokenCodec} from '@quetzalreel/position';
 import {
   type Frame,
   SqlState,
@@ -24,6 +25,8 @@
   readonly port: number;
   readonly maxMessageBytes: number;
   readonly loginTimeoutMs: number;
+  /** Undefined when there is no key for session tokens. */
+  readonly tokens: TokenCodec | undefined;
   readonly configuration: () => Configuration;
   readonly groupOf: (database: string) => GroupHandle | undefined;
 }
@@ -118,7 +121,7 @@
 ): void {
   const {socket} = client;
   const splitter = frameSplitter(maxBytes);
-  const reader = requestReader();
+  const reader = requestReader(maxBytes);
   const handle = (frame: Frame) => {
     if (frame.type === 'X') {
       socket.end();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
 import {httpPlatformClient} from '@quetzalreel/platform';
+import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
@@ -87,6 +88,7 @@
       port: settings.port,
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
+      tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
       configuration: () => follower.current!,
       groupOf: name => groups.get(name),
     }),
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -38,6 +38,8 @@
   readonly needsPrimary: boolean;
   readonly kind: KindConfig;
   readonly floor: Position | undefined;
+  /** True while only a session token vouches for the floor. */
+  readonly unproved: boolean;
   /** Monotonic milliseconds. */
   readonly deadline: number;
   readonly bytes: number;
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -2,7 +2,7 @@
 import {messageOf} from '@quetzalreel/common';
 import type {KindConfig} from '@quetzalreel/config';
 import type {EndpointConnection} from '@quetzalreel/endpoint';
-import type {Grant} from '@quetzalreel/group';
+import {type Grant, RefusalReason} from '@quetzalreel/group';
 import {SqlState} from '@quetzalreel/wire';
 import type {RequestContext} from './session-context.js';
 
@@ -25,20 +25,28 @@
   readonly connection: EndpointConnection;
 }
 
-/** Tries of a request that has not been sent. */
-const MAX_TRIES = 4;
+/** Pause before the primary is tried again, in milliseconds. */
+const RETRY_MS = 20;
 
-/** A place, or undefined after the caller was told that nothing ran. */
+/**
+ * A place, or undefined after the caller was told that nothing ran. Until the
+ * first byte is sent everything may be tried again, up to the deadline.
+ */
 export async function findPlace(
   context: RequestContext,
   wanted: PlaceRequest,
 ): Promise<Placed | undefined> {
-  const {group, floor, log, reply} = context;
-  for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
-    const input = {...wanted, floor: floor.current};
+  const {clock, group, floor, log, reply} = context;
+  const avoid = [...wanted.avoid];
+  do {
+    const {current, unproved} = floor;
+    const input = {...wanted, avoid, floor: current, unproved};
     const placement = await group.request(input);
     if ('refused' in placement) {
-      reply.fail(SqlState.NotRun, `not run: ${placement.refused}`);
+      const {refused} = placement;
+      const isAhead = refused === RefusalReason.TokenAhead;
+      const code = isAhead ? SqlState.BadToken : SqlState.NotRun;
+      reply.fail(code, `not run: ${refused}`);
       return undefined;
     }
     const {grant, id} = placement;
@@ -50,17 +58,23 @@
       log.info({endpoint: grant.endpoint, why: messageOf(err)}, 'connect');
       group.release(grant.endpoint);
     }
-  }
+    if (grant.role === 'replica') avoid.push(grant.endpoint);
+    else await clock.sleep(RETRY_MS);
+  } while (clock.now() < wanted.deadline);
   reply.fail(SqlState.NotRun, 'not run: no connection to an endpoint');
   return undefined;
 }
 
-/** Gives a place and its connection back. */
+/**
+ * Gives a place and its connection back. A connection on which the session
+ * left a setting or a lock is closed: it must not reach another caller.
+ */
 export function giveBack(
   context: RequestContext,
   placed: Placed,
   reusable: boolean,
 ): void {
   context.group.release(placed.grant.endpoint);
-  context.group.give(placed.connection, reusable);
+  const clean = reusable && !context.residue.left;
+  context.group.give(placed.connection, clean);
 }
--- a/packages/daemon/src/read-request.ts
+++ b/packages/daemon/src/read-request.ts
@@ -1,27 +1,35 @@
 /** Serves a read that stands alone. */
-import type {KindConfig} from '@quetzalreel/config';
+import {DEFAULT_READ, type KindConfig} from '@quetzalreel/config';
 import {SqlState} from '@quetzalreel/wire';
 import {type Answer, ask} from './answer.js';
-import {findPlace, giveBack} from './placement.js';
+import {type Placed, findPlace, giveBack} from './placement.js';
 import type {CallerRequest} from './request-reader.js';
 import type {RequestContext} from './session-context.js';
+import {
+  type OpenedTransaction,
+  acknowledge,
+  serveWrite,
+} from './write-request.js';
 
 /** Endpoints that a read is tried on. */
 const MAX_ENDPOINTS = 4;
 
-/** Serves a read; it is tried elsewhere when an endpoint fails it. */
+/**
+ * Serves a read; it is tried elsewhere when an endpoint fails it. A replica
+ * that refuses it as read-only has proved that it writes and did not run.
+ */
 export async function serveRead(
   context: RequestContext,
   request: CallerRequest,
   kind: KindConfig,
-): Promise<void> {
+): Promise<OpenedTransaction | undefined> {
   const avoid: string[] = [];
   const deadline = context.clock.now() + kind.deadlineMs;
   const bytes = request.bytes.length;
   for (let tries = 0; tries < MAX_ENDPOINTS; tries++) {
     const wanted = {needsPrimary: false, kind, deadline, bytes, avoid};
     const placed = await findPlace(context, wanted);
-    if (!placed) return;
+    if (!placed) return undefined;
     let answer: Answer;
     try {
       answer = await ask(
@@ -31,15 +39,36 @@
       );
     } catch {
       giveBack(context, placed, false);
+      if (!mayRepeat(request, kind, placed)) {
+        const why =
+          'outcome unknown: the statement calls functions that may write, ' +
+          'and the connection broke. Name a kind with access "read" if not.';
+        context.reply.fail(SqlState.OutcomeUnknown, why);
+        return undefined;
+      }
       avoid.push(placed.grant.endpoint);
       continue;
     }
+    const {committed} = placed.connection;
     giveBack(context, placed, true);
-    if (answer.error?.code !== SqlState.ReadOnly) {
-      context.reply.answer(answer.bytes);
-      return;
+    if (answer.error?.code === SqlState.ReadOnly) {
+      return serveWrite(context, request, kind);
     }
-    avoid.push(placed.grant.endpoint);
+    await acknowledge(context, placed.id, answer, committed, deadline);
+    return undefined;
   }
   context.reply.fail(SqlState.NotRun, 'not run: no endpoint answered the read');
+  return undefined;
+}
+
+/** Whether running a read again is harmless after its connection broke. */
+function mayRepeat(
+  request: CallerRequest,
+  kind: KindConfig,
+  placed: Placed,
+): boolean {
+  if (placed.grant.role === 'replica' || !request.statement.mayWrite) {
+    return true;
+  }
+  return kind !== DEFAULT_READ && kind.access === 'read';
 }
--- a/packages/daemon/src/request-reader.ts
+++ b/packages/daemon/src/request-reader.ts
@@ -2,23 +2,36 @@
 import {type Statement, StatementClass, classify} from '@quetzalreel/statement';
 import {
   type Frame,
+  FrameError,
+  checkExecute,
   closeStatement,
-  parse,
-  readBind,
+  message,
+  readBindNames,
   readParse,
   readQuery,
   readTarget,
 } from '@quetzalreel/wire';
 
-/** Messages that get one answer, up to ReadyForQuery. */
+/** What a request expects back for one of its messages. */
+export type RequestStep =
+  'query' | 'parse' | 'bind' | 'execute' | 'close' | 'describe' | 'columns';
+
+/** Messages that get one answer. */
 export interface CallerRequest {
-  /** Bytes for the endpoint. */
+  /** Bytes for the endpoint; they end with a Sync unless it is a Query. */
   readonly bytes: Buffer;
   readonly statement: Statement;
   /** Text of the only simple query; undefined for extended requests. */
   readonly sql: string | undefined;
   /** Frames to leave out at the start of the answer. */
   readonly hiddenFrames: number;
+  /**
+   * True when the caller sent Flush and no Sync yet: its answer ends without
+   * ReadyForQuery.
+   */
+  readonly partial: boolean;
+  /** What the caller's messages ask for, in order. */
+  readonly steps: readonly RequestStep[];
 }
 
 /** Takes frames in order and gives back the requests they complete. */
@@ -27,7 +40,13 @@
   push(frame: Frame): CallerRequest | undefined;
 }
 
-const SYNC = 'S';
+interface Prepared {
+  readonly sql: string;
+  /** The Parse message with its parameter types. */
+  readonly frame: Buffer;
+}
+
+const SYNC = message('S', Buffer.alloc(0));
 
 const UNSUPPORTED_CALL: Statement = {
   class: StatementClass.Unsupported,
@@ -36,76 +55,155 @@
   leavesState: true,
 };
 
-/** A reader with no prepared statements. */
-export function requestReader(): RequestReader {
-  const prepared = new Map<string, string>();
+/** Classes that matter even when the statement is prepared and not run. */
+const DECIDED_AT_PARSE: ReadonlySet<StatementClass> = new Set([
+  StatementClass.Unsupported,
+  StatementClass.Session,
+  StatementClass.Setting,
+]);
+
+/** Messages of COPY, which the protocol ignores outside of COPY. */
+const IGNORED_TYPES: ReadonlySet<string> = new Set(['d', 'c', 'f']);
+
+/** A reader with no prepared statements; one request takes `maxBytes`. */
+export function requestReader(maxBytes: number): RequestReader {
+  const prepared = new Map<string, Prepared>();
+  let preparedBytes = 0;
   let frames: Buffer[] = [];
+  let bytes = 0;
+  let steps: RequestStep[] = [];
   let texts: string[] = [];
   let fresh = new Set<string>();
   let borrowed = new Set<string>();
+  let closed = new Set<string>();
 
-  function note(frame: Frame): void {
-    if (frame.type === 'P') {
-      const {name, sql} = readParse(frame);
-      prepared.set(name, sql);
-      fresh.add(name);
-      texts.push(sql);
-    } else if (frame.type === 'B') {
-      use(readBind(frame).statement);
-    } else if (frame.type === 'D' || frame.type === 'C') {
-      const {target, name} = readTarget(frame);
-      if (target === 'S') use(name);
+  function forget(name: string): void {
+    preparedBytes -= prepared.get(name)?.frame.length ?? 0;
+    prepared.delete(name);
+  }
+
+  function prepare(frame: Frame): void {
+    const {name, sql} = readParse(frame);
+    forget(name);
+    preparedBytes += frame.bytes.length;
+    if (preparedBytes > maxBytes) {
+      throw new FrameError(
+        `prepared statements of over ${maxBytes} bytes are open`,
+        'Close the ones that are done, or raise --max-message-bytes.',
+      );
     }
+    prepared.set(name, {sql, frame: Buffer.from(frame.bytes)});
+    fresh.add(name);
+    closed.delete(name);
+    texts.push(sql);
   }
 
   /** A statement prepared by an earlier request is prepared again here. */
   function use(name: string): void {
-    const sql = prepared.get(name);
-    if (sql === undefined || fresh.has(name)) return;
+    const known = prepared.get(name);
+    if (!known || fresh.has(name) || borrowed.has(name)) return;
     borrowed.add(name);
-    texts.push(sql);
+    texts.push(known.sql);
+  }
+
+  function note(frame: Frame): RequestStep {
+    switch (frame.type) {
+      case 'P':
+        prepare(frame);
+        return 'parse';
+      case 'B':
+        use(readBindNames(frame).statement);
+        return 'bind';
+      case 'E':
+        checkExecute(frame);
+        return 'execute';
+      case 'D': {
+        const {target, name} = readTarget(frame);
+        if (target === 'P') return 'columns';
+        use(name);
+        return 'describe';
+      }
+      case 'C': {
+        const {target, name} = readTarget(frame);
+        if (target === 'S') closed.add(name);
+        return 'close';
+      }
+      default:
+        throw new FrameError(
+          `a message of type ${JSON.stringify(frame.type)} is not known`,
+          'Use a driver that speaks protocol 3.',
+        );
+    }
+  }
+
+  /** What the gathered statements ask for, when they are only prepared too. */
+  function statementOf(): Statement {
+    const statement = classify(texts.join(';'));
+    if (steps.includes('execute')) return statement;
+    if (DECIDED_AT_PARSE.has(statement.class)) return statement;
+    return {
+      ...statement,
+      class: StatementClass.Read,
+      mayWrite: false,
+      leavesState: false,
+    };
   }
 
-  function finish(sync: Buffer): CallerRequest {
+  function finish(partial: boolean): CallerRequest {
     const again: Buffer[] = [];
     for (const name of borrowed) {
-      again.push(closeStatement(name), parse(name, prepared.get(name)!));
+      again.push(closeStatement(name), prepared.get(name)!.frame);
     }
     // A name may be taken on the connection by another caller's statement.
     for (const name of fresh) {
       if (name !== '') again.push(closeStatement(name));
     }
     const request = {
-      bytes: Buffer.concat([...again, ...frames, sync]),
-      statement: classify(texts.join(';')),
+      bytes: Buffer.concat([...again, ...frames, SYNC]),
+      statement: statementOf(),
       sql: undefined,
       hiddenFrames: again.length,
+      partial,
+      steps,
     };
+    for (const name of closed) forget(name);
     frames = [];
+    bytes = 0;
+    steps = [];
     texts = [];
     fresh = new Set();
     borrowed = new Set();
+    closed = new Set();
     return request;
   }
 
+  function alone(frame: Frame, statement: Statement, sql: string) {
+    const steps: RequestStep[] = ['query'];
+    const request = {bytes: frame.bytes, statement, sql, steps};
+    return {...request, hiddenFrames: 0, partial: false};
+  }
+
   return {
     push(frame) {
       if (frame.type === 'Q') {
         const sql = readQuery(frame);
-        const statement = classify(sql);
-        return {bytes: frame.bytes, statement, sql, hiddenFrames: 0};
+        return alone(frame, classify(sql), sql);
       }
-      if (frame.type === SYNC) return finish(frame.bytes);
-      if (frame.type === 'F') {
-        return {
-          bytes: frame.bytes,
-          statement: UNSUPPORTED_CALL,
-          sql: '',
-          hiddenFrames: 0,
-        };
+      if (frame.type === 'S') return finish(false);
+      if (frame.type === 'H') {
+        return frames.length > 0 ? finish(true) : undefined;
       }
-      note(frame);
+      if (frame.type === 'F') return alone(frame, UNSUPPORTED_CALL, '');
+      if (IGNORED_TYPES.has(frame.type)) return undefined;
+      steps.push(note(frame));
       frames.push(frame.bytes);
+      bytes += frame.bytes.length;
+      if (bytes > maxBytes) {
+        throw new FrameError(
+          `a request of over ${maxBytes} bytes has no Sync`,
+          'Send Sync more often, or raise --max-message-bytes.',
+        );
+      }
       return undefined;
     },
   };
--- a/packages/daemon/src/session-context.ts
+++ b/packages/daemon/src/session-context.ts
@@ -2,10 +2,17 @@
 import type {Socket} from 'node:net';
 import type {Clock} from '@quetzalreel/common';
 import type {Configuration} from '@quetzalreel/config';
-import {type Position, laterOf} from '@quetzalreel/position';
 import {
-  TransactionStatus,
+  type Floors,
+  type Position,
+  type TokenCodec,
+  laterOf,
+  reaches,
+} from '@quetzalreel/position';
+import {
+  type TransactionStatus,
   errorResponse,
+  frameSplitter,
   readyForQuery,
 } from '@quetzalreel/wire';
 import type {GroupHandle} from './group-actor.js';
@@ -18,14 +25,27 @@
   readonly socket: Socket;
   readonly group: GroupHandle;
   readonly configuration: () => Configuration;
+  /** Undefined when the instance has no key for session tokens. */
+  readonly tokens: TokenCodec | undefined;
 }
 
 /** The position that a caller must see, or a later one. */
 export interface FloorKeeper {
   /** Undefined until the caller's first request has found it. */
   readonly current: Position | undefined;
-  /** Raises the floor to `position`; it never falls. */
+  /** True while nothing but a token vouches for the floor. */
+  readonly unproved: boolean;
+  /** Floors of all groups, for a token. */
+  readonly all: Floors;
+  /** Raises the floor to a position that an endpoint reported. */
   raise(position: Position): void;
+  /** Raises the floors to those of a token. */
+  accept(floors: Floors): void;
+}
+
+/** Whether the session left something behind on its endpoint connection. */
+export interface Residue {
+  left: boolean;
 }
 
 /** Answers a caller. */
@@ -40,31 +60,73 @@
 export interface RequestContext extends SessionContext {
   readonly floor: FloorKeeper;
   readonly reply: Reply;
+  readonly residue: Residue;
 }
 
 /** A floor that is not known yet. */
-export function floorKeeper(): FloorKeeper {
-  let current: Position | undefined;
+export function floorKeeper(group: string): FloorKeeper {
+  const all = new Map<string, Position>();
+  let unproved = false;
+  const lift = (name: string, position: Position) => {
+    const known = all.get(name);
+    all.set(name, known ? laterOf(known, position) : position);
+  };
   return {
+    all,
     get current() {
-      return current;
+      return all.get(group);
+    },
+    get unproved() {
+      return unproved;
     },
     raise(position) {
-      current = current ? laterOf(current, position) : position;
+      lift(group, position);
+      unproved = false;
+    },
+    accept(floors) {
+      const known = all.get(group);
+      const told = floors.get(group);
+      if (told && !(known && reaches(known, told))) unproved = true;
+      for (const [name, position] of floors) lift(name, position);
     },
   };
 }
 
-/** Answers on `socket`; `status` tells how the session stands. */
-export function replyOn(
-  socket: Socket,
-  status: () => TransactionStatus,
-): Reply {
+/** How a reply looks to the caller. */
+export interface ReplyState {
+  /** How the session stands. */
+  readonly status: () => TransactionStatus;
+  /** Whether the request ends with Flush, so that no ReadyForQuery is due. */
+  readonly isPartial: () => boolean;
+  /** Called when the answer to a partial request holds an error. */
+  readonly onPartialError: () => void;
+}
+
+/** Answers on `socket`. */
+export function replyOn(socket: Socket, state: ReplyState): Reply {
   return {
-    answer: bytes => socket.write(bytes),
+    answer(bytes) {
+      if (!state.isPartial()) {
+        socket.write(bytes);
+        return;
+      }
+      const {shown, failed} = withoutReady(bytes);
+      socket.write(shown);
+      if (failed) state.onPartialError();
+    },
     fail(code, message) {
       socket.write(errorResponse({severity: 'ERROR', code, message}));
-      socket.write(readyForQuery(status()));
+      if (state.isPartial()) state.onPartialError();
+      else socket.write(readyForQuery(state.status()));
     },
   };
 }
+
+/** An answer without its ReadyForQuery, and whether it holds an error. */
+function withoutReady(bytes: Buffer): {shown: Buffer; failed: boolean} {
+  const frames = frameSplitter(bytes.length).push(bytes);
+  const failed = frames.some(frame => frame.type === 'E');
+  const last = frames.at(-1);
+  const end = last?.type === 'Z' ? last.bytes.length : 0;
+  return {shown: bytes.subarray(0, bytes.length - end), failed};
+}
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -5,9 +5,10 @@
   type KindConfig,
 } from '@quetzalreel/config';
 import {StatementClass} from '@quetzalreel/statement';
-import {SqlState, TransactionStatus} from '@quetzalreel/wire';
+import {SqlState, TransactionStatus, readyForQuery} from '@quetzalreel/wire';
 import {serveRead} from './read-request.js';
 import type {CallerRequest} from './request-reader.js';
+import {type SessionSettings, serveCommand} from './session-command.js';
 import {
   type RequestContext,
   type SessionContext,
@@ -27,55 +28,75 @@
   close(): void;
 }
 
+/** Why a request is refused before anything runs. */
+interface Refusal {
+  readonly code: string;
+  readonly message: string;
+}
+
 /** A session without a transaction and without a floor. */
 export function callerSession(session: SessionContext): CallerSession {
+  const settings: SessionSettings = {kind: undefined};
   let transaction: Transaction | undefined;
+  let partial = false;
+  let skipping = false;
   const status = () => transaction?.status ?? TransactionStatus.Idle;
   const isOpen = () => status() !== TransactionStatus.Idle;
+  const reply = replyOn(session.socket, {
+    status,
+    isPartial: () => partial,
+    onPartialError: () => {
+      skipping = true;
+    },
+  });
   const context: RequestContext = {
     ...session,
-    floor: floorKeeper(),
-    reply: replyOn(session.socket, status),
+    floor: floorKeeper(session.group.name),
+    reply,
+    residue: {left: false},
   };
 
-  function kindOf(request: CallerRequest): KindConfig | undefined {
-    const {kind, class: statementClass} = request.statement;
-    if (kind === undefined) {
-      const isRead = statementClass === StatementClass.Read;
-      return isRead ? DEFAULT_READ : DEFAULT_WRITE;
-    }
-    return session.configuration().kinds.find(item => item.name === kind);
+  /** After an error and a Flush, everything up to the next Sync is skipped. */
+  function skip(request: CallerRequest): void {
+    if (request.partial || request.sql !== undefined) return;
+    skipping = false;
+    session.socket.write(readyForQuery(status()));
   }
 
   async function serveAlone(request: CallerRequest): Promise<void> {
-    const kind = kindOf(request);
-    if (!kind) {
-      const name = request.statement.kind;
-      const why = `no kind ${name} is configured; not run`;
-      context.reply.fail(SqlState.NotRoutable, why);
+    const kind = kindOf(session, settings, request);
+    if ('code' in kind) {
+      reply.fail(kind.code, kind.message);
       return;
     }
-    if (request.statement.class === StatementClass.Read) {
-      await serveRead(context, request, kind);
-      return;
-    }
-    const opened = await serveWrite(context, request, kind);
+    const isRead = request.statement.class === StatementClass.Read;
+    context.residue.left = request.statement.leavesState;
+    const opened =
+      isRead && kind.access === 'read'
+        ? await serveRead(context, request, kind)
+        : await serveWrite(context, request, kind);
     if (!opened) return;
     const {placed, status: openedAs, answer} = opened;
     transaction = pinnedTransaction(context, placed, openedAs);
-    context.reply.answer(answer);
+    reply.answer(answer);
   }
 
   return {
     async serve(request) {
-      const {class: statementClass, verb} = request.statement;
-      if (statementClass === StatementClass.Unsupported) {
-        const why = `${verb} is not offered here; not run`;
-        context.reply.fail(SqlState.NotSupported, why);
+      if (skipping) {
+        skip(request);
         return;
       }
-      if (transaction && isOpen()) await transaction.serve(request);
-      else await serveAlone(request);
+      partial = request.partial;
+      const refusal = refusalOf(request, isOpen());
+      if (refusal) {
+        reply.fail(refusal.code, refusal.message);
+      } else if (request.statement.class === StatementClass.Session) {
+        serveCommand(context, request, settings, status);
+      } else if (transaction && isOpen()) {
+        if (request.statement.leavesState) context.residue.left = true;
+        await transaction.serve(request);
+      } else await serveAlone(request);
     },
     get inTransaction() {
       return isOpen();
@@ -85,3 +106,60 @@
     },
   };
 }
+
+/** Why a request can't be served in this place. */
+function refusalOf(
+  request: CallerRequest,
+  inTransaction: boolean,
+): Refusal | undefined {
+  const {class: statementClass, verb} = request.statement;
+  const code = SqlState.NotSupported;
+  if (statementClass === StatementClass.Unsupported) {
+    const message = `${verb} is not offered here; not run`;
+    return {code, message};
+  }
+  if (inTransaction) return undefined;
+  if (statementClass === StatementClass.Setting) {
+    const message =
+      `${verb} outside of a transaction would not last until the next ` +
+      'request; not run. Use SET LOCAL inside of a transaction.';
+    return {code, message};
+  }
+  const runs = request.partial && request.steps.includes('execute');
+  if (runs && statementClass !== StatementClass.Read) {
+    const message =
+      'Flush after the Execute of a write would commit it early; not run. ' +
+      'Send Sync, or open a transaction.';
+    return {code, message};
+  }
+  return undefined;
+}
+
+/** The kind of a request, or why it has none. */
+function kindOf(
+  session: SessionContext,
+  settings: SessionSettings,
+  request: CallerRequest,
+): KindConfig | Refusal {
+  const {kind: named, class: statementClass} = request.statement;
+  const isRead = statementClass === StatementClass.Read;
+  const standard = isRead ? DEFAULT_READ : DEFAULT_WRITE;
+  const {kinds} = session.configuration();
+  if (named === undefined) {
+    const chosen = kinds.find(item => item.name === settings.kind);
+    return chosen?.access === standard.access ? chosen : standard;
+  }
+  const kind = kinds.find(item => item.name === named);
+  const code = SqlState.NotRoutable;
+  if (!kind) {
+    const message = `no kind ${named} is configured; not run. Name one that is, or none.`;
+    return {code, message};
+  }
+  if (kind.access === 'read' && !isRead) {
+    const message =
+      `kind ${named} only reads and the statement may write; not run. ` +
+      'Name a kind with access "write".';
+    return {code, message};
+  }
+  return kind;
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -28,6 +28,8 @@
   readonly instances: number;
   /** Largest message that a caller may send, in bytes. */
   readonly maxMessageBytes: number;
+  /** Key of session tokens, the same on every instance; empty for none. */
+  readonly sessionKey: string;
   /** Least severe level that is logged. */
   readonly logLevel: string;
 }
@@ -103,6 +105,15 @@
     defaultValue: () => 4 * 1024 * 1024,
     description: 'largest message that a caller may send',
   }),
+  sessionKey: option({
+    type: string,
+    long: 'session-key',
+    env: env('SESSION_KEY'),
+    defaultValue: () => '',
+    description:
+      'key of session tokens, the same on every instance; give it by the ' +
+      'environment variable',
+  }),
   logLevel: option({
     type: string,
     long: 'log-level',
--- a/packages/group/src/floor.ts
+++ b/packages/group/src/floor.ts
@@ -8,7 +8,9 @@
   type Position,
   laterOf,
   majorityOf,
+  reaches,
 } from '@quetzalreel/position';
+import type {GroupRequest} from './request.js';
 import type {GroupView} from './view.js';
 
 /** The floor for an arrival; undefined until a majority has reported. */
@@ -25,3 +27,30 @@
   }
   return reports >= majorityOf(view.endpoints.size) ? floor : undefined;
 }
+
+/** The floor of a request, or why it has none yet. */
+export type FloorFound =
+  | {readonly floor: Position}
+  /** Nothing has confirmed the floor yet. */
+  | {readonly pending: true}
+  /** The floor is beyond what a majority reports. */
+  | {readonly ahead: true};
+
+/**
+ * The floor of a request. A token's floor is confirmed by any endpoint that
+ * has reached it; a majority that reports less after the arrival refutes it.
+ */
+export function floorOf(view: GroupView, req: GroupRequest): FloorFound {
+  const {floor, unproved, arrivedAt} = req;
+  if (floor && (!unproved || isReached(view, floor))) return {floor};
+  const reported = floorAfter(view, arrivedAt);
+  if (!reported) return {pending: true};
+  return floor ? {ahead: true} : {floor: reported};
+}
+
+function isReached(view: GroupView, floor: Position): boolean {
+  for (const {status} of view.endpoints.values()) {
+    if (status && reaches(status.last, floor)) return true;
+  }
+  return false;
+}
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -20,7 +20,7 @@
   refused,
   strays,
 } from './failover.js';
-import {floorAfter} from './floor.js';
+import {floorOf} from './floor.js';
 import {type Grant, type GroupRequest, RefusalReason} from './request.js';
 import {choose} from './routing.js';
 import {
@@ -235,7 +235,8 @@
     return {state, effects: [{type: 'refuse', id: req.id, reason}]};
   }
   const waiting = [...state.waiting, req];
-  const effects: GroupEffect[] = req.floor ? [] : [{type: 'poll'}];
+  const isProved = req.floor && !req.unproved;
+  const effects: GroupEffect[] = isProved ? [] : [{type: 'poll'}];
   return {state: {...state, waiting, waitingBytes: bytes}, effects};
 }
 
@@ -245,8 +246,13 @@
   req: GroupRequest,
   now: number,
 ): GroupResult | undefined {
-  const floor = req.floor ?? floorAfter(state.view, req.arrivedAt);
-  if (!floor) return undefined;
+  const found = floorOf(state.view, req);
+  if ('pending' in found) return undefined;
+  if ('ahead' in found) {
+    const reason = RefusalReason.TokenAhead;
+    return {state, effects: [{type: 'refuse', id: req.id, reason}]};
+  }
+  const {floor} = found;
   if (req.needsPrimary && state.failover.step === 'draining') return undefined;
   const choice = choose(state.view, {...req, floor}, now);
   if (!choice) return undefined;
--- a/packages/group/src/request.ts
+++ b/packages/group/src/request.ts
@@ -11,6 +11,8 @@
   readonly kind: KindConfig;
   /** What the caller must see; undefined when it came without a token. */
   readonly floor: Position | undefined;
+  /** True while only a session token vouches for the floor. */
+  readonly unproved: boolean;
   /** When it arrived, monotonic milliseconds. */
   readonly arrivedAt: number;
   /** When it is to be given up, monotonic milliseconds. */
@@ -38,6 +40,8 @@
 export const RefusalReason = {
   Deadline: 'deadline passed before it was sent',
   QueueFull: 'too many requests are waiting',
+  TokenAhead:
+    'the session token is ahead of the group; open a connection without it',
   Stopping: 'the instance is stopping',
 } as const;
 
--- a/packages/position/src/index.ts
+++ b/packages/position/src/index.ts
@@ -9,3 +9,4 @@
   parsePosition,
   reaches,
 } from './position.js';
+export {type Floors, type TokenCodec, TokenError, tokenCodec} from './token.js';
--- a/packages/standin/src/index.ts
+++ b/packages/standin/src/index.ts
@@ -1,7 +1,13 @@
 /** Public exports of `@quetzalreel/standin`. */
-export {type Database, SqlError, type Upstream, database} from './database.js';
+export {
+  type Database,
+  SqlError,
+  type Upstream,
+  database,
+  waitPast,
+} from './database.js';
 export type {FaultRequest} from './database-control.js';
-export type {DatabaseFaults} from './faults.js';
+export {type DatabaseFaults, noFaults} from './faults.js';
 export {
   type Change,
   type LogRecord,
@@ -18,3 +24,5 @@
   type RunningDatabase,
   runDatabase,
 } from './run-database.js';
+export {session} from './session.js';
+export {slots} from './slots.js';
--- a/packages/wire/src/frontend.ts
+++ b/packages/wire/src/frontend.ts
@@ -21,18 +21,56 @@
   readonly name: string;
 }
 
-/** The text of a Query message. */
+/** The text of a Query message. Throws FrameError when it is malformed. */
 export function readQuery(frame: Frame): string {
-  return readString(frame, 5).text;
+  const {text, end} = readString(frame, 5);
+  if (end !== frame.bytes.length) throw malformed(frame);
+  return text;
 }
 
-/** Reads a Parse message. Throws FrameError when it is cut short. */
+/** Reads a Parse message. Throws FrameError when it is malformed. */
 export function readParse(frame: Frame): ParseMessage {
   const name = readString(frame, 5);
   const sql = readString(frame, name.end);
+  const at = sql.end;
+  if (at + 2 > frame.bytes.length) throw cutShort(frame);
+  const types = frame.bytes.readUInt16BE(at);
+  if (at + 2 + types * 4 !== frame.bytes.length) throw malformed(frame);
   return {name: name.text, sql: sql.text};
 }
 
+/**
+ * The names in a Bind message; its values are measured but not read. Throws
+ * FrameError when it is malformed.
+ */
+export function readBindNames(
+  frame: Frame,
+): Pick<BindMessage, 'portal' | 'statement'> {
+  const portal = readString(frame, 5);
+  const statement = readString(frame, portal.end);
+  const {bytes} = frame;
+  try {
+    let at = statement.end;
+    at += 2 + bytes.readUInt16BE(at) * 2;
+    const count = bytes.readUInt16BE(at);
+    at += 2;
+    for (let i = 0; i < count; i++) {
+      at += 4 + Math.max(bytes.readInt32BE(at), 0);
+    }
+    at += 2 + bytes.readUInt16BE(at) * 2;
+    if (at !== bytes.length) throw malformed(frame);
+  } catch (err) {
+    throw err instanceof FrameError ? err : cutShort(frame);
+  }
+  return {portal: portal.text, statement: statement.text};
+}
+
+/** Checks an Execute message. Throws FrameError when it is malformed. */
+export function checkExecute(frame: Frame): void {
+  const portal = readString(frame, 5);
+  if (portal.end + 4 !== frame.bytes.length) throw malformed(frame);
+}
+
 /** Reads a Bind message. Throws FrameError when it is cut short. */
 export function readBind(frame: Frame): BindMessage {
   const portal = readString(frame, 5);
@@ -63,8 +101,11 @@
 
 /** Reads a Describe or Close message. */
 export function readTarget(frame: Frame): TargetMessage {
-  const target = frame.bytes[5] === 0x53 ? 'S' : 'P';
-  return {target, name: readString(frame, 6).text};
+  const target = String.fromCharCode(frame.bytes[5] ?? 0);
+  if (target !== 'S' && target !== 'P') throw malformed(frame);
+  const name = readString(frame, 6);
+  if (name.end !== frame.bytes.length) throw malformed(frame);
+  return {target, name: name.text};
 }
 
 /** A Query message. */
@@ -91,6 +132,13 @@
   return {text: frame.bytes.toString('utf8', start, end), end: end + 1};
 }
 
+function malformed(frame: Frame): FrameError {
+  return new FrameError(
+    `a message of type ${JSON.stringify(frame.type)} is malformed`,
+    'Use a driver that speaks protocol 3.',
+  );
+}
+
 function cutShort(frame: Frame): FrameError {
   return new FrameError(
     `a message of type ${JSON.stringify(frame.type)} is cut short`,
