--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -39,7 +39,7 @@
   readonly kind: KindConfig;
   readonly floor: Position | undefined;
   /** True while only a session token vouches for the floor. */
-  readonly unproved: boolean;
+  readonly unproved?: boolean;
   /** Monotonic milliseconds. */
   readonly deadline: number;
   readonly bytes: number;
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -78,10 +78,10 @@
   groups: [
     {
       name: GROUP,
-      endpoints: NAMES.map(name => ({
+      endpoints: NAMES.map((name, i) => ({
         name,
         host: '127.0.0.1',
-        port: 1,
+        port: i + 1,
         dataCentre: 'recife',
       })),
     },
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -26,6 +26,19 @@
   initialGroup,
   stepGroup,
 } from './group.js';
+export {
+  type DrainOutcome,
+  Need,
+  type Offer,
+  type QueueLimits,
+  type RequestQueue,
+  dequeue,
+  drain,
+  emptyQueue,
+  enqueue,
+  needOf,
+  waitingIn,
+} from './queue.js';
 export {
   type Grant,
   type GroupRequest,
--- a/packages/group/src/request.ts
+++ b/packages/group/src/request.ts
@@ -12,7 +12,7 @@
   /** What the caller must see; undefined when it came without a token. */
   readonly floor: Position | undefined;
   /** True while only a session token vouches for the floor. */
-  readonly unproved: boolean;
+  readonly unproved?: boolean;
   /** When it arrived, monotonic milliseconds. */
   readonly arrivedAt: number;
   /** When it is to be given up, monotonic milliseconds. */
