End a transaction in one way, whatever ends it

Cause: a transaction whose connection died kept its place until the next request, gave it back twice when its caller left during a statement, and went back to autocommit after a cut, so that later statements of it ran alone. Change: transaction-rules.ts decides what a phase allows and what a missing answer means; a cut transaction stays failed until its end. An idle one is ended (25P03), a silent statement given up, a COMMIT refused as read-only is not run, a commit inside a longer answer waits for the majority. Requests that may leave session state mark their connection. Ruled out: telling 40000 and going on idle (pipelined statements would run). Left: a write right after a fence is refused as not run until the new primary serves, instead of waiting.

--- a/packages/daemon/src/answer.ts
+++ b/packages/daemon/src/answer.ts
@@ -1,10 +1,12 @@
 /** Sends a request on a connection and gathers its whole answer. */
-import type {
-  EndpointConnection,
+import type {Clock, Disposable} from '@quetzalreel/common';
+import {
+  type EndpointConnection,
   EndpointDownError,
 } from '@quetzalreel/endpoint';
 import {
   type ErrorFields,
+  type Frame,
   TransactionStatus,
   readError,
   readStatus,
@@ -18,29 +20,74 @@
   readonly status: TransactionStatus;
 }
 
-/** Resolves with the answer; rejects with EndpointDownError. */
+/** When a request without an answer is given up. */
+export interface AnswerBound {
+  readonly clock: Clock;
+  /** Monotonic milliseconds. */
+  readonly until: number;
+}
+
+// What may outlive a request in the endpoint's session, beside a SET that
+// stands first.
+const LEAVES_STATE =
+  /set_config\s*\(|\btemp(orary)?\b|pg_(try_)?advisory_lock|(^|;)\s*(set|reset|prepare|listen|declare)\b/i;
+const QUERY_HEADER_BYTES = 5;
+
+/** Whether a request may leave state behind in the endpoint's session. */
+export function mayLeaveState(request: Buffer): boolean {
+  // A Parse message holds its text after a name, divided by a zero byte.
+  const text = request.toString('latin1', QUERY_HEADER_BYTES);
+  const parts = text.replaceAll('\0', ';');
+  return LEAVES_STATE.test(parts.replace(/\/\*[^]*?\*\/|--[^\n]*/g, ' '));
+}
+
+/**
+ * Resolves with the answer; rejects with EndpointDownError. A connection that
+ * is silent past the bound is closed, because its answer may come late.
+ */
 export function ask(
   connection: EndpointConnection,
   request: Buffer,
   hiddenFrames: number,
+  bound?: AnswerBound,
 ): Promise<Answer> {
+  if (mayLeaveState(request)) connection.needsReset = true;
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let hidden = hiddenFrames;
     let error: ErrorFields | undefined;
+    const timer = bound && giveUpAfter(connection, bound, reject);
+    const take = (frame: Frame) => {
+      if (frame.type === 'E') error = readError(frame);
+      else if (hidden > 0) {
+        hidden--;
+        return;
+      }
+      parts.push(frame.bytes);
+      if (frame.type !== 'Z') return;
+      timer?.dispose();
+      const bytes = Buffer.concat(parts);
+      resolve({bytes, error, status: readStatus(frame)});
+    };
     connection.send(request, {
-      frame(frame) {
-        if (frame.type === 'E') error = readError(frame);
-        else if (hidden > 0) {
-          hidden--;
-          return;
-        }
-        parts.push(frame.bytes);
-        if (frame.type !== 'Z') return;
-        const bytes = Buffer.concat(parts);
-        resolve({bytes, error, status: readStatus(frame)});
+      frame: take,
+      broken: err => {
+        timer?.dispose();
+        reject(err);
       },
-      broken: (err: EndpointDownError) => reject(err),
     });
   });
 }
+
+function giveUpAfter(
+  connection: EndpointConnection,
+  {clock, until}: AnswerBound,
+  reject: (err: EndpointDownError) => void,
+): Disposable {
+  const delayMs = Math.max(0, until - clock.now());
+  return clock.after(delayMs, () => {
+    const what = `silent for ${Math.round(delayMs)} ms`;
+    reject(new EndpointDownError(connection.endpoint, what, undefined, true));
+    connection.dispose();
+  });
+}
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -20,6 +20,8 @@
 export interface Daemon extends Disposable {
   readonly port: number;
   readonly adminPort: number;
+  /** Requests and transactions that hold a place in a group now. */
+  busy(group: string): number;
 }
 
 /** Starts a daemon; resolves when it serves callers. */
@@ -105,10 +107,19 @@
   return {
     port: listener.port,
     adminPort: admin.port,
+    busy: name => busyPlaces(groups.get(name)),
     dispose: () => owned.dispose(),
   };
 }
 
+function busyPlaces(group: GroupHandle | undefined): number {
+  let busy = 0;
+  for (const item of group?.state.view.endpoints.values() ?? []) {
+    busy += item.busy;
+  }
+  return busy;
+}
+
 /**
  * Requests that this instance may have on an endpoint at a time: its part of
  * the connections, when each instance keeps one more for control calls.
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -19,6 +19,7 @@
   controlCallMs: 250,
   connectMs: 1000,
   loginMs: 10_000,
+  idleTransactionMs: 10_000,
   platformCallMs: 2000,
   config: {watchMs: 2000, retryMs: 200},
 } as const;
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -30,6 +30,7 @@
 /** A session without a transaction and without a floor. */
 export function callerSession(session: SessionContext): CallerSession {
   let transaction: Transaction | undefined;
+  let closed = false;
   const status = () => transaction?.status ?? TransactionStatus.Idle;
   const isOpen = () => status() !== TransactionStatus.Idle;
   const context: RequestContext = {
@@ -63,7 +64,8 @@
     if (!opened) return;
     const {placed, status: openedAs, answer} = opened;
     transaction = pinnedTransaction(context, placed, openedAs);
-    context.reply.answer(answer);
+    if (closed) transaction.abandon();
+    else await transaction.opened(answer);
   }
 
   return {
@@ -81,6 +83,7 @@
       return isOpen();
     },
     close() {
+      closed = true;
       transaction?.abandon();
     },
   };
--- /dev/null
+++ b/packages/daemon/test/test-pinned.ts
@@ -0,0 +1,159 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {manualClock} from '@quetzalreel/common';
+import {type AnswerSink, EndpointConnection} from '@quetzalreel/endpoint';
+import {ORIGIN} from '@quetzalreel/position';
+import {classify} from '@quetzalreel/statement';
+import {
+  TransactionStatus,
+  parse,
+  query,
+  readyForQuery,
+} from '@quetzalreel/wire';
+import {ask, mayLeaveState} from '../src/answer.js';
+import {TIMES} from '../src/defaults.js';
+import type {RequestContext} from '../src/session-context.js';
+import {CUT_OFF} from '../src/transaction-rules.js';
+import {pinnedTransaction} from '../src/transaction.js';
+
+class FakeConnection extends EndpointConnection {
+  readonly endpoint = 'a';
+  readonly heardAt = 0;
+  readonly committed = undefined;
+  open = true;
+  settled = true;
+  sink: AnswerSink | undefined;
+  readonly sent: Buffer[] = [];
+
+  send(request: Buffer, sink: AnswerSink): void {
+    this.sent.push(request);
+    this.sink = sink;
+  }
+
+  answer(status: TransactionStatus): void {
+    this.sink!.frame({type: 'Z', bytes: readyForQuery(status)});
+  }
+
+  onClose() {
+    return {dispose() {}};
+  }
+
+  dispose(): void {
+    this.open = false;
+  }
+}
+
+function opened() {
+  const clock = manualClock();
+  const connection = new FakeConnection();
+  const codes: string[] = [];
+  const given: boolean[] = [];
+  let releases = 0;
+  const context = {
+    clock,
+    reply: {answer() {}, fail: (code: string) => codes.push(code)},
+    group: {
+      release: () => releases++,
+      give: (_: unknown, reusable: boolean) => given.push(reusable),
+    },
+  } as unknown as RequestContext;
+  const grant = {
+    endpoint: 'a',
+    role: 'primary',
+    term: 1,
+    floor: ORIGIN,
+    position: ORIGIN,
+    reason: 'write',
+  } as const;
+  const placed = {grant, id: 1, connection};
+  const transaction = pinnedTransaction(context, placed, 'T');
+  const serve = (sql: string) =>
+    transaction.serve({
+      bytes: query(sql),
+      statement: classify(sql),
+      sql,
+      hiddenFrames: 0,
+    });
+  const releaseCount = () => releases;
+  return {clock, connection, transaction, serve, codes, given, releaseCount};
+}
+
+test('an idle transaction is ended and its connection not reused', async () => {
+  const {clock, connection, transaction, serve, codes, given} = opened();
+  clock.advance(TIMES.idleTransactionMs - 1);
+  assert.equal(transaction.status, 'T');
+  clock.advance(1);
+  assert.equal(transaction.status, 'E');
+  assert.deepEqual(given, [false]);
+  await serve('SELECT 1');
+  await serve('COMMIT');
+  assert.deepEqual(codes, ['25P03', '25P03']);
+  assert.equal(transaction.status, 'I');
+  assert.equal(connection.sent.length, 0);
+});
+
+test('a statement that runs is not idleness', async () => {
+  const {clock, connection, transaction, serve} = opened();
+  const serving = serve('SELECT 1');
+  clock.advance(TIMES.idleTransactionMs - 1);
+  connection.answer(TransactionStatus.Open);
+  await serving;
+  clock.advance(TIMES.idleTransactionMs - 1);
+  assert.equal(transaction.status, 'T');
+});
+
+test('a silent COMMIT is given up with an unknown outcome', async () => {
+  const {clock, connection, serve, codes} = opened();
+  const serving = serve('COMMIT');
+  clock.advance(10_000);
+  await serving;
+  assert.deepEqual(codes, ['QR002']);
+  assert.equal(connection.open, false);
+});
+
+test('a transaction cut off while it runs answers first', async () => {
+  const {connection, transaction, serve, codes, given} = opened();
+  const serving = serve('SELECT 1');
+  transaction.cutOff(CUT_OFF.leaving);
+  assert.deepEqual(given, []);
+  connection.answer(TransactionStatus.Open);
+  await serving;
+  assert.deepEqual(codes, []);
+  await serve('SELECT 1');
+  assert.deepEqual(codes, ['40000']);
+});
+
+test('place and connection are given back once', async () => {
+  const {connection, transaction, serve, given, releaseCount} = opened();
+  const serving = serve('SELECT 1');
+  transaction.abandon();
+  connection.sink!.broken(new Error('gone') as never);
+  await serving;
+  assert.deepEqual(given, [false]);
+  assert.equal(releaseCount(), 1);
+});
+
+const STATE_CASES: ReadonlyArray<readonly [string, boolean]> = [
+  ['SET search_path = x', true],
+  ["/*kind='k'*/ set x = 1", true],
+  ["SELECT set_config('a', 'b', false)", true],
+  ['CREATE TEMP TABLE t (a int)', true],
+  ['SELECT pg_advisory_lock(1)', true],
+  ['SELECT 1; SET x = 1', true],
+  ['UPDATE t SET a = 1', false],
+  ['SELECT 1', false],
+];
+
+test('a prepared SET marks its connection too', () => {
+  assert.equal(mayLeaveState(parse('s', 'SET x = 1')), true);
+  assert.equal(mayLeaveState(parse('s', 'SELECT 1')), false);
+});
+
+test('a request that may leave state marks its connection', () => {
+  for (const [sql, leaves] of STATE_CASES) {
+    assert.equal(mayLeaveState(query(sql)), leaves, sql);
+    const connection = new FakeConnection();
+    void ask(connection, query(sql), 0);
+    assert.equal(connection.needsReset, leaves, sql);
+  }
+});
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -105,12 +105,18 @@
   abstract readonly endpoint: string;
   /** False once the connection has ended. */
   abstract readonly open: boolean;
+  /** True while no request is on it and no transaction is open on it. */
+  abstract readonly settled: boolean;
+  /** When bytes last came from the endpoint, monotonic milliseconds. */
+  abstract readonly heardAt: number;
+  /** Set once a request may have left state behind in the session. */
+  needsReset = false;
   /** Position after the last commit on this connection, if it told one. */
   abstract readonly committed: Position | undefined;
   /** Sends a request; its answer goes to `sink` up to ReadyForQuery. */
   abstract send(request: Buffer, sink: AnswerSink): void;
-  /** Called when the connection ends while no request is on it. */
-  abstract onClose(listener: () => void): void;
+  /** Calls `listener` when the connection ends, until disposed. */
+  abstract onClose(listener: () => void): Disposable;
   abstract dispose(): void;
 }
 
--- a/packages/endpoint/src/pg-connection.ts
+++ b/packages/endpoint/src/pg-connection.ts
@@ -1,12 +1,15 @@
 /** A statement connection over a socket that speaks the protocol. */
 import type {Socket} from 'node:net';
+import type {Disposable} from '@quetzalreel/common';
 import {type Position, parsePosition} from '@quetzalreel/position';
 import {
   type Frame,
   type FrameSplitter,
   TERMINATE,
+  TransactionStatus,
   frameSplitter,
   readParameter,
+  readStatus,
 } from '@quetzalreel/wire';
 import {
   type AnswerSink,
@@ -21,9 +24,11 @@
 
 class PgConnection extends EndpointConnection {
   open = true;
+  settled = true;
+  heardAt = performance.now();
   committed: Position | undefined;
   private sink: AnswerSink | undefined;
-  private readonly closeListeners: Array<() => void> = [];
+  private readonly closeListeners = new Set<() => void>();
   private readonly splitter: FrameSplitter;
 
   constructor(
@@ -43,12 +48,14 @@
       return;
     }
     this.sink = sink;
+    this.settled = false;
     this.committed = undefined;
     this.socket.write(request);
   }
 
-  onClose(listener: () => void): void {
-    this.closeListeners.push(listener);
+  onClose(listener: () => void): Disposable {
+    this.closeListeners.add(listener);
+    return {dispose: () => this.closeListeners.delete(listener)};
   }
 
   dispose(): void {
@@ -58,6 +65,7 @@
   }
 
   private receive(chunk: Buffer): void {
+    this.heardAt = performance.now();
     try {
       for (const frame of this.splitter.push(chunk)) this.take(frame);
     } catch {
@@ -75,7 +83,10 @@
       }
     }
     const sink = this.sink;
-    if (frame.type === 'Z') this.sink = undefined;
+    if (frame.type === 'Z') {
+      this.sink = undefined;
+      this.settled = readStatus(frame) === TransactionStatus.Idle;
+    }
     sink?.frame(frame);
   }
 
@@ -85,7 +96,7 @@
     const sink = this.sink;
     this.sink = undefined;
     sink?.broken(new EndpointDownError(this.endpoint, what));
-    for (const listener of this.closeListeners) listener();
+    for (const listener of [...this.closeListeners]) listener();
   }
 }
 
--- a/packages/standin/src/database-control.ts
+++ b/packages/standin/src/database-control.ts
@@ -60,5 +60,6 @@
   await new Promise<void>(resolve =>
     control.listen(port, '127.0.0.1', () => resolve()),
   );
+  control.unref();
   return (control.address() as net.AddressInfo).port;
 }
--- a/packages/standin/src/run-database.ts
+++ b/packages/standin/src/run-database.ts
@@ -26,6 +26,8 @@
   readonly server: DatabaseServer;
   readonly faults: DatabaseFaults;
   readonly controlPort: number;
+  /** Ends it for good. */
+  close(): Promise<void>;
 }
 
 /** Runs a database in this process. */
@@ -40,6 +42,10 @@
   const faults = noFaults(options);
   const server = await databaseServer(db, faults, options, options.port);
   const controlPort = await databaseControl(db, server, faults, 0);
-  followUpstream(options.name, db, faults);
-  return {db, server, faults, controlPort};
+  const stopFollowing = followUpstream(options.name, db, faults);
+  const close = async () => {
+    stopFollowing();
+    await server.fail();
+  };
+  return {db, server, faults, controlPort, close};
 }
