Keep connections to endpoints ready and check them before a write

Cause: a connection was opened on the path of each request that found none idle, so bursts paid 10 to 30 ms and could pass the endpoint's limit; idle connections were trusted however long they were idle; a silent endpoint held a read for ever. Change: package pool, a pure core and thin effects. The whole share is opened ahead; a refusal (53300) is waited out with doubling pauses; an idle connection older than 200 ms is asked for a sign of life (Sync, no slot) before a write, all each second; one that is silent makes the others doubtful. A request that may have left session state costs a DISCARD ALL before the next. A read is given up after 1 s and tried elsewhere; a request that was not sent is tried until its deadline. resize shrinks as connections come back. Ruled out: SELECT 1 as the check (takes a slot); one connection for each request that waits.

--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -20,6 +20,18 @@
   connectMs: 1000,
   loginMs: 10_000,
   idleTransactionMs: 10_000,
+  readSilenceMs: 1000,
   platformCallMs: 2000,
   config: {watchMs: 2000, retryMs: 200},
 } as const;
+
+/** Times of the pools of connections. */
+export const POOL_TIMES = {
+  checkBeforeWriteMs: 200,
+  checkIdleMs: 1000,
+  checkAnswerMs: 250,
+  waitMs: 500,
+  retryMs: 20,
+  maxRetryMs: 1000,
+  tickMs: 20,
+} as const;
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -13,6 +13,7 @@
   type Attempt,
   type EndpointConnection,
   type EndpointControl,
+  EndpointDownError,
   type EndpointDriver,
   type EndpointStatus,
   FencedError,
@@ -27,9 +28,10 @@
   initialGroup,
   stepGroup,
 } from '@quetzalreel/group';
+import {type ConnectionPool, connectionPool} from '@quetzalreel/pool';
 import {type Position, formatPosition} from '@quetzalreel/position';
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
-import {type ConnectionPool, connectionPool} from './connection-pool.js';
+import {POOL_TIMES} from './defaults.js';
 import type {Log} from './log.js';
 import {type PollTimes, type Poller, startPolling} from './poller.js';
 
@@ -61,8 +63,20 @@
   release(endpoint: string): void;
   /** Resolves when the write at `position` is safe, or at `deadline`. */
   written(id: number, position: Position, deadline: number): Promise<AckResult>;
-  take(endpoint: string): Promise<EndpointConnection>;
+  /**
+   * A sound connection to `endpoint`, waited for until `until`. Throws
+   * EndpointDownError.
+   */
+  take(
+    endpoint: string,
+    isWrite: boolean,
+    until: number,
+  ): Promise<EndpointConnection>;
   give(connection: EndpointConnection, reusable: boolean): void;
+  /** Tells that a request got no answer from `endpoint`. */
+  suspect(endpoint: string): void;
+  /** Sets this instance's share of the endpoint's connections. */
+  resize(endpoint: string, share: number): void;
   configure(cfg: GroupConfig): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
@@ -214,6 +228,7 @@
   function addEndpoint(endpoint: GroupConfig['endpoints'][number]): void {
     const {name} = endpoint;
     const driver = context.driverOf(endpoint);
+    const capacity = context.capacityOf(endpoint);
     const pollControl = driver.control();
     const poller = startPolling(pollControl, clock, context.times, {
       answered: (status, askedAt) =>
@@ -226,9 +241,8 @@
       address: `${endpoint.host}:${endpoint.port}`,
       control: pollControl,
       poller,
-      pool: connectionPool(driver),
+      pool: connectionPool(driver, clock, POOL_TIMES, capacity),
     });
-    const capacity = context.capacityOf(endpoint);
     send({type: 'capacity', endpoint: name, capacity});
   }
 
@@ -284,10 +298,15 @@
         send({type: 'written', id, position, deadline});
       });
     },
-    async take(endpoint) {
+    async take(endpoint, isWrite, until) {
       const part = parts.get(endpoint);
-      if (!part) throw new Error(`no endpoint ${endpoint}`);
-      return part.pool.take();
+      if (!part) throw new EndpointDownError(endpoint, 'it was removed');
+      return part.pool.take(isWrite, until);
+    },
+    suspect: endpoint => parts.get(endpoint)?.pool.suspect(),
+    resize(endpoint, share) {
+      parts.get(endpoint)?.pool.resize(share);
+      send({type: 'capacity', endpoint, capacity: share});
     },
     give(connection, reusable) {
       const part = parts.get(connection.endpoint);
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -25,17 +25,19 @@
   readonly connection: EndpointConnection;
 }
 
-/** Tries of a request that has not been sent. */
-const MAX_TRIES = 4;
-
-/** A place, or undefined after the caller was told that nothing ran. */
+/**
+ * A place, or undefined after the caller was told that nothing ran. Nothing
+ * is sent here, so it is tried until the request's deadline.
+ */
 export async function findPlace(
   context: RequestContext,
   wanted: PlaceRequest,
 ): Promise<Placed | undefined> {
   const {group, floor, log, reply} = context;
-  for (let attempt = 0; attempt < MAX_TRIES; attempt++) {
-    const input = {...wanted, floor: floor.current};
+  const {needsPrimary, deadline} = wanted;
+  let avoid = wanted.avoid;
+  while (context.clock.now() < deadline) {
+    const input = {...wanted, avoid, floor: floor.current};
     const placement = await group.request(input);
     if ('refused' in placement) {
       reply.fail(SqlState.NotRun, `not run: ${placement.refused}`);
@@ -44,11 +46,18 @@
     const {grant, id} = placement;
     floor.raise(grant.floor);
     try {
-      const connection = await group.take(grant.endpoint);
+      const connection = await group.take(
+        grant.endpoint,
+        needsPrimary,
+        deadline,
+      );
       return {grant, id, connection};
     } catch (err) {
       log.info({endpoint: grant.endpoint, why: messageOf(err)}, 'connect');
       group.release(grant.endpoint);
+      // A read goes elsewhere first, then may come back.
+      const tried = avoid.includes(grant.endpoint);
+      if (!needsPrimary) avoid = tried ? [] : [...avoid, grant.endpoint];
     }
   }
   reply.fail(SqlState.NotRun, 'not run: no connection to an endpoint');
--- a/packages/daemon/src/read-request.ts
+++ b/packages/daemon/src/read-request.ts
@@ -1,7 +1,9 @@
 /** Serves a read that stands alone. */
 import type {KindConfig} from '@quetzalreel/config';
+import {EndpointDownError} from '@quetzalreel/endpoint';
 import {SqlState} from '@quetzalreel/wire';
-import {type Answer, ask} from './answer.js';
+import {type Answer, type AnswerBound, ask} from './answer.js';
+import {TIMES} from './defaults.js';
 import {findPlace, giveBack} from './placement.js';
 import type {CallerRequest} from './request-reader.js';
 import type {RequestContext} from './session-context.js';
@@ -28,8 +30,11 @@
         placed.connection,
         request.bytes,
         request.hiddenFrames,
+        boundOf(context, tries, deadline),
       );
-    } catch {
+    } catch (err) {
+      const silent = err instanceof EndpointDownError && err.silent;
+      if (silent) context.group.suspect(placed.grant.endpoint);
       giveBack(context, placed, false);
       avoid.push(placed.grant.endpoint);
       continue;
@@ -43,3 +48,20 @@
   }
   context.reply.fail(SqlState.NotRun, 'not run: no endpoint answered the read');
 }
+
+/**
+ * When an endpoint that is silent is given up: soon at first, because another
+ * may answer; later tries have half of the time that is left, because the
+ * statement may be a slow one.
+ */
+function boundOf(
+  {clock}: RequestContext,
+  tries: number,
+  deadline: number,
+): AnswerBound {
+  const now = clock.now();
+  const left = deadline - now;
+  const patienceMs = tries === 0 ? TIMES.readSilenceMs : left / 2;
+  const isLast = tries === MAX_ENDPOINTS - 1;
+  return {clock, until: isLast ? deadline : now + Math.min(left, patienceMs)};
+}
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -56,6 +56,8 @@
 export class EndpointDownError extends TypedError {
   /** True when it was silent, false when it refused or broke off. */
   readonly silent: boolean;
+  /** SQLSTATE of its refusal; undefined when it gave none. */
+  readonly code: string | undefined;
 
   constructor(endpoint: string, what: string, cause?: unknown, silent = false) {
     super(
@@ -65,6 +67,7 @@
       cause,
     );
     this.silent = silent;
+    this.code = (cause as {code?: string} | undefined)?.code;
   }
 }
 
--- a/packages/pool/src/index.ts
+++ b/packages/pool/src/index.ts
@@ -1,2 +1,14 @@
 /** Public exports of `@quetzalreel/pool`. */
-export {};
+export {type ConnectionPool, type PoolTimes, connectionPool} from './pool.js';
+export {
+  type PoolEffect,
+  type PoolEvent,
+  type PoolLimits,
+  type PoolRequest,
+  type PoolResult,
+  type PoolState,
+  type PooledConnection,
+  Use,
+  initialPool,
+  stepPool,
+} from './pool-state.js';
--- /dev/null
+++ b/packages/pool/test/test-pool.ts
@@ -0,0 +1,148 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {manualClock} from '@quetzalreel/common';
+import {
+  type AnswerSink,
+  EndpointConnection,
+  type EndpointControl,
+  EndpointDownError,
+  EndpointDriver,
+} from '@quetzalreel/endpoint';
+import {TransactionStatus, readyForQuery} from '@quetzalreel/wire';
+import {type PoolTimes, connectionPool} from '../src/index.js';
+
+const TIMES: PoolTimes = {
+  checkBeforeWriteMs: 200,
+  checkIdleMs: 1000,
+  checkAnswerMs: 250,
+  waitMs: 500,
+  retryMs: 20,
+  maxRetryMs: 1000,
+  tickMs: 20,
+};
+
+class FakeConnection extends EndpointConnection {
+  readonly endpoint = 'a';
+  readonly committed = undefined;
+  readonly heardAt = 0;
+  open = true;
+  settled = true;
+  isSilent = false;
+  readonly sent: string[] = [];
+
+  send(request: Buffer, sink: AnswerSink): void {
+    this.sent.push(String.fromCharCode(request[0]!));
+    if (this.isSilent) return;
+    const bytes = readyForQuery(TransactionStatus.Idle);
+    sink.frame({type: 'Z', bytes});
+  }
+
+  onClose() {
+    return {dispose() {}};
+  }
+
+  dispose(): void {
+    this.open = false;
+  }
+}
+
+class FakeDriver extends EndpointDriver {
+  readonly endpoint = 'a';
+  readonly opened: FakeConnection[] = [];
+  attempts = 0;
+
+  constructor(public refusals: number) {
+    super();
+  }
+
+  control(): EndpointControl {
+    throw new Error('not used');
+  }
+
+  async connect(): Promise<EndpointConnection> {
+    this.attempts++;
+    if (this.refusals > 0) {
+      this.refusals--;
+      const cause = Object.assign(new Error('full'), {code: '53300'});
+      throw new EndpointDownError('a', 'login failed', cause);
+    }
+    const connection = new FakeConnection();
+    this.opened.push(connection);
+    return connection;
+  }
+}
+
+const turn = () => new Promise(resolve => setImmediate(resolve));
+
+async function pass(clock: ReturnType<typeof manualClock>, ms: number) {
+  for (let i = 0; i < ms; i += TIMES.tickMs) {
+    clock.advance(TIMES.tickMs);
+    await turn();
+  }
+}
+
+test('refusals for want of connections are waited out with pauses', async () => {
+  const clock = manualClock();
+  const driver = new FakeDriver(4);
+  const pool = connectionPool(driver, clock, TIMES, 1);
+  const taking = pool.take(true, 5000);
+  await turn();
+  await pass(clock, 400);
+  assert.ok(await taking);
+  assert.equal(driver.attempts, 5);
+  pool.dispose();
+});
+
+test('a pool without any connection fails in time, with the cause', async () => {
+  const clock = manualClock();
+  const pool = connectionPool(new FakeDriver(100), clock, TIMES, 1);
+  const taking = assert.rejects(
+    pool.take(false, 5000),
+    (err: Error) =>
+      err instanceof EndpointDownError && /full/.test(err.message),
+  );
+  await turn();
+  await pass(clock, TIMES.waitMs);
+  await taking;
+  pool.dispose();
+});
+
+test('a silent connection is replaced before a write is sent on it', async () => {
+  const clock = manualClock();
+  const driver = new FakeDriver(0);
+  const pool = connectionPool(driver, clock, TIMES, 1);
+  await turn();
+  await pass(clock, 400);
+  driver.opened[0]!.isSilent = true;
+  const taking = pool.take(true, 5000);
+  await pass(clock, 400);
+  assert.equal(await taking, driver.opened[1]);
+  assert.equal(driver.opened[0]!.open, false);
+  assert.deepEqual(driver.opened[0]!.sent, ['S']);
+  pool.dispose();
+});
+
+test('what a request may have left is discarded before the next', async () => {
+  const clock = manualClock();
+  const driver = new FakeDriver(0);
+  const pool = connectionPool(driver, clock, TIMES, 1);
+  const first = await pool.take(true, 5000);
+  first.needsReset = true;
+  pool.give(first, true);
+  assert.equal(await pool.take(true, 5000), first);
+  assert.deepEqual(driver.opened[0]!.sent, ['Q']);
+  assert.equal(first.needsReset, false);
+  pool.dispose();
+});
+
+test('a connection in a transaction is never lent again', async () => {
+  const clock = manualClock();
+  const driver = new FakeDriver(0);
+  const pool = connectionPool(driver, clock, TIMES, 1);
+  const first = await pool.take(true, 5000);
+  (first as FakeConnection).settled = false;
+  pool.give(first, true);
+  assert.equal(first.open, false);
+  assert.notEqual(await pool.take(true, 5000), first);
+  pool.dispose();
+});
