--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -37,7 +37,8 @@
   wanted: PlaceRequest,
 ): Promise<Placed | undefined> {
   const {clock, group, floor, log, reply} = context;
-  const avoid = [...wanted.avoid];
+  const {needsPrimary, deadline} = wanted;
+  let avoid = wanted.avoid;
   do {
     const {current, unproved} = floor;
     const input = {...wanted, avoid, floor: current, unproved};
@@ -52,15 +53,21 @@
     const {grant, id} = placement;
     floor.raise(grant.floor);
     try {
-      const connection = await group.take(grant.endpoint);
+      const connection = await group.take(
+        grant.endpoint,
+        needsPrimary,
+        deadline,
+      );
       return {grant, id, connection};
     } catch (err) {
       log.info({endpoint: grant.endpoint, why: messageOf(err)}, 'connect');
       group.release(grant.endpoint);
+      // A read goes elsewhere first, then may come back.
+      const tried = avoid.includes(grant.endpoint);
+      if (!needsPrimary) avoid = tried ? [] : [...avoid, grant.endpoint];
     }
-    if (grant.role === 'replica') avoid.push(grant.endpoint);
-    else await clock.sleep(RETRY_MS);
-  } while (clock.now() < wanted.deadline);
+    if (grant.role === 'primary') await clock.sleep(RETRY_MS);
+  } while (clock.now() < deadline);
   reply.fail(SqlState.NotRun, 'not run: no connection to an endpoint');
   return undefined;
 }
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -40,6 +40,7 @@
   let transaction: Transaction | undefined;
   let partial = false;
   let skipping = false;
+  let closed = false;
   const status = () => transaction?.status ?? TransactionStatus.Idle;
   const isOpen = () => status() !== TransactionStatus.Idle;
   const reply = replyOn(session.socket, {
@@ -78,7 +79,8 @@
     if (!opened) return;
     const {placed, status: openedAs, answer} = opened;
     transaction = pinnedTransaction(context, placed, openedAs);
-    reply.answer(answer);
+    if (closed) transaction.abandon();
+    else await transaction.opened(answer);
   }
 
   return {
@@ -102,6 +104,7 @@
       return isOpen();
     },
     close() {
+      closed = true;
       transaction?.abandon();
     },
   };
