--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
 import {httpPlatformClient} from '@quetzalreel/platform';
+import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
@@ -20,6 +21,8 @@
 export interface Daemon extends Disposable {
   readonly port: number;
   readonly adminPort: number;
+  /** Requests and transactions that hold a place in a group now. */
+  busy(group: string): number;
 }
 
 /** Starts a daemon; resolves when it serves callers. */
@@ -87,6 +90,7 @@
       port: settings.port,
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
+      tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
       configuration: () => follower.current!,
       groupOf: name => groups.get(name),
     }),
@@ -105,10 +109,19 @@
   return {
     port: listener.port,
     adminPort: admin.port,
+    busy: name => busyPlaces(groups.get(name)),
     dispose: () => owned.dispose(),
   };
 }
 
+function busyPlaces(group: GroupHandle | undefined): number {
+  let busy = 0;
+  for (const item of group?.state.view.endpoints.values() ?? []) {
+    busy += item.busy;
+  }
+  return busy;
+}
+
 /**
  * Requests that this instance may have on an endpoint at a time: its part of
  * the connections, when each instance keeps one more for control calls.
