Explore the core protocol and take its rules out one by one

Cause: the design rests on rules that no check exercised together. Change: a specification of three endpoints, competing changes of primary, a writer and a session, which calls isOnMajority, floorAfter and promised of the product; a plain breadth-first search over states keyed by their JSON; random walks by fast-check through a larger bound. A step that isn't taken stands for a cut, lag, a pause or a store that is down. Each of six rules taken out gives a violation; the shortest trace of each keeps all invariants with the rule in place.

--- /dev/null
+++ b/packages/model/test/test-model.ts
@@ -0,0 +1,35 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {explore, replay, walk} from '../src/explore.js';
+import {OMISSIONS} from '../src/omissions.js';
+
+const MAX_STATES = 20_000;
+
+test('the protocol keeps its invariants within the bound', () => {
+  const bounds = {writes: 1, maxTerm: 2, crashes: 1, instances: 1};
+  const result = explore(bounds, MAX_STATES);
+  assert.equal(result.violation, undefined);
+  assert.ok(result.states >= MAX_STATES);
+});
+
+test('random walks through a larger bound break nothing', () => {
+  const bounds = {writes: 3, maxTerm: 3, crashes: 1, instances: 2};
+  assert.equal(walk(bounds, 1, 150), undefined);
+});
+
+for (const {omit, bounds, trace} of OMISSIONS) {
+  test(`an invariant bites: ${omit}`, () => {
+    const omitted = {...bounds, omit};
+    if (!trace) {
+      const {violation} = explore(omitted, MAX_STATES);
+      assert.ok(violation);
+      const kept = replay(bounds, violation.trace);
+      assert.equal(kept.broken, null, 'the whole protocol breaks too');
+      return;
+    }
+    const result = replay(omitted, trace);
+    assert.equal(result.taken, trace.length);
+    assert.ok(result.broken);
+    assert.equal(replay(bounds, trace).broken, null);
+  });
+}
