--- /dev/null
+++ b/packages/peer/test/test-fuzz.ts
@@ -0,0 +1,48 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import fc from 'fast-check';
+import {PeerFrameError, encodeFrame, frameDecoder} from '../src/index.js';
+
+const SEED = 7;
+const RUNS = 3000;
+const MAX_BYTES = 256;
+
+test('any bytes give values or a PeerFrameError', () => {
+  const body = fc.uint8Array({maxLength: 60});
+  const property = fc.property(body, fc.nat(60), (bytes, cut) => {
+    const head = Buffer.alloc(4);
+    head.writeUInt32BE(bytes.length);
+    const whole = Buffer.concat([head, bytes]);
+    const decoder = frameDecoder(MAX_BYTES);
+    try {
+      decoder.push(whole.subarray(0, cut));
+      decoder.push(whole.subarray(cut));
+    } catch (err) {
+      assert.ok(err instanceof PeerFrameError, String(err));
+    }
+  });
+  fc.assert(property, {seed: SEED, numRuns: RUNS});
+});
+
+test('what was encoded is decoded, however it is cut', () => {
+  const json = fc
+    .jsonValue()
+    .filter(value => !JSON.stringify(value).includes('__proto__'));
+  const property = fc.property(json, fc.nat(400), (value, cut) => {
+    const frame = encodeFrame(value);
+    const decoder = frameDecoder(1 << 20);
+    const found = [
+      ...decoder.push(frame.subarray(0, cut)),
+      ...decoder.push(frame.subarray(cut)),
+    ];
+    assert.deepEqual(JSON.stringify(found), JSON.stringify([value]));
+  });
+  fc.assert(property, {seed: SEED, numRuns: RUNS});
+});
+
+test('a key that names a prototype changes none', () => {
+  const value = JSON.parse('{"__proto__": {"polluted": true}}') as unknown;
+  const [found] = frameDecoder(MAX_BYTES).push(encodeFrame(value));
+  assert.equal(Object.getPrototypeOf(found), Object.prototype);
+  assert.equal(({} as {polluted?: boolean}).polluted, undefined);
+});
