--- a/packages/bench/test/test-history.ts
+++ b/packages/bench/test/test-history.ts
@@ -170,6 +170,19 @@
     final: [],
     broken: {},
   },
+  {
+    name: 'a later change hides a part of a transaction that failed',
+    history: {
+      writes: [
+        write({}),
+        write({version: 2, outcome: 'failed', transaction: 't2'}),
+        write({key: 'h', outcome: 'failed', transaction: 't2'}),
+        write({version: 3}),
+      ],
+    },
+    final: ['k:3'],
+    broken: {},
+  },
   {
     name: 'a whole transaction of unknown outcome is there',
     history: {writes: unknownHalf},
