Follow the configuration from the store and from peers, and know the members

Cause: a daemon only watched the store, so a watch that stayed silent, or a store that was down for one instance, kept it on an old configuration; the number of instances was a setting, and shares of connections came from it. Change: links between instances (cbor-x frames over TCP, version, bounded frames, closed when silent); membership by random probes that carry changes, indirect probes and refutable suspicion, as a pure core; the platform's list only names addresses to probe. Each message tells the generation in force, and an instance that hears a higher one asks for the document. The configuration actor reads again beside its watch. Connections are shared by the live members; unused ones are lent for a second. Ruled out: growing a share at once, which passes the limit while others still hold theirs; so a larger share waits for 2 s, a smaller one holds at once.

--- a/packages/bench/src/fleet.ts
+++ b/packages/bench/src/fleet.ts
@@ -22,6 +22,8 @@
   readonly host: string;
   readonly port: number;
   readonly admin: number;
+  /** Address that other daemons reach it by. */
+  readonly peer: string;
   readonly pid: number;
 }
 
@@ -151,18 +153,22 @@
   }
 
   async function launchProxy(index: number, url: string): Promise<FleetProxy> {
-    const {ports, pid} = await launch<{port: number; admin: number}>(DAEMON, [
+    const {ports, pid} = await launch<{
+      port: number;
+      admin: number;
+      peer: string;
+    }>(DAEMON, [
       ...['--instance', `proxy-${index + 1}`],
       ...[
         '--data-centre',
         sizes.dataCentres[index % sizes.dataCentres.length]!,
       ],
-      ...['--port', '0', '--admin-port', '0'],
+      ...['--port', '0', '--admin-port', '0', '--peer-port', '0'],
       ...['--platform-url', url],
       ...['--instances', String(sizes.proxies)],
       ...['--log-level', sizes.logLevel ?? 'info'],
     ]);
-    return {host: HOST, port: ports.port, admin: ports.admin, pid};
+    return {host: HOST, ...ports, pid};
   }
 
   const platform = await launch<{port: number}>(PLATFORM, []);
@@ -174,6 +180,14 @@
     Array.from({length: sizes.proxies}, (_, i) => launchProxy(i, url)),
   );
 
+  const instances = proxies.map((proxy, i) => ({
+    id: `proxy-${i + 1}`,
+    address: proxy.peer,
+    dataCentre: sizes.dataCentres[i % sizes.dataCentres.length]!,
+    leaving: false,
+  }));
+  await post(`${url}/control`, {instances});
+
   return {
     proxies,
     endpoints,
--- a/packages/daemon/src/config-actor.ts
+++ b/packages/daemon/src/config-actor.ts
@@ -1,79 +1,191 @@
-/** Learns the configuration from the platform and puts it in force. */
+/**
+ * The actor of the configuration: feeds what the platform and peers tell to
+ * the pure follower and carries out its effects.
+ */
 import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
-import {type Configuration, parseConfiguration} from '@quetzalreel/config';
-import type {PlatformClient} from '@quetzalreel/platform';
+import {
+  type Configuration,
+  type FollowerEffect,
+  type FollowerEvent,
+  type FollowerState,
+  type InForce,
+  type PlatformLoad,
+  configurationWarnings,
+  formatProblem,
+  initialFollower,
+  pacing,
+  stepFollower,
+} from '@quetzalreel/config';
+import type {PlatformClient, StoredObject} from '@quetzalreel/platform';
+import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
 import type {Log} from './log.js';
+import {keepRunning} from './supervision.js';
 
 /** Name of the configuration's object in the platform's store. */
 export const CONFIGURATION_OBJECT = 'configuration';
 
 /** Times of the exchange with the platform, in milliseconds. */
-export interface ConfigTimes {
-  /** Longest wait of one watch. */
-  readonly watchMs: number;
+export interface ConfigTimes extends PlatformLoad {
   /** Pause after a failure. */
   readonly retryMs: number;
 }
 
+/** How the follower reaches other instances. */
+export interface ConfigPeers {
+  /** Instances that are alive, this one included. */
+  readonly members: number;
+  /** Asks one instance for its document. */
+  ask(instance: string): void;
+  /** Asks any instances that can be reached. */
+  askAny(): void;
+  /** Tells others what is in force here. */
+  tell(inForce: InForce): void;
+}
+
+/** What the follower works with. */
+export interface ConfigContext {
+  readonly system: ActorSystemRef;
+  readonly platform: PlatformClient;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly times: ConfigTimes;
+  readonly peers: ConfigPeers;
+  /** Called with each higher generation. */
+  readonly apply: (cfg: Configuration) => void;
+}
+
 /** Follows the configuration until disposed. */
 export interface ConfigFollower extends Disposable {
   /** The configuration in force, once there is one. */
   readonly current: Configuration | undefined;
+  /** The same with its document, for passing on. */
+  readonly inForce: InForce | undefined;
+  /** Whether the last call to the platform failed. */
+  readonly storeDown: boolean;
   /** Resolves when there is one. */
   readonly first: Promise<Configuration>;
+  /** Takes in what a peer told. */
+  offer(event: FollowerEvent): void;
 }
 
-/** Starts following; `apply` is called with each higher generation. */
-export function followConfiguration(
-  platform: PlatformClient,
-  clock: Clock,
-  log: Log,
-  times: ConfigTimes,
-  apply: (cfg: Configuration) => void,
-): ConfigFollower {
-  let current: Configuration | undefined;
+/** Starts following. */
+export function followConfiguration(context: ConfigContext): ConfigFollower {
+  const {platform, clock, log, times, peers} = context;
+  let state = initialFollower();
   let stopped = false;
   let resolveFirst: (cfg: Configuration) => void = () => {};
   const first = new Promise<Configuration>(resolve => {
     resolveFirst = resolve;
   });
 
-  function offer(document: unknown): void {
-    const cfg = parseConfiguration(document);
-    if (current && cfg.generation <= current.generation) return;
-    current = cfg;
-    log.info({generation: cfg.generation}, 'configuration in force');
-    apply(cfg);
+  const actor = spawn(
+    context.system,
+    (current: FollowerState, event: FollowerEvent) => {
+      const result = stepFollower(current, event);
+      state = result.state;
+      for (const effect of result.effects) perform(effect);
+      return state;
+    },
+    'configuration',
+    {
+      initialState: state,
+      onCrash: keepRunning<FollowerEvent>(log, 'configuration'),
+    },
+  );
+  const send = (event: FollowerEvent) => dispatch(actor, event);
+
+  function perform(effect: FollowerEffect): void {
+    switch (effect.type) {
+      case 'apply':
+        put(effect.inForce, effect.source, effect.from);
+        return;
+      case 'askPeer':
+        peers.ask(effect.from);
+        return;
+      case 'askPeers':
+        peers.askAny();
+        return;
+      case 'refused':
+        log.error(
+          {from: effect.from, why: effect.why},
+          'configuration refused',
+        );
+        return;
+      case 'conflict': {
+        const {from, generation, held, offered} = effect;
+        log.error({from, generation, held, offered}, 'configuration conflict');
+        return;
+      }
+      case 'storeChanged':
+        if (effect.down) log.warn({why: effect.why}, 'store unreachable');
+        else log.info('store reachable');
+    }
+  }
+
+  function put(inForce: InForce, source: string, from: string): void {
+    const {cfg} = inForce;
+    const {generation, changeId: change} = cfg;
+    log.info({generation, change, source, from}, 'configuration in force');
+    for (const warning of configurationWarnings(cfg)) {
+      log.warn({generation, why: formatProblem(warning)}, 'configuration weak');
+    }
+    context.apply(cfg);
+    peers.tell(inForce);
     resolveFirst(cfg);
   }
 
-  async function loop(): Promise<void> {
-    let seen = 0;
+  function take(source: 'watched' | 'read', object: StoredObject): void {
+    const {value: document, version} = object;
+    send({type: 'document', source, from: 'store', document, version});
+  }
+
+  /** Repeats `call` until disposed, with a pause after a failure. */
+  async function repeat(call: () => Promise<void>): Promise<void> {
     while (!stopped) {
       try {
-        const object = await platform.watch(
-          CONFIGURATION_OBJECT,
-          seen,
-          times.watchMs,
-        );
-        if (!object) continue;
-        seen = object.version;
-        offer(object.value);
+        await call();
+        send({type: 'storeUp'});
       } catch (err) {
-        log.warn({why: messageOf(err)}, 'configuration not read');
+        if (stopped) return;
+        send({type: 'storeDown', why: messageOf(err)});
         await clock.sleep(times.retryMs);
       }
     }
   }
 
-  void loop();
+  async function watchOnce(): Promise<void> {
+    const {watchMs} = pacing(times, peers.members);
+    const object = await platform.watch(
+      CONFIGURATION_OBJECT,
+      state.version,
+      watchMs,
+    );
+    if (object) take('watched', object);
+  }
+
+  async function readOnce(): Promise<void> {
+    const object = await platform.get(CONFIGURATION_OBJECT);
+    if (object) take('read', object);
+    await clock.sleep(pacing(times, peers.members).rereadMs);
+  }
+
+  void repeat(watchOnce);
+  void repeat(readOnce);
   return {
     get current() {
-      return current;
+      return state.inForce?.cfg;
+    },
+    get inForce() {
+      return state.inForce;
+    },
+    get storeDown() {
+      return state.storeDown;
     },
     first,
+    offer: send,
     dispose() {
       stopped = true;
+      stop(actor);
     },
   };
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 /** Puts the parts of a daemon together. */
+import {randomInt} from 'node:crypto';
 import {
   type Disposable,
   disposableStore,
@@ -10,18 +11,25 @@
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
-import {followConfiguration} from './config-actor.js';
+import {type ConfigFollower, followConfiguration} from './config-actor.js';
 import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
 import {createLog} from './log.js';
-import type {Settings} from './settings.js';
+import {type Settings, peerAddresses} from './settings.js';
+import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
 export interface Daemon extends Disposable {
   readonly port: number;
   readonly adminPort: number;
+  /** Address that other instances reach this one by. */
+  readonly peerAddress: string;
 }
 
+/** Seeds of random choices are below this. */
+const MAX_SEED = 2 ** 31;
+
 /** Starts a daemon; resolves when it serves callers. */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
   const log = createLog(settings.instance, settings.logLevel);
@@ -32,6 +40,40 @@
   const groups = new Map<string, GroupHandle>();
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
+  let follower: ConfigFollower | undefined = undefined;
+
+  const platform = httpPlatformClient({
+    url: settings.platformUrl,
+    timeoutMs: TIMES.platformCallMs,
+  });
+  const shares: ShareHandle = owned.add(
+    await startShares({
+      system,
+      clock,
+      log,
+      instance: settings.instance,
+      expected: settings.instances,
+      tickMs: TIMES.fleetTickMs,
+      setCapacity(endpoint, capacity) {
+        groupWith(endpoint)?.setCapacity(endpoint, capacity);
+      },
+      useOf(endpoint) {
+        const state = groupWith(endpoint)?.state;
+        const busy = state?.view.endpoints.get(endpoint)?.busy ?? 0;
+        return {busy, waiting: state?.waiting.length ?? 0};
+      },
+      wantLoan: (endpoint, count) => fleet.wantLoan(endpoint, count),
+      grantLoan: (to, endpoint, count) => fleet.grantLoan(to, endpoint, count),
+    }),
+  );
+
+  function groupWith(endpoint: string): GroupHandle | undefined {
+    for (const group of groups.values()) {
+      if (group.state.view.endpoints.has(endpoint)) return group;
+    }
+    return undefined;
+  }
+
   const driverOf = (endpoint: EndpointConfig) =>
     pgDriver(
       {
@@ -55,10 +97,11 @@
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
     driverOf,
-    capacityOf: (endpoint: EndpointConfig) => share(endpoint, settings),
+    capacityOf: (endpoint: EndpointConfig) => shares.capacityOf(endpoint),
   };
 
   function apply(cfg: Configuration): void {
+    shares.configure(cfg);
     const wanted = new Set(cfg.groups.map(group => group.name));
     for (const [name, group] of groups) {
       if (wanted.has(name)) continue;
@@ -72,12 +115,30 @@
     }
   }
 
-  const platform = httpPlatformClient({
-    url: settings.platformUrl,
-    timeoutMs: TIMES.platformCallMs,
-  });
-  const follower = owned.add(
-    followConfiguration(platform, clock, log, TIMES.config, apply),
+  const fleet: FleetHandle = owned.add(
+    await joinFleet({
+      system,
+      platform,
+      clock,
+      log,
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      host: settings.host,
+      port: settings.peerPort,
+      peers: peerAddresses(settings),
+      seed: randomInt(MAX_SEED),
+      incarnation: Date.now(),
+      inForce: () => follower?.inForce,
+      onConfig: event => follower?.offer(event),
+      onMembers: members => shares.setMembers(members),
+      onReports: () => {},
+      onLoan: message => shares.onLoan(message),
+    }),
+  );
+  const {configPeers: peers} = fleet;
+  const times = TIMES.config;
+  follower = owned.add(
+    followConfiguration({system, platform, clock, log, times, peers, apply}),
   );
   await follower.first;
   const listener = owned.add(
@@ -87,7 +148,7 @@
       port: settings.port,
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
-      configuration: () => follower.current!,
+      configuration: () => follower!.current!,
       groupOf: name => groups.get(name),
     }),
   );
@@ -96,7 +157,7 @@
       host: settings.host,
       port: settings.adminPort,
       instance: settings.instance,
-      configuration: () => follower.current,
+      configuration: () => follower!.current,
       groups: () => groups.values(),
       ready: () => !owned.disposed,
     }),
@@ -105,16 +166,7 @@
   return {
     port: listener.port,
     adminPort: admin.port,
+    peerAddress: fleet.address,
     dispose: () => owned.dispose(),
   };
 }
-
-/**
- * Requests that this instance may have on an endpoint at a time: its part of
- * the connections, when each instance keeps one more for control calls.
- */
-function share(endpoint: EndpointConfig, settings: Settings): number {
-  const free = endpoint.connections - settings.instances;
-  const part = Math.floor(free / settings.instances);
-  return Math.max(1, Math.min(endpoint.slots, part));
-}
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -20,5 +20,38 @@
   connectMs: 1000,
   loginMs: 10_000,
   platformCallMs: 2000,
-  config: {watchMs: 2000, retryMs: 200},
+  config: {watchMs: 2000, rereadMs: 1000, retryMs: 200},
+  fleetTickMs: 50,
+  /** Time between two reads of the platform's list of instances. */
+  instanceListMs: 2000,
+  /** Wait before one peer is asked for the same document again. */
+  documentAskMs: 300,
+} as const;
+
+/** Times and bounds of membership. */
+export const MEMBERSHIP_LIMITS = {
+  probeMs: 500,
+  directMs: 150,
+  probeTimeoutMs: 450,
+  suspicionMs: 2000,
+  forgetMs: 60_000,
+  pauseMs: 1000,
+  relays: 3,
+  fanOut: 3,
+} as const;
+
+/** Bounds of the links between instances. */
+export const LINK_LIMITS = {
+  maxFrameBytes: 2 * 1024 * 1024,
+  maxQueuedBytes: 8 * 1024 * 1024,
+  silentMs: 1000,
+  idleMs: 10_000,
+  connectMs: 1000,
+} as const;
+
+/** Times of the shares of connections. */
+export const SHARE_LIMITS = {
+  settleMs: 2000,
+  loanMs: 1000,
+  askMs: 100,
 } as const;
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -64,6 +64,8 @@
   take(endpoint: string): Promise<EndpointConnection>;
   give(connection: EndpointConnection, reusable: boolean): void;
   configure(cfg: GroupConfig): void;
+  /** Sets how many requests may be on an endpoint at a time. */
+  setCapacity(endpoint: string, capacity: number): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -295,6 +297,8 @@
       else connection.dispose();
     },
     configure,
+    setCapacity: (endpoint, capacity) =>
+      send({type: 'capacity', endpoint, capacity}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -11,7 +11,8 @@
   args: SETTING_FLAGS,
   handler: async args => {
     const daemon = await startDaemon(checkSettings(args));
-    const ports = {port: daemon.port, admin: daemon.adminPort};
+    const {port, adminPort: admin, peerAddress: peer} = daemon;
+    const ports = {port, admin, peer};
     process.stdout.write(JSON.stringify(ports) + '\n');
     process.once('SIGTERM', () => {
       daemon.dispose();
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -20,6 +20,10 @@
   readonly port: number;
   /** Port for operators and metrics; 0 takes a free one. */
   readonly adminPort: number;
+  /** Port for other instances; 0 takes a free one. */
+  readonly peerPort: number;
+  /** Addresses of other instances, `host:port` with commas between. */
+  readonly peers: string;
   /** Base address of the platform's object API. */
   readonly platformUrl: string;
   readonly endpointUser: string;
@@ -69,6 +73,20 @@
     defaultValue: () => 6433,
     description: 'port for operators and metrics, 0 for a free one',
   }),
+  peerPort: option({
+    type: number,
+    long: 'peer-port',
+    env: env('PEER_PORT'),
+    defaultValue: () => 6434,
+    description: 'port for other instances, 0 for a free one',
+  }),
+  peers: option({
+    type: string,
+    long: 'peers',
+    env: env('PEERS'),
+    defaultValue: () => '',
+    description: 'some other instances, host:port with commas between',
+  }),
   platformUrl: option({
     type: string,
     long: 'platform-url',
@@ -119,6 +137,7 @@
   for (const [flag, port] of [
     ['port', settings.port],
     ['admin-port', settings.adminPort],
+    ['peer-port', settings.peerPort],
   ] as const) {
     if (Number.isInteger(port) && port >= 0 && port <= MAX_PORT) continue;
     throw new SettingError(flag, `is ${port}`, 'Give a whole number to 65535.');
@@ -127,6 +146,11 @@
     const remedy = 'Use up to 64 letters, digits, dots and dashes.';
     throw new SettingError('instance', 'is no usable name', remedy);
   }
+  for (const address of peerAddresses(settings)) {
+    if (/^[\w.:[\]-]+:\d{1,5}$/.test(address)) continue;
+    const remedy = 'Give addresses such as 10.0.0.1:6434,10.0.0.2:6434.';
+    throw new SettingError('peers', 'holds what is no address', remedy);
+  }
   if (!URL.canParse(settings.platformUrl)) {
     const remedy = 'Give an address such as http://10.0.0.1:8080.';
     throw new SettingError('platform-url', 'is no address', remedy);
@@ -137,3 +161,9 @@
   }
   return settings;
 }
+
+/** The addresses of `--peers`. */
+export function peerAddresses(settings: Settings): string[] {
+  const parts = settings.peers.split(',').map(part => part.trim());
+  return parts.filter(part => part !== '');
+}
--- /dev/null
+++ b/packages/daemon/src/share-actor.ts
@@ -0,0 +1,140 @@
+/** The actor of the connection shares: applies them to groups, and lends. */
+import {type Clock, type Disposable} from '@quetzalreel/common';
+import type {Configuration, EndpointConfig} from '@quetzalreel/config';
+import {
+  type MemberRecord,
+  type ShareEffect,
+  type ShareEvent,
+  type ShareState,
+  allowed,
+  initialShares,
+  stepShares,
+} from '@quetzalreel/membership';
+import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
+import xxhash from 'xxhash-wasm';
+import {SHARE_LIMITS} from './defaults.js';
+import type {LoanMessage} from './fleet-actor.js';
+import type {Log} from './log.js';
+import {keepRunning} from './supervision.js';
+
+/** What the shares work with. */
+export interface ShareContext {
+  readonly system: ActorSystemRef;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly instance: string;
+  /** Size of the fleet by settings, until members are known. */
+  readonly expected: number;
+  readonly tickMs: number;
+  /** Puts in force how many requests may be on an endpoint. */
+  readonly setCapacity: (endpoint: string, capacity: number) => void;
+  /** Requests on an endpoint and requests of its group that wait. */
+  readonly useOf: (endpoint: string) => {busy: number; waiting: number};
+  readonly wantLoan: (endpoint: string, count: number) => void;
+  readonly grantLoan: (to: string, endpoint: string, count: number) => void;
+}
+
+/** The shares of this instance. */
+export interface ShareHandle extends Disposable {
+  configure(cfg: Configuration): void;
+  setMembers(members: readonly MemberRecord[]): void;
+  onLoan(message: LoanMessage): void;
+  /** Requests that may be on an endpoint at a time. */
+  capacityOf(endpoint: EndpointConfig): number;
+  readonly state: ShareState;
+}
+
+/** Connections that this instance keeps for control calls. */
+const CONTROL_CONNECTIONS = 1;
+
+/** Starts dividing. */
+export async function startShares(context: ShareContext): Promise<ShareHandle> {
+  const {h32} = await xxhash();
+  const hash = (text: string) => h32(text);
+  const slots = new Map<string, number>();
+  let state = initialShares(context.instance, context.expected, SHARE_LIMITS);
+  const actor = spawn(
+    context.system,
+    (current: ShareState, event: ShareEvent) => {
+      const result = stepShares(current, event, context.clock.now(), hash);
+      state = result.state;
+      for (const effect of result.effects) perform(effect);
+      return state;
+    },
+    'shares',
+    {
+      initialState: state,
+      onCrash: keepRunning<ShareEvent>(context.log, 'shares'),
+    },
+  );
+  const send = (event: ShareEvent) => dispatch(actor, event);
+
+  function perform(effect: ShareEffect): void {
+    const {endpoint} = effect;
+    switch (effect.type) {
+      case 'allowed': {
+        const {connections} = effect;
+        context.log.info({endpoint, connections}, 'connection share');
+        context.setCapacity(endpoint, capacityFor(endpoint, connections));
+        return;
+      }
+      case 'want':
+        context.wantLoan(endpoint, effect.count);
+        return;
+      case 'grant':
+        context.log.info({endpoint, to: effect.to}, 'connection lent');
+        context.grantLoan(effect.to, endpoint, effect.count);
+    }
+  }
+
+  function capacityFor(endpoint: string, connections: number): number {
+    const free = Math.max(0, connections - CONTROL_CONNECTIONS);
+    return Math.min(slots.get(endpoint) ?? free, free);
+  }
+
+  function look(): void {
+    for (const endpoint of state.shares.keys()) {
+      const {busy, waiting} = context.useOf(endpoint);
+      const inUse = busy + CONTROL_CONNECTIONS;
+      send({type: 'use', endpoint, busy: inUse, waiting});
+    }
+    send({type: 'tick'});
+  }
+
+  const timer = setInterval(look, context.tickMs);
+  return {
+    get state() {
+      return state;
+    },
+    configure(cfg) {
+      const list = cfg.groups.flatMap(group => group.endpoints);
+      slots.clear();
+      for (const endpoint of list) slots.set(endpoint.name, endpoint.slots);
+      send({type: 'endpoints', list});
+      for (const {name} of list) {
+        if (!state.shares.has(name)) continue;
+        const connections = allowed(state, name);
+        context.setCapacity(name, capacityFor(name, connections));
+      }
+    },
+    setMembers: members =>
+      send({type: 'members', ids: members.map(member => member.id)}),
+    onLoan(message) {
+      const {endpoint, count} = message;
+      const from = message.from.id;
+      if (message.type === 'loan') send({type: 'granted', endpoint, count});
+      else send({type: 'wanted', from, endpoint, count});
+    },
+    capacityOf(endpoint) {
+      const known = state.shares.has(endpoint.name);
+      const atStart = Math.floor(endpoint.connections / context.expected);
+      const connections = known ? allowed(state, endpoint.name) : atStart;
+      const free = Math.max(0, connections - CONTROL_CONNECTIONS);
+      return Math.min(endpoint.slots, free);
+    },
+    dispose() {
+      clearInterval(timer);
+      stop(actor);
+    },
+  };
+}
--- /dev/null
+++ b/packages/membership/src/merge.ts
@@ -0,0 +1,88 @@
+/** Takes news of members and reports into the state. */
+import {enqueue} from './changes.js';
+import {type MemberRecord, supersedes} from './member.js';
+import type {Change, SuspicionReport} from './messages.js';
+import type {
+  MembershipEffect,
+  MembershipResult,
+  MembershipState,
+} from './state.js';
+
+/** The state after `changes`; what is new is passed on. */
+export function merge(
+  state: MembershipState,
+  changes: readonly Change[],
+  now: number,
+): MembershipResult {
+  let current = state;
+  const effects: MembershipEffect[] = [];
+  for (const change of changes) {
+    const result =
+      change.kind === 'member'
+        ? mergeMember(current, change.member, now)
+        : mergeReport(current, change.report);
+    current = result.state;
+    effects.push(...result.effects);
+  }
+  return {state: current, effects};
+}
+
+/** The state after a record of a member. */
+export function mergeMember(
+  state: MembershipState,
+  member: MemberRecord,
+  now: number,
+): MembershipResult {
+  if (member.id === state.self.id) return refute(state, member);
+  const before = state.members.get(member.id)?.record;
+  // What is remembered of nobody that is alive would only be passed around.
+  const gone = member.status === 'dead' || member.status === 'left';
+  if (!before && gone) return {state, effects: []};
+  if (!supersedes(member, before)) return {state, effects: []};
+  const members = new Map(state.members);
+  members.set(member.id, {record: member, since: now});
+  const queue = enqueue(state.queue, {kind: 'member', member});
+  const reports = new Map(state.reports);
+  if (gone) reports.delete(member.id);
+  return {
+    state: {...state, members, queue, reports},
+    effects: [{type: 'member', member, before}],
+  };
+}
+
+/** Answers what is said of this instance with a higher incarnation. */
+function refute(state: MembershipState, said: MemberRecord): MembershipResult {
+  const {self} = state;
+  const isOld = said.incarnation < self.incarnation;
+  if (isOld || self.status === 'left') return {state, effects: []};
+  if (said.status === 'alive' && said.incarnation === self.incarnation) {
+    return {state, effects: []};
+  }
+  const incarnation = said.incarnation + 1;
+  const member = {...self, incarnation};
+  const queue = enqueue(state.queue, {kind: 'member', member});
+  return {
+    state: {...state, self: member, queue},
+    effects: [{type: 'refuted', incarnation}],
+  };
+}
+
+function mergeReport(
+  state: MembershipState,
+  report: SuspicionReport,
+): MembershipResult {
+  const known = state.reports.get(report.instance);
+  const isOwn = report.instance === state.self.id;
+  if (isOwn || (known && known.seq >= report.seq)) return {state, effects: []};
+  return withReport(state, report);
+}
+
+/** The state with `report` as the newest of its instance. */
+export function withReport(
+  state: MembershipState,
+  report: SuspicionReport,
+): MembershipResult {
+  const reports = new Map(state.reports).set(report.instance, report);
+  const queue = enqueue(state.queue, {kind: 'report', report});
+  return {state: {...state, reports, queue}, effects: [{type: 'reports'}]};
+}
--- /dev/null
+++ b/packages/membership/test/fleet-of-cores.ts
@@ -0,0 +1,103 @@
+/** A few membership cores that pass messages by hand, for tests. */
+import {
+  type MembershipEvent,
+  type MembershipState,
+  type PeerMessage,
+  initialMembership,
+  seededRandom,
+  stepMembership,
+} from '../src/index.js';
+
+/** Times of the tests, in milliseconds. */
+export const LIMITS = {
+  probeMs: 100,
+  directMs: 30,
+  probeTimeoutMs: 90,
+  suspicionMs: 400,
+  forgetMs: 10_000,
+  pauseMs: 300,
+  relays: 3,
+  fanOut: 3,
+};
+
+const TICK_MS = 10;
+
+/** What may happen to a message from one instance to another. */
+export type Path = (from: string, to: string) => 'pass' | 'drop' | 'twice';
+
+/** Cores under test. */
+export interface CoreFleet {
+  readonly states: Map<string, MembershipState>;
+  /** Instances that neither run nor receive. */
+  readonly paused: Set<string>;
+  path: Path;
+  /** True to deliver each tick's messages in reverse order. */
+  crossed: boolean;
+  /** Messages sent by each instance. */
+  readonly sent: Map<string, PeerMessage[]>;
+  run(forMs: number): void;
+  give(id: string, event: MembershipEvent): void;
+  /** Members that `id` holds for alive, itself included, sorted. */
+  aliveIn(id: string): string[];
+}
+
+/** `count` cores named i0, i1, i2, … that all know the first one's address. */
+export function coreFleet(count: number): CoreFleet {
+  const ids = Array.from({length: count}, (_, i) => `i${i}`);
+  let now = 0;
+  let mail: Array<{from: string; to: string; message: PeerMessage}> = [];
+  const states = new Map<string, MembershipState>();
+  const sent = new Map<string, PeerMessage[]>();
+
+  function give(id: string, event: MembershipEvent): void {
+    const result = stepMembership(states.get(id)!, event, now);
+    states.set(id, result.state);
+    for (const effect of result.effects) {
+      if (effect.type !== 'send') continue;
+      sent.set(id, [...(sent.get(id) ?? []), effect.message]);
+      mail.push({from: id, to: effect.to, message: effect.message});
+    }
+  }
+
+  function deliver(): void {
+    const batch = fleet.crossed ? mail.reverse() : mail;
+    mail = [];
+    for (const {from, to, message} of batch) {
+      if (!states.has(to) || fleet.paused.has(to)) continue;
+      const fate = fleet.path(from, to);
+      if (fate === 'drop') continue;
+      give(to, {type: 'received', message});
+      if (fate === 'twice') give(to, {type: 'received', message});
+    }
+  }
+
+  const fleet: CoreFleet = {
+    states,
+    paused: new Set(),
+    path: () => 'pass',
+    crossed: false,
+    sent,
+    give,
+    run(forMs) {
+      for (const end = now + forMs; now < end; now += TICK_MS) {
+        deliver();
+        for (const id of ids) {
+          if (!fleet.paused.has(id)) give(id, {type: 'tick'});
+        }
+      }
+    },
+    aliveIn(id) {
+      const state = states.get(id)!;
+      const alive = [...state.members.values()]
+        .map(known => known.record)
+        .filter(record => record.status === 'alive');
+      return [id, ...alive.map(record => record.id)].sort();
+    },
+  };
+  for (const [i, id] of ids.entries()) {
+    const self = {id, address: id, dataCentre: 'recife', incarnation: 1};
+    states.set(id, initialMembership(self, LIMITS, seededRandom(i + 1)));
+    give(id, {type: 'listed', addresses: [ids[0]!]});
+  }
+  return fleet;
+}
--- a/packages/peer/src/index.ts
+++ b/packages/peer/src/index.ts
@@ -6,3 +6,10 @@
   encodeFrame,
   frameDecoder,
 } from './codec.js';
+export {
+  type LinkLimits,
+  type PeerTls,
+  type TcpTransportOptions,
+  tcpTransport,
+} from './tcp-transport.js';
+export {type PeerTraffic, PeerTransport} from './transport.js';
