--- a/packages/config/src/configuration.ts
+++ b/packages/config/src/configuration.ts
@@ -55,6 +55,18 @@
   readonly secret: string;
 }
 
+/** One accepted change, as the history tells it. */
+export interface ChangeRecord {
+  readonly changeId: string;
+  readonly generation: number;
+  /** Who ordered it. */
+  readonly by: string;
+  /** When, by the clock of the operator's machine, ISO 8601. */
+  readonly at: string;
+  /** What was ordered, one line. */
+  readonly order: string;
+}
+
 /** The whole configuration. */
 export interface Configuration {
   /** Rises with every accepted change; whole, from 1. */
@@ -64,6 +76,8 @@
   readonly groups: readonly GroupConfig[];
   readonly kinds: readonly KindConfig[];
   readonly callers: readonly CallerConfig[];
+  /** The last changes, the newest last. */
+  readonly changes: readonly ChangeRecord[];
 }
 
 /** Kind of a plain SELECT that names none. */
--- a/packages/config/src/index.ts
+++ b/packages/config/src/index.ts
@@ -2,6 +2,7 @@
 export {
   AckRule,
   type CallerConfig,
+  type ChangeRecord,
   type Configuration,
   DEFAULT_READ,
   DEFAULT_WRITE,
@@ -27,4 +28,5 @@
   type ConfigurationProblem,
   formatProblem,
 } from './problems.js';
+export {hashSecret, verifySecret} from './secret.js';
 export {parseConfiguration} from './schema.js';
--- a/packages/config/src/schema.ts
+++ b/packages/config/src/schema.ts
@@ -64,6 +64,19 @@
   },
 };
 
+const CHANGE = {
+  type: 'object',
+  additionalProperties: false,
+  required: ['changeId', 'generation', 'by', 'at', 'order'],
+  properties: {
+    changeId: {type: 'string'},
+    generation: {type: 'integer', minimum: 1},
+    by: {type: 'string'},
+    at: {type: 'string'},
+    order: {type: 'string'},
+  },
+};
+
 const CONFIGURATION = {
   type: 'object',
   additionalProperties: false,
@@ -74,6 +87,7 @@
     groups: {type: 'array', items: GROUP},
     kinds: {type: 'array', items: KIND, default: []},
     callers: {type: 'array', items: CALLER, default: []},
+    changes: {type: 'array', items: CHANGE, maxItems: 100, default: []},
   },
 };
 
