--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -74,14 +74,15 @@
 
 /**
  * Gives a place and its connection back. A connection on which the session
- * left a setting or a lock is closed: it must not reach another caller.
+ * left a setting or a lock is reset before it reaches another caller.
  */
 export function giveBack(
   context: RequestContext,
   placed: Placed,
   reusable: boolean,
 ): void {
-  context.group.release(placed.grant.endpoint);
-  const clean = reusable && !context.residue.left;
-  context.group.give(placed.connection, clean);
+  const {connection, grant} = placed;
+  if (context.residue.left) connection.needsReset = true;
+  context.group.release(grant.endpoint);
+  context.group.give(connection, reusable);
 }
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -255,6 +255,7 @@
 class FakeConnection extends EndpointConnection {
   open = true;
   committed: Position | undefined;
+  readonly heardAt = Infinity;
   private sink: AnswerSink | undefined;
   private last = Promise.resolve();
   private readonly frames = frameSplitter(MAX_FRAME_BYTES);
@@ -290,7 +291,13 @@
     }
   }
 
-  onClose(): void {}
+  get settled(): boolean {
+    return this.sink === undefined;
+  }
+
+  onClose(): Disposable {
+    return {dispose: () => {}};
+  }
 
   dispose(): void {
     this.open = false;
