Stop an instance without cutting a request

Cause: SIGTERM destroyed all callers' sockets at once. On SIGTERM /readyz answers 503, the listener closes, each caller is told 57P01 as soon as nothing of it is under way, transactions have 5 s, requests 15 s; then the process exits with 0. A request that crosses the dismissal is not read, so it was not run. Ruled out: waiting for a lull of each caller (busy callers have none); the dismissal after the answer only at each look (10 ms apart, same reason).

--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -10,6 +10,12 @@
   frameSplitter,
 } from '@quetzalreel/wire';
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
+import {
+  type DrainReport,
+  type DrainTimes,
+  type DrainableCaller,
+  drainCallers,
+} from './drain.js';
 import type {GroupHandle} from './group-actor.js';
 import type {Log} from './log.js';
 import {type CallerRequest, requestReader} from './request-reader.js';
@@ -33,6 +39,8 @@
   readonly port: number;
   /** Callers that are connected now. */
   readonly callers: number;
+  /** Accepts no more and dismisses the callers; resolves when they are gone. */
+  drain(times: DrainTimes): Promise<DrainReport>;
 }
 
 /** Starts listening. */
@@ -40,7 +48,9 @@
   context: ListenerContext,
 ): Promise<CallerListener> {
   const open = new Set<net.Socket>();
+  const callers = new Set<DrainableCaller>();
   let sessions = 0;
+  let draining = false;
 
   async function accept(socket: net.Socket): Promise<void> {
     open.add(socket);
@@ -71,21 +81,45 @@
     }
     const {socket} = client;
     const session = callerSession({...context, socket, group});
+    let pending = 0;
+    let dismissed = false;
     const actor = spawn(
       context.system,
       async (_: undefined, request: CallerRequest) => {
         await session.serve(request);
+        pending--;
+        if (draining && pending === 0 && !session.inTransaction) {
+          caller.dismiss();
+        }
         return undefined;
       },
       `caller-${++sessions}`,
     );
+    const caller: DrainableCaller = {
+      get pending() {
+        return pending;
+      },
+      get inTransaction() {
+        return session.inTransaction;
+      },
+      dismiss() {
+        if (dismissed) return;
+        dismissed = true;
+        socket.end(stoppingMessage());
+      },
+    };
+    callers.add(caller);
     socket.on('close', () => {
+      callers.delete(caller);
       session.close();
       stop(actor);
     });
-    readRequests(client, context.maxMessageBytes, request =>
-      dispatch(actor, request),
-    );
+    readRequests(client, context.maxMessageBytes, request => {
+      // What comes after the dismissal was not run, as it says.
+      if (dismissed) return;
+      pending++;
+      dispatch(actor, request);
+    });
   }
 
   const server = net.createServer(socket => {
@@ -103,6 +137,11 @@
     get callers() {
       return open.size;
     },
+    drain(times) {
+      draining = true;
+      server.close();
+      return drainCallers(callers, context.clock, times);
+    },
     dispose() {
       server.close();
       for (const socket of open) socket.destroy();
@@ -110,6 +149,13 @@
   };
 }
 
+function stoppingMessage(): Buffer {
+  const code = SqlState.AdminShutdown;
+  const message =
+    'this instance stops; nothing more was run. Connect again to reach another.';
+  return errorResponse({severity: 'FATAL', code, message});
+}
+
 /** Reads a caller's requests until it leaves or sends what can't be read. */
 function readRequests(
   client: LoggedInClient,
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -11,7 +11,8 @@
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
 import {followConfiguration} from './config-actor.js';
-import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
+import type {DrainReport} from './drain.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
 import {createLog} from './log.js';
 import type {Settings} from './settings.js';
@@ -22,6 +23,8 @@
   readonly adminPort: number;
   /** Requests and transactions that hold a place in a group now. */
   busy(group: string): number;
+  /** Finishes what is under way, then releases everything. */
+  stop(): Promise<DrainReport>;
 }
 
 /** Starts a daemon; resolves when it serves callers. */
@@ -32,6 +35,7 @@
   const system = start();
   owned.add({dispose: () => stop(system)});
   const groups = new Map<string, GroupHandle>();
+  let stopping = false;
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
   const driverOf = (endpoint: EndpointConfig) =>
@@ -100,7 +104,7 @@
       instance: settings.instance,
       configuration: () => follower.current,
       groups: () => groups.values(),
-      ready: () => !owned.disposed,
+      ready: () => !owned.disposed && !stopping,
     }),
   );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
@@ -108,6 +112,14 @@
     port: listener.port,
     adminPort: admin.port,
     busy: name => busyPlaces(groups.get(name)),
+    async stop() {
+      stopping = true;
+      log.info('stopping');
+      const report = await listener.drain(DRAIN_TIMES);
+      log.info(report, 'stopped');
+      owned.dispose();
+      return report;
+    },
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -35,3 +35,10 @@
   maxRetryMs: 1000,
   tickMs: 20,
 } as const;
+
+/** Bounds of a planned stop. */
+export const DRAIN_TIMES = {
+  transactionMs: 5000,
+  totalMs: 15_000,
+  stepMs: 10,
+} as const;
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -14,7 +14,13 @@
     const ports = {port: daemon.port, admin: daemon.adminPort};
     process.stdout.write(JSON.stringify(ports) + '\n');
     process.once('SIGTERM', () => {
-      daemon.dispose();
+      daemon.stop().then(
+        () => process.exit(0),
+        err => {
+          process.stderr.write(`quetzalreeld: ${messageOf(err)}\n`);
+          process.exit(1);
+        },
+      );
     });
   },
 });
