--- a/packages/daemon/src/answer.ts
+++ b/packages/daemon/src/answer.ts
@@ -27,20 +27,6 @@
   readonly until: number;
 }
 
-// What may outlive a request in the endpoint's session, beside a SET that
-// stands first.
-const LEAVES_STATE =
-  /set_config\s*\(|\btemp(orary)?\b|pg_(try_)?advisory_lock|(^|;)\s*(set|reset|prepare|listen|declare)\b/i;
-const QUERY_HEADER_BYTES = 5;
-
-/** Whether a request may leave state behind in the endpoint's session. */
-export function mayLeaveState(request: Buffer): boolean {
-  // A Parse message holds its text after a name, divided by a zero byte.
-  const text = request.toString('latin1', QUERY_HEADER_BYTES);
-  const parts = text.replaceAll('\0', ';');
-  return LEAVES_STATE.test(parts.replace(/\/\*[^]*?\*\/|--[^\n]*/g, ' '));
-}
-
 /**
  * Resolves with the answer; rejects with EndpointDownError. A connection that
  * is silent past the bound is closed, because its answer may come late.
@@ -51,7 +37,6 @@
   hiddenFrames: number,
   bound?: AnswerBound,
 ): Promise<Answer> {
-  if (mayLeaveState(request)) connection.needsReset = true;
   return new Promise((resolve, reject) => {
     const parts: Buffer[] = [];
     let hidden = hiddenFrames;
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -73,8 +73,8 @@
 }
 
 /**
- * Gives a place and its connection back. A connection on which the session
- * left a setting or a lock is closed: it must not reach another caller.
+ * Gives a place and its connection back. A setting or a lock that the session
+ * left on it must not reach another caller, so the pool resets it first.
  */
 export function giveBack(
   context: RequestContext,
@@ -82,6 +82,6 @@
   reusable: boolean,
 ): void {
   context.group.release(placed.grant.endpoint);
-  const clean = reusable && !context.residue.left;
-  context.group.give(placed.connection, clean);
+  if (context.residue.left) placed.connection.needsReset = true;
+  context.group.give(placed.connection, reusable);
 }
