--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -13,7 +13,8 @@
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
 import {type ConfigFollower, followConfiguration} from './config-actor.js';
-import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
+import type {DrainReport} from './drain.js';
 import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
 import {createLog} from './log.js';
@@ -28,6 +29,8 @@
   busy(group: string): number;
   /** Address that other instances reach this one by. */
   readonly peerAddress: string;
+  /** Finishes what is under way, then releases everything. */
+  stop(): Promise<DrainReport>;
 }
 
 /** Seeds of random choices are below this. */
@@ -41,6 +44,7 @@
   const system = start();
   owned.add({dispose: () => stop(system)});
   const groups = new Map<string, GroupHandle>();
+  let stopping = false;
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
   let follower: ConfigFollower | undefined = undefined;
@@ -163,7 +167,7 @@
       instance: settings.instance,
       configuration: () => follower!.current,
       groups: () => groups.values(),
-      ready: () => !owned.disposed,
+      ready: () => !owned.disposed && !stopping,
     }),
   );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
@@ -172,6 +176,14 @@
     adminPort: admin.port,
     busy: name => busyPlaces(groups.get(name)),
     peerAddress: fleet.address,
+    async stop() {
+      stopping = true;
+      log.info('stopping');
+      const report = await listener.drain(DRAIN_TIMES);
+      log.info(report, 'stopped');
+      owned.dispose();
+      return report;
+    },
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -73,16 +73,15 @@
 }
 
 /**
- * Gives a place and its connection back. A connection on which the session
- * left a setting or a lock is reset before it reaches another caller.
+ * Gives a place and its connection back. A setting or a lock that the session
+ * left on it must not reach another caller, so the pool resets it first.
  */
 export function giveBack(
   context: RequestContext,
   placed: Placed,
   reusable: boolean,
 ): void {
-  const {connection, grant} = placed;
-  if (context.residue.left) connection.needsReset = true;
-  context.group.release(grant.endpoint);
-  context.group.give(connection, reusable);
+  context.group.release(placed.grant.endpoint);
+  if (context.residue.left) placed.connection.needsReset = true;
+  context.group.give(placed.connection, reusable);
 }
--- a/packages/daemon/test/test-connections.ts
+++ b/packages/daemon/test/test-connections.ts
@@ -61,7 +61,6 @@
   await caller.query('BEGIN');
   await caller.query('SET search_path = x');
   await caller.query('COMMIT');
-  const daemon = fleet.daemons[0]!;
-  await until(() => daemon.busy('entries') === 0);
+  await until(() => fleet.daemons[0]!.busy('entries') === 0);
   assert.equal(await codeOf(caller, insert('after-set')), undefined);
 });
--- a/packages/daemon/test/test-pinned.ts
+++ b/packages/daemon/test/test-pinned.ts
@@ -43,10 +43,11 @@
   const codes: string[] = [];
   const given: boolean[] = [];
   let releases = 0;
+  const residue = {left: false};
   const context = {
     clock,
+    residue,
     reply: {answer() {}, fail: (code: string) => codes.push(code)},
-    residue: {left: false},
     group: {
       release: () => releases++,
       give: (_: unknown, reusable: boolean) => given.push(reusable),
@@ -69,10 +70,19 @@
       sql,
       hiddenFrames: 0,
       partial: false,
-      steps: [],
+      steps: ['query'],
     });
   const releaseCount = () => releases;
-  return {clock, connection, transaction, serve, codes, given, releaseCount};
+  return {
+    clock,
+    connection,
+    transaction,
+    residue,
+    serve,
+    codes,
+    given,
+    releaseCount,
+  };
 }
 
 test('an idle transaction is ended and its connection not reused', async () => {
@@ -129,3 +139,11 @@
   assert.deepEqual(given, [false]);
   assert.equal(releaseCount(), 1);
 });
+
+test('a session that left state has its connection reset', () => {
+  const {connection, transaction, residue, given} = opened();
+  residue.left = true;
+  transaction.abandon();
+  assert.deepEqual(given, [false]);
+  assert.equal(connection.needsReset, true);
+});
--- a/packages/daemon/test/test-session.ts
+++ b/packages/daemon/test/test-session.ts
@@ -208,12 +208,15 @@
     const [e1] = all.endpoints;
     const resetsAfter = async (inside: string): Promise<number> => {
       await client.query('BEGIN');
-      await client.query(inside);
       const before = e1!.requests.length;
+      await client.query(inside);
       await client.query('COMMIT');
       await write(client, 'x');
-      const since = e1!.requests.slice(before);
-      return since.filter(sql => sql.includes('DISCARD ALL')).length;
+      const sent = e1!.requests.slice(before);
+      const next = sent.findIndex(sql => sql.includes('INSERT'));
+      const resets = sent.filter(sql => sql.includes('DISCARD ALL'));
+      assert.ok(next > sent.findIndex(sql => sql.includes('DISCARD ALL')));
+      return resets.length;
     };
     assert.equal(await resetsAfter('SET LOCAL search_path = a'), 0);
     assert.equal(await resetsAfter('SET search_path = a'), 1);
