Place reads by age, distance and lag, and only on a current primary

Cause: the age of a replica came from samples of whoever claimed to be primary, and a read without a fresh replica went to it: an old primary that is cut off served stale data for ever. Replicas were chosen by load alone. Ruled out: replay rate in records per second; a search for the oldest read.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -52,6 +52,7 @@
     clock,
     log,
     instance: settings.instance,
+    dataCentre: settings.dataCentre,
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -60,7 +60,7 @@
   /** Asks for a place; resolves when there is one or it is refused. */
   request(input: RequestInput): Promise<Placement>;
   /** Gives a place back. */
-  release(endpoint: string): void;
+  release(endpoint: string, elapsedMs?: number): void;
   /** Resolves when the write at `position` is safe, or at `deadline`. */
   written(id: number, position: Position, deadline: number): Promise<AckResult>;
   take(endpoint: string): Promise<EndpointConnection>;
@@ -80,6 +80,8 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly instance: string;
+  /** Data centre of this instance. */
+  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -105,7 +107,12 @@
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
   const acks = new Map<number, (result: AckResult) => void>();
-  let state = initialGroup(cfg, context.instance, context.limits);
+  let state = initialGroup(
+    cfg,
+    context.instance,
+    context.limits,
+    context.dataCentre,
+  );
   const reads = {primary: 0, replica: 0};
   let lastId = 0;
 
@@ -279,7 +286,8 @@
         send({type: 'requested', req});
       });
     },
-    release: endpoint => send({type: 'released', endpoint}),
+    release: (endpoint, elapsedMs) =>
+      send({type: 'released', endpoint, elapsedMs}),
     written(id, position, deadline) {
       return new Promise(resolve => {
         acks.set(id, resolve);
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -73,8 +73,9 @@
   context: RequestContext,
   placed: Placed,
   reusable: boolean,
+  elapsedMs?: number,
 ): void {
-  context.group.release(placed.grant.endpoint);
+  context.group.release(placed.grant.endpoint, elapsedMs);
   const clean = reusable && !context.residue.left;
   context.group.give(placed.connection, clean);
 }
--- a/packages/daemon/src/read-request.ts
+++ b/packages/daemon/src/read-request.ts
@@ -30,6 +30,7 @@
     const wanted = {needsPrimary: false, kind, deadline, bytes, avoid};
     const placed = await findPlace(context, wanted);
     if (!placed) return undefined;
+    const sentAt = context.clock.now();
     let answer: Answer;
     try {
       answer = await ask(
@@ -50,7 +51,7 @@
       continue;
     }
     const {committed} = placed.connection;
-    giveBack(context, placed, true);
+    giveBack(context, placed, true, context.clock.now() - sentAt);
     if (answer.error?.code === SqlState.ReadOnly) {
       return serveWrite(context, request, kind);
     }
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -31,6 +31,7 @@
 } from './queue.js';
 import {type Grant, type GroupRequest, RefusalReason} from './request.js';
 import {choose} from './routing.js';
+import {boundsFor, shareOf} from './shedding.js';
 import {
   type GroupView,
   Reach,
@@ -39,6 +40,7 @@
   viewOf,
   withEndpoint,
   withFailure,
+  withLatency,
   withStatus,
   writablePrimary,
 } from './view.js';
@@ -49,6 +51,8 @@
 /** All that one instance decides on for a group. */
 export interface GroupState {
   readonly instance: string;
+  /** Data centre of this instance; empty when it is not known. */
+  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly view: GroupView;
   readonly failover: FailoverState;
@@ -62,7 +66,12 @@
   | {readonly type: 'configured'; readonly cfg: GroupConfig}
   | {readonly type: 'requested'; readonly req: GroupRequest}
   | {readonly type: 'cancelled'; readonly id: number}
-  | {readonly type: 'released'; readonly endpoint: string}
+  | {
+      readonly type: 'released';
+      readonly endpoint: string;
+      /** Time that the statement took; undefined when it tells nothing. */
+      readonly elapsedMs?: number | undefined;
+    }
   | {
       readonly type: 'capacity';
       readonly endpoint: string;
@@ -123,9 +132,11 @@
   cfg: GroupConfig,
   instance: string,
   limits: GroupLimits,
+  dataCentre = '',
 ): GroupState {
   return {
     instance,
+    dataCentre,
     limits,
     view: viewOf(cfg),
     failover: initialFailover(),
@@ -151,7 +162,7 @@
         effects: [],
       };
     case 'released':
-      return placeWaiting(released(state, event.endpoint), now);
+      return placeWaiting(released(state, event, now), now);
     case 'capacity': {
       const {endpoint, capacity} = event;
       const view = withEndpoint(state.view, endpoint, {capacity});
@@ -231,16 +242,26 @@
 ): GroupResult {
   const placed = place(state, req, now);
   if (placed) return placed;
-  const waiting = enqueue(state.waiting, req, state.limits);
+  const waiting = enqueue(state.waiting, req, boundsFor(req, state.limits));
   if (!waiting) {
-    const reason = RefusalReason.QueueFull;
+    const isShed = shareOf(req) < 1;
+    const reason = isShed ? RefusalReason.Shed : RefusalReason.QueueFull;
     return {state, effects: [{type: 'refuse', id: req.id, reason}]};
   }
-  const isProved = req.floor && !req.unproved;
-  const effects: GroupEffect[] = isProved ? [] : [{type: 'poll'}];
+  const effects: GroupEffect[] = awaitsStatus(state, req)
+    ? [{type: 'poll'}]
+    : [];
   return {state: {...state, waiting}, effects};
 }
 
+/** Whether a request waits for news of the endpoints, not for a free place. */
+function awaitsStatus(state: GroupState, req: GroupRequest): boolean {
+  if (!req.floor || req.unproved) return true;
+  if (req.needsPrimary) return false;
+  const primary = primaryOf(state.view);
+  return primary !== undefined && primary.busy < primary.capacity;
+}
+
 /** Gives a request a place; undefined when there is none now. */
 function place(
   state: GroupState,
@@ -255,7 +276,7 @@
   }
   const {floor} = found;
   if (req.needsPrimary && state.failover.step === 'draining') return undefined;
-  const choice = choose(state.view, {...req, floor}, now);
+  const choice = choose(state.view, {...req, floor}, now, state.dataCentre);
   if (!choice) return undefined;
   const {endpoint, reason} = choice;
   const name = endpoint.cfg.name;
@@ -274,10 +295,16 @@
   };
 }
 
-function released(state: GroupState, name: string): GroupState {
+function released(
+  state: GroupState,
+  event: Extract<GroupEvent, {type: 'released'}>,
+  now: number,
+): GroupState {
+  const {endpoint: name, elapsedMs} = event;
   const busy = state.view.endpoints.get(name)?.busy ?? 0;
   const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
-  return {...state, view};
+  if (elapsedMs === undefined) return {...state, view};
+  return {...state, view: withLatency(view, name, elapsedMs, now)};
 }
 
 /** Gives places to waiting requests, the first of each need first. */
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -50,7 +50,7 @@
   type EndpointView,
   type GroupView,
   Reach,
-  ageOf,
+  currentAsOf,
   highestTerm,
   primaryOf,
   viewOf,
--- a/packages/group/src/request.ts
+++ b/packages/group/src/request.ts
@@ -40,6 +40,7 @@
 export const RefusalReason = {
   Deadline: 'deadline passed before it was sent',
   QueueFull: 'too many requests are waiting',
+  Shed: 'overloaded; reads that may be older are refused first',
   TokenAhead:
     'the session token is ahead of the group; open a connection without it',
   Stopping: 'the instance is stopping',
--- a/packages/group/src/routing.ts
+++ b/packages/group/src/routing.ts
@@ -1,12 +1,13 @@
 /** Chooses the endpoint of a request. Pure functions of a view. */
 import {type Position, reaches} from '@quetzalreel/position';
+import {WAIT_SHARE, catchUpMs} from './catch-up.js';
 import {Reason} from './request.js';
 import type {GroupRequest} from './request.js';
 import {
   type EndpointView,
   type GroupView,
   Reach,
-  ageOf,
+  currentAsOf,
   primaryOf,
   writablePrimary,
 } from './view.js';
@@ -18,15 +19,26 @@
 /** A request with its floor known. */
 export type FlooredRequest = GroupRequest & {readonly floor: Position};
 
+/**
+ * Distance of an endpoint in another data centre, added to what was measured
+ * on it: a round trip between data centres, so that noise does not win.
+ */
+const REMOTE_MS = 1;
+/** Cost of an endpoint that nothing was timed on yet, in milliseconds. */
+const UNTIMED_MS = 1;
+/** Time in which an old measurement loses half its weight. */
+const LATENCY_HALF_LIFE_MS = 5000;
+
 /** Chooses for any request; undefined means that it has to wait. */
 export function choose(
   view: GroupView,
   req: FlooredRequest,
   now: number,
+  dataCentre = '',
 ): Choice {
   return req.needsPrimary
     ? choosePrimary(view, req, Reason.Write)
-    : chooseRead(view, req, now);
+    : chooseRead(view, req, now, dataCentre);
 }
 
 function choosePrimary(
@@ -50,23 +62,81 @@
   view: GroupView,
   req: FlooredRequest,
   now: number,
+  dataCentre: string,
 ): Choice {
   const primary = primaryOf(view);
   let why: Reason = Reason.NoReplicaUp;
   let best: EndpointView | undefined;
+  let least = Infinity;
+  let awaited = false;
   for (const endpoint of view.endpoints.values()) {
     if (endpoint === primary) continue;
     const obstacle = obstacleTo(view, endpoint, req, now);
     if (obstacle) {
       why = laterReason(why, obstacle);
+      const isBehind = obstacle === Reason.NoReplicaAtFloor;
+      if (isBehind && isWorthWaiting(view, endpoint, req, now)) awaited = true;
       continue;
     }
-    if (!best || load(endpoint) < load(best)) best = endpoint;
+    const cost = costOf(endpoint, dataCentre, now);
+    if (cost >= least) continue;
+    best = endpoint;
+    least = cost;
   }
   if (best) return {endpoint: best, reason: Reason.ReplicaFresh};
+  if (awaited || !isCurrent(view, req, now)) return undefined;
   return choosePrimary(view, req, why);
 }
 
+/** Whether a replica will hold the floor within the read's budget. */
+function isWorthWaiting(
+  view: GroupView,
+  replica: EndpointView,
+  req: FlooredRequest,
+  now: number,
+): boolean {
+  if (!hasRoom(replica)) return false;
+  const budgetMs = (req.deadline - req.arrivedAt) * WAIT_SHARE;
+  const leftMs = req.arrivedAt + budgetMs - now;
+  return leftMs > 0 && catchUpMs(view, replica, req.floor, now) <= leftMs;
+}
+
+/**
+ * Whether the primary is known to be the only one as recently as the read
+ * needs. One that was cut off and replaced believes it still leads.
+ */
+export function isCurrent(
+  view: GroupView,
+  req: FlooredRequest,
+  now: number,
+): boolean {
+  return isYoungEnough(view.confirmed.at, req, now);
+}
+
+/** Whether data that is current as of a time will do for a read. */
+function isYoungEnough(
+  asOf: number,
+  req: FlooredRequest,
+  now: number,
+): boolean {
+  return asOf >= req.arrivedAt || now - asOf <= req.kind.maxAgeMs;
+}
+
+/** Time that a read is likely to take, for comparing endpoints. */
+function costOf(
+  endpoint: EndpointView,
+  dataCentre: string,
+  now: number,
+): number {
+  const {latencyMs, timedAt, busy, capacity, cfg} = endpoint;
+  const weight = 0.5 ** ((now - timedAt) / LATENCY_HALF_LIFE_MS);
+  const measured = latencyMs === undefined ? 0 : latencyMs * weight;
+  const known = latencyMs === undefined ? 0 : weight;
+  const expected = measured + UNTIMED_MS * (1 - known);
+  const distance = cfg.dataCentre === dataCentre ? 0 : REMOTE_MS;
+  return ((expected + distance) * (busy + 1)) / capacity;
+}
+
 /** What keeps a replica from serving a read; undefined when nothing does. */
 function obstacleTo(
   view: GroupView,
@@ -80,7 +150,7 @@
   }
   if (req.avoid.includes(replica.cfg.name)) return Reason.NoReplicaUp;
   if (!reaches(status.last, req.floor)) return Reason.NoReplicaAtFloor;
-  if (ageOf(view, status.last, now) > req.kind.maxAgeMs) {
+  if (!isYoungEnough(currentAsOf(view, status.last), req, now)) {
     return Reason.NoReplicaYoungEnough;
   }
   return hasRoom(replica) ? undefined : Reason.NoReplicaFree;
@@ -101,7 +171,3 @@
 function hasRoom(endpoint: EndpointView): boolean {
   return endpoint.busy < endpoint.capacity;
 }
-
-function load(endpoint: EndpointView): number {
-  return endpoint.busy / endpoint.capacity;
-}
--- a/packages/group/src/view.ts
+++ b/packages/group/src/view.ts
@@ -4,7 +4,13 @@
  */
 import type {EndpointConfig, GroupConfig} from '@quetzalreel/config';
 import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
-import {type Position, reaches} from '@quetzalreel/position';
+import {type Position, majorityOf} from '@quetzalreel/position';
+import {
+  type PrimarySample,
+  addSample,
+  firstReaching,
+  newestReached,
+} from './samples.js';
 
 /** Whether an endpoint answers its control calls. */
 export const Reach = {
@@ -30,17 +36,24 @@
   readonly reach: Reach;
   /** Since when calls have failed; undefined while they are answered. */
   readonly failingSince: number | undefined;
+  /** How long it applied records after the primary held them; smoothed. */
+  readonly lagMs: number | undefined;
+  /** Time that statements took on it; smoothed. */
+  readonly latencyMs: number | undefined;
+  /** When a statement was last timed on it. */
+  readonly timedAt: number;
   /** Requests of this instance that are on it now. */
   readonly busy: number;
   /** Requests that this instance may have on it at a time. */
   readonly capacity: number;
 }
 
-/** The primary's position at a time, for telling a replica's age. */
-export interface PrimarySample {
-  /** When the status was asked for, monotonic milliseconds. */
-  readonly askedAt: number;
-  readonly position: Position;
+/** Until when a primary is known to have been the only one. */
+export interface Confirmation {
+  /** Term of the primary; 0 for none. */
+  readonly term: number;
+  /** Monotonic milliseconds. */
+  readonly at: number;
 }
 
 /** What is known of a group. */
@@ -49,10 +62,12 @@
   readonly endpoints: ReadonlyMap<string, EndpointView>;
   /** Samples of the primary, the oldest first. */
   readonly samples: readonly PrimarySample[];
+  readonly confirmed: Confirmation;
 }
 
-/** Samples kept; at one each 50 ms they reach 25 s back. */
-const MAX_SAMPLES = 500;
+const UNCONFIRMED: Confirmation = {term: 0, at: -Infinity};
+/** Part of a new measurement in a smoothed one. */
+const SMOOTHING = 0.3;
 
 /** A view of `cfg` that keeps what `before` knew of the same endpoints. */
 export function viewOf(cfg: GroupConfig, before?: GroupView): GroupView {
@@ -64,7 +79,12 @@
       cfg: endpoint,
     });
   }
-  return {name: cfg.name, endpoints, samples: before?.samples ?? []};
+  return {
+    name: cfg.name,
+    endpoints,
+    samples: before?.samples ?? [],
+    confirmed: before?.confirmed ?? UNCONFIRMED,
+  };
 }
 
 function unknownEndpoint(cfg: EndpointConfig): EndpointView {
@@ -74,6 +94,9 @@
     askedAt: -Infinity,
     reach: Reach.Unknown,
     failingSince: undefined,
+    lagMs: undefined,
+    latencyMs: undefined,
+    timedAt: -Infinity,
     busy: 0,
     capacity: cfg.slots,
   };
@@ -101,23 +124,75 @@
 ): GroupView {
   const known = view.endpoints.get(name);
   if (!known || askedAt < known.askedAt) return view;
+  const lagMs = lagAfter(view, known, status, askedAt);
   const next = withEndpoint(view, name, {
     status,
     askedAt,
     reach: Reach.Up,
     failingSince: undefined,
+    lagMs,
   });
-  if (primaryOf(next)?.cfg.name !== name) return next;
-  const sample = {askedAt, position: status.last};
-  return {...next, samples: addSample(view.samples, sample)};
+  const primary = primaryOf(next);
+  if (!primary) return next;
+  const confirmed = confirmationOf(next, primary);
+  // Of a primary that was replaced, only confirmed samples tell an age.
+  const kept =
+    confirmed.term === view.confirmed.term
+      ? next.samples
+      : next.samples.filter(({askedAt: at}) => at <= view.confirmed.at);
+  const samples =
+    primary.cfg.name === name
+      ? addSample(kept, {askedAt, position: status.last})
+      : kept;
+  return {...next, samples, confirmed};
+}
+
+/** The smoothed lag of a replica that has just been seen to move on. */
+function lagAfter(
+  view: GroupView,
+  known: EndpointView,
+  status: EndpointStatus,
+  askedAt: number,
+): number | undefined {
+  const before = known.status?.last;
+  const moved = before && before.offset < status.last.offset;
+  if (status.role === 'primary' || !moved) return known.lagMs;
+  const held = firstReaching(view.samples, status.last);
+  if (!held) return known.lagMs;
+  return smoothed(known.lagMs, Math.max(0, askedAt - held.askedAt));
+}
+
+function smoothed(before: number | undefined, measured: number): number {
+  if (before === undefined) return measured;
+  return before + SMOOTHING * (measured - before);
+}
+
+/** The view after a statement took `elapsedMs` on an endpoint. */
+export function withLatency(
+  view: GroupView,
+  name: string,
+  elapsedMs: number,
+  now: number,
+): GroupView {
+  const before = view.endpoints.get(name)?.latencyMs;
+  const latencyMs = smoothed(before, elapsedMs);
+  return withEndpoint(view, name, {latencyMs, timedAt: now});
 }
 
-function addSample(
-  samples: readonly PrimarySample[],
-  sample: PrimarySample,
-): readonly PrimarySample[] {
-  const kept = samples.length >= MAX_SAMPLES ? samples.slice(1) : samples;
-  return [...kept, sample];
+/**
+ * A majority that had promised no higher term when it was asked shows that
+ * nobody else could have been promoted before.
+ */
+function confirmationOf(view: GroupView, primary: EndpointView): Confirmation {
+  const {term} = primary.status!;
+  const times: number[] = [];
+  for (const {status, askedAt} of view.endpoints.values()) {
+    if (status && status.promisedTerm <= term) times.push(askedAt);
+  }
+  times.sort((a, b) => b - a);
+  const at = times[majorityOf(view.endpoints.size) - 1] ?? -Infinity;
+  const before = view.confirmed;
+  return {term, at: before.term === term ? Math.max(before.at, at) : at};
 }
 
 /** The view after an endpoint did not answer. */
@@ -170,18 +245,12 @@
 }
 
 /**
- * How old the data at `position` may be, in milliseconds: the time since the
- * newest sample of the primary that the position has reached. Infinite when
- * no sample is old enough.
+ * The time, in monotonic milliseconds, as of which `position` has all that the
+ * primary had: that of the newest sample it has reached, but no later than the
+ * primary's confirmation. Minus infinity when nothing tells.
  */
-export function ageOf(
-  view: GroupView,
-  position: Position,
-  now: number,
-): number {
-  for (let i = view.samples.length - 1; i >= 0; i--) {
-    const sample = view.samples[i]!;
-    if (reaches(position, sample.position)) return now - sample.askedAt;
-  }
-  return Infinity;
+export function currentAsOf(view: GroupView, position: Position): number {
+  const sample = newestReached(view.samples, position);
+  if (!sample) return -Infinity;
+  return Math.min(sample.askedAt, view.confirmed.at);
 }
