--- a/packages/daemon/test/small-fleet.ts
+++ b/packages/daemon/test/small-fleet.ts
@@ -135,7 +135,6 @@
     endpointPassword: '',
     instances,
     maxMessageBytes: 4 * 1024 * 1024,
-    sessionKey: '',
     logLevel: 'fatal',
   };
 }
