Show, order and wait with qrctl; metrics, tokens, passwords and keys

Cause: operators had HTTP paths only, anyone could call them, callers' secrets in the configuration were not asked for, and there were no metrics. Change: qrctl shows each topic from the live instances themselves, orders changes with a dry run and waits with progress; the operators' port wants a token (refused at start without one off loopback) and gives Prometheus metrics; callers' passwords are checked with a cache keyed by a digest; keys for callers and between instances come from files and are read again. Ruled out: telling "in force" from the store alone; each instance is asked. Conclusion: the commands work against fakes; a trial on processes follows.

--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -20,3 +20,13 @@
   StoreDownError,
 } from './errors.js';
 export {type Stored, type SubmitContext, readStored, submit} from './submit.js';
+export {
+  type InstanceState,
+  type Instances,
+  type InstancesOptions,
+  type Member,
+  instances,
+} from './instances.js';
+export {type OutputFormat, formatRows} from './output.js';
+export {type RunContext, runCommand} from './run-command.js';
+export {type Row, type ShowSources, historyRows, rowsOf} from './show.js';
--- /dev/null
+++ b/packages/ctl/test/test-run-command.ts
@@ -0,0 +1,166 @@
+import assert from 'node:assert/strict';
+import {test} from 'node:test';
+import {systemClock} from '@quetzalreel/common';
+import {httpPlatformClient} from '@quetzalreel/platform';
+import {platformServer} from '@quetzalreel/standin';
+import {
+  type InstanceState,
+  type Instances,
+  type RunContext,
+  parseCommand,
+  runCommand,
+} from '../src/index.js';
+
+/** An instance that has `generation` in force. */
+function stateOf(instance: string, generation: number): InstanceState {
+  const endpoints = ['e1', 'e2'].map((name, i) => ({
+    name,
+    dataCentre: 'recife',
+    leaving: false,
+    reach: 'up',
+    role: i === 0 ? 'primary' : 'replica',
+    term: 1,
+    position: '1/5',
+    busy: 0,
+    capacity: 3,
+  }));
+  const member = (id: string) => ({
+    id,
+    admin: id,
+    dataCentre: 'recife',
+    status: 'alive',
+  });
+  return {
+    instance,
+    dataCentre: 'recife',
+    ready: true,
+    generation,
+    changeId: `c${generation}`,
+    storeDown: false,
+    callers: 4,
+    groups: [{name: 'g', step: 'steady', waiting: 0, held: 0, endpoints}],
+    members: ['i1', 'i2'].map(member),
+    shares: [
+      {endpoint: 'e1', connections: 20, held: 10, target: 10, allowed: 10},
+    ],
+  };
+}
+
+/** Two instances; the second one is at `late()`. */
+function fakeInstances(late: () => number): Instances {
+  return {
+    entry: async () => stateOf('i1', 9),
+    all: async () => [
+      {id: 'i1', status: 'alive', state: stateOf('i1', 9)},
+      {id: 'i2', status: 'alive', state: stateOf('i2', late())},
+    ],
+    promote: async () => {},
+  };
+}
+
+async function trial(late: () => number = () => 9) {
+  const server = await platformServer(0);
+  const out: string[] = [];
+  const progress: string[] = [];
+  let changes = 0;
+  const run = (text: string, options: Partial<RunContext> = {}) => {
+    const context: RunContext = {
+      platform: httpPlatformClient({
+        url: `http://127.0.0.1:${server.port}`,
+        timeoutMs: 300,
+      }),
+      instances: fakeInstances(late),
+      clock: systemClock(),
+      changeId: `c${++changes}`,
+      by: 'ana',
+      at: '2026-01-01T00:00:00Z',
+      output: 'json',
+      wait: false,
+      dryRun: false,
+      timeoutMs: 5000,
+      print: line => out.push(line),
+      progress: line => progress.push(line),
+      ...options,
+    };
+    return runCommand(context, parseCommand(text));
+  };
+  const rows = () => JSON.parse(out.at(-1)!) as Array<Record<string, unknown>>;
+  return {server, run, out, progress, rows};
+}
+
+const SHOWN: ReadonlyArray<[string, Record<string, unknown>]> = [
+  ['show endpoints in group g', {endpoint: 'e1', role: 'primary', term: 1}],
+  ['show groups', {group: 'g', primary: 'e1', step: 'steady'}],
+  ['show members', {instance: 'i1', status: 'alive', answers: true}],
+  ['show generation', {instance: 'i1', generation: 9, change: 'c9'}],
+  ['show shares', {instance: 'i1', endpoint: 'e1', allowed: 10}],
+  ['show sessions', {instance: 'i1', callers: 4}],
+];
+
+for (const [text, wanted] of SHOWN) {
+  test(`${text}`, async () => {
+    const {server, run, rows} = await trial();
+    await run(text);
+    const first = rows()[0]!;
+    for (const [column, value] of Object.entries(wanted)) {
+      assert.equal(first[column], value, column);
+    }
+    server.close();
+  });
+}
+
+test('a dry run shows the difference and changes nothing', async () => {
+  const {server, run, rows} = await trial();
+  await run('set kind k access=read maxAgeMs=700', {dryRun: true});
+  const lines = rows().map(row => row['change']);
+  assert.ok(lines.includes('kinds/k/maxAgeMs: none -> 700'));
+  await run('show kinds');
+  assert.deepEqual(rows(), []);
+  server.close();
+});
+
+test('waiting tells progress until every live instance has it', async () => {
+  let asked = 0;
+  const {server, run, progress} = await trial(() => (++asked < 3 ? 0 : 1));
+  await run('set kind k access=read', {wait: true});
+  assert.match(progress[0]!, /in force on 1 of 2/);
+  assert.match(progress.at(-1)!, /in force on 2 of 2/);
+  server.close();
+});
+
+test('who is late is named when the wait is over', async () => {
+  const {server, run} = await trial(() => 0);
+  const waiting = run('set kind k access=read', {wait: true, timeoutMs: 1});
+  await assert.rejects(waiting, {kind: 'NotInForceError', message: /i2/});
+  server.close();
+});
+
+test('an accepted change that is not in force everywhere is pending', async () => {
+  const {server, run, rows} = await trial(() => 0);
+  await run('set kind k access=read');
+  await run('show changes');
+  assert.equal(rows()[0]!['missing'], 'i2');
+  await run('history');
+  assert.equal(rows()[0]!['order'], 'set kind k access=read');
+  server.close();
+});
+
+test('with the store down state is shown, and a change refused', async () => {
+  const {server, run, progress, rows} = await trial();
+  server.faults.down = true;
+  await run('show generation');
+  assert.equal(rows()[0]!['stored'], '-');
+  assert.match(progress[0]!, /can't be reached/);
+  await assert.rejects(run('drain endpoint e1'), {
+    kind: 'StoreDownError',
+    message: /nothing was changed/,
+  });
+  server.close();
+});
+
+test('a table has a column for each field', async () => {
+  const {server, run, out} = await trial();
+  await run('show sessions', {output: 'table'});
+  assert.match(out[0]!, /instance.*callers/);
+  server.close();
+});
--- a/packages/daemon/src/admin.ts
+++ b/packages/daemon/src/admin.ts
@@ -1,19 +1,23 @@
 /** The operators' interface and the metrics, over HTTP. */
+import {createHash, timingSafeEqual} from 'node:crypto';
 import http from 'node:http';
 import type net from 'node:net';
-import type {Disposable} from '@quetzalreel/common';
-import type {Configuration} from '@quetzalreel/config';
-import {formatPosition} from '@quetzalreel/position';
+import {type Disposable, messageOf} from '@quetzalreel/common';
 import type {GroupHandle} from './group-actor.js';
+import type {Metrics} from './metrics.js';
 
 /** What the interface tells about. */
 export interface AdminContext {
   readonly host: string;
   readonly port: number;
-  readonly instance: string;
-  readonly configuration: () => Configuration | undefined;
+  /** Token that operators send; empty lets everyone in. */
+  readonly token: string;
   readonly groups: () => Iterable<GroupHandle>;
+  /** Whether the platform's balancer may send callers here. */
   readonly ready: () => boolean;
+  /** All that operators may ask for, as JSON. */
+  readonly state: () => unknown;
+  readonly metrics: Metrics;
 }
 
 /** A running interface. */
@@ -21,81 +25,76 @@
   readonly port: number;
 }
 
-/** Reads placed so far over all groups, by the role of the endpoint. */
-function totalReads(groups: Iterable<GroupHandle>) {
-  const total = {primary: 0, replica: 0};
-  for (const {reads} of groups) {
-    total.primary += reads.primary;
-    total.replica += reads.replica;
-  }
-  return total;
+interface Answer {
+  readonly status: number;
+  readonly body: unknown;
 }
 
 const HTTP_OK = 200;
 const HTTP_BAD_REQUEST = 400;
+const HTTP_UNAUTHORIZED = 401;
 const HTTP_NOT_FOUND = 404;
+const HTTP_ERROR = 500;
 const HTTP_UNAVAILABLE = 503;
 
+const REFUSED: Answer = {
+  status: HTTP_UNAUTHORIZED,
+  body: {error: 'no operator; send the token as Authorization: Bearer'},
+};
+
 /** Starts the interface. */
 export async function startAdmin(context: AdminContext): Promise<Admin> {
-  function groupState(group: GroupHandle) {
-    const {view, failover, waiting, held} = group.state;
-    const endpoints = [...view.endpoints.values()].map(endpoint => ({
-      name: endpoint.cfg.name,
-      reach: endpoint.reach,
-      role: endpoint.status?.role,
-      term: endpoint.status?.term,
-      position: endpoint.status && formatPosition(endpoint.status.last),
-      busy: endpoint.busy,
-      capacity: endpoint.capacity,
-    }));
-    return {
-      name: group.name,
-      step: failover.step,
-      waiting: waiting.length,
-      held: held.length,
-      endpoints,
-    };
-  }
-
-  function order(path: string): [number, unknown] {
+  function order(path: string): Answer {
     const [, , groupName, target] = path.split('/');
     for (const group of context.groups()) {
       if (group.name !== groupName) continue;
       group.order(target ?? '');
-      return [HTTP_OK, {ordered: target}];
+      return {status: HTTP_OK, body: {ordered: target}};
     }
-    return [HTTP_BAD_REQUEST, {error: `no group ${groupName}`}];
+    const error = `no group ${groupName}`;
+    return {status: HTTP_BAD_REQUEST, body: {error}};
   }
 
-  function answer(req: http.IncomingMessage): [number, unknown] {
+  /** Answers what everyone may ask for. */
+  function openAnswer(path: string): Answer | undefined {
+    if (path === '/healthz') return {status: HTTP_OK, body: {ok: true}};
+    if (path !== '/readyz') return undefined;
+    const ready = context.ready();
+    return {status: ready ? HTTP_OK : HTTP_UNAVAILABLE, body: {ready}};
+  }
+
+  function answer(req: http.IncomingMessage): Answer {
     const path = req.url ?? '/';
-    if (path === '/healthz') return [HTTP_OK, {ok: true}];
-    if (path === '/readyz') {
-      const ready = context.ready();
-      return [ready ? HTTP_OK : HTTP_UNAVAILABLE, {ready}];
-    }
-    if (path === '/state') {
-      return [
-        HTTP_OK,
-        {
-          instance: context.instance,
-          generation: context.configuration()?.generation,
-          groups: [...context.groups()].map(groupState),
-          reads: totalReads(context.groups()),
-        },
-      ];
-    }
+    const open = openAnswer(path);
+    if (open) return open;
+    if (!isOperator(req, context.token)) return REFUSED;
+    if (path === '/state') return {status: HTTP_OK, body: context.state()};
     if (req.method === 'POST' && path.startsWith('/promote/')) {
       return order(path);
     }
-    return [HTTP_NOT_FOUND, {error: `nothing at ${path}`}];
+    return {status: HTTP_NOT_FOUND, body: {error: `nothing at ${path}`}};
   }
 
-  const server = http.createServer((req, res) => {
-    const [status, body] = answer(req);
+  async function serve(
+    req: http.IncomingMessage,
+    res: http.ServerResponse,
+  ): Promise<void> {
+    if (req.url === '/metrics') {
+      const text = await context.metrics.text();
+      const headers = {'Content-Type': context.metrics.contentType};
+      res.writeHead(HTTP_OK, headers).end(text);
+      return;
+    }
+    const {status, body} = answer(req);
     res.writeHead(status, {'Content-Type': 'application/json'});
     res.end(JSON.stringify(body));
+  }
+
+  const server = http.createServer((req, res) => {
+    serve(req, res).catch(err => {
+      if (!res.headersSent) res.writeHead(HTTP_ERROR);
+      res.end(JSON.stringify({error: messageOf(err)}));
+    });
   });
   await new Promise<void>((resolve, reject) => {
     server.once('error', reject);
@@ -109,3 +108,11 @@
     },
   };
 }
+
+/** Compares digests, so that the time tells nothing of the token. */
+function isOperator(req: http.IncomingMessage, token: string): boolean {
+  if (token === '') return true;
+  const given = req.headers.authorization ?? '';
+  const digest = (text: string) => createHash('sha256').update(text).digest();
+  return timingSafeEqual(digest(given), digest(`Bearer ${token}`));
+}
--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -25,6 +25,10 @@
   readonly maxMessageBytes: number;
   readonly loginTimeoutMs: number;
   readonly configuration: () => Configuration;
+  /** Checks a caller's password. */
+  readonly verify: (user: string, password: string) => Promise<boolean>;
+  /** Certificate and key; undefined means no TLS. */
+  readonly tls?: () => {readonly cert: Buffer; readonly key: Buffer};
   readonly groupOf: (database: string) => GroupHandle | undefined;
 }
 
@@ -48,6 +52,11 @@
     socket.setNoDelay(true);
     const client = await login(socket, {
       timeoutMs: context.loginTimeoutMs,
+      // A configuration without callers lets everyone in.
+      ...(context.configuration().callers.length > 0
+        ? {verify: context.verify}
+        : {}),
+      ...(context.tls ? {tls: context.tls} : {}),
       parameters: {
         client_encoding: 'UTF8',
         standard_conforming_strings: 'on',
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -10,12 +10,16 @@
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
-import {startListener} from './caller-listener.js';
+import {type CallerListener, startListener} from './caller-listener.js';
 import {type ConfigFollower, followConfiguration} from './config-actor.js';
+import {credentialChecker} from './credentials.js';
 import {GROUP_LIMITS, TIMES} from './defaults.js';
 import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
-import {createLog} from './log.js';
+import {keyFiles} from './key-files.js';
+import {type Log, createLog} from './log.js';
+import {startMetrics} from './metrics.js';
+import {operatorState} from './operator-state.js';
 import {type Settings, peerAddresses} from './settings.js';
 import {type ShareHandle, startShares} from './share-actor.js';
 
@@ -41,6 +45,8 @@
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
   let follower: ConfigFollower | undefined = undefined;
+  let listener: CallerListener | undefined = undefined;
+  let fleet: FleetHandle | undefined = undefined;
 
   const platform = httpPlatformClient({
     url: settings.platformUrl,
@@ -62,8 +68,8 @@
         const busy = state?.view.endpoints.get(endpoint)?.busy ?? 0;
         return {busy, waiting: state?.waiting.length ?? 0};
       },
-      wantLoan: (endpoint, count) => fleet.wantLoan(endpoint, count),
-      grantLoan: (to, endpoint, count) => fleet.grantLoan(to, endpoint, count),
+      wantLoan: (endpoint, count) => fleet?.wantLoan(endpoint, count),
+      grantLoan: (to, endpoint, count) => fleet?.grantLoan(to, endpoint, count),
     }),
   );
 
@@ -115,7 +121,46 @@
     }
   }
 
-  const fleet: FleetHandle = owned.add(
+  /** Whether the platform's balancer may send callers here. */
+  const ready = () =>
+    !owned.disposed &&
+    listener !== undefined &&
+    follower?.current !== undefined;
+  const metrics = owned.add(
+    startMetrics({
+      clock,
+      groups: () => groups.values(),
+      fleet: () => fleet,
+      shares: () => shares,
+      generation: () => follower?.current?.generation ?? 0,
+      storeDown: () => follower?.storeDown ?? false,
+      callers: () => listener?.callers ?? 0,
+      lookMs: TIMES.tickMs,
+    }),
+  );
+  const admin = owned.add(
+    await startAdmin({
+      host: settings.host,
+      port: settings.adminPort,
+      token: settings.operatorToken,
+      groups: () => groups.values(),
+      ready,
+      metrics,
+      state: () =>
+        operatorState({
+          instance: settings.instance,
+          dataCentre: settings.dataCentre,
+          inForce: follower?.inForce,
+          storeDown: follower?.storeDown ?? false,
+          ready: ready(),
+          callers: listener?.callers ?? 0,
+          groups: [...groups.values()],
+          fleet,
+          shares,
+        }),
+    }),
+  );
+  fleet = owned.add(
     await joinFleet({
       system,
       platform,
@@ -125,9 +170,11 @@
       dataCentre: settings.dataCentre,
       host: settings.host,
       port: settings.peerPort,
+      admin: `${settings.host}:${admin.port}`,
       peers: peerAddresses(settings),
       seed: randomInt(MAX_SEED),
       incarnation: Date.now(),
+      ...tlsBetweenInstances(settings, log),
       inForce: () => follower?.inForce,
       onConfig: event => follower?.offer(event),
       onMembers: members => shares.setMembers(members),
@@ -141,27 +188,20 @@
     followConfiguration({system, platform, clock, log, times, peers, apply}),
   );
   await follower.first;
-  const listener = owned.add(
+  const configuration = () => follower!.current!;
+  listener = owned.add(
     await startListener({
       ...context,
       host: settings.host,
       port: settings.port,
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
-      configuration: () => follower!.current!,
+      configuration,
+      verify: credentialChecker(configuration).verify,
+      ...tlsForCallers(settings, log),
       groupOf: name => groups.get(name),
     }),
   );
-  const admin = owned.add(
-    await startAdmin({
-      host: settings.host,
-      port: settings.adminPort,
-      instance: settings.instance,
-      configuration: () => follower!.current,
-      groups: () => groups.values(),
-      ready: () => !owned.disposed,
-    }),
-  );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
   return {
     port: listener.port,
@@ -170,3 +210,15 @@
     dispose: () => owned.dispose(),
   };
 }
+
+/** Keys for callers' TLS, when settings name them. */
+function tlsForCallers(settings: Settings, log: Log) {
+  const {tlsCert: cert, tlsKey: key} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key}, log)};
+}
+
+/** Keys for TLS between instances, when settings name them. */
+function tlsBetweenInstances(settings: Settings, log: Log) {
+  const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
+}
--- a/packages/daemon/src/fleet-actor.ts
+++ b/packages/daemon/src/fleet-actor.ts
@@ -47,6 +47,8 @@
   readonly dataCentre: string;
   readonly host: string;
   readonly port: number;
+  /** Address of this instance's operators' port. */
+  readonly admin: string;
   /** Addresses of other instances from settings. */
   readonly peers: readonly string[];
   /** Seed of random choices. */
@@ -109,8 +111,8 @@
     onLinkError: (address, why) => log.debug({address, why}, 'link lost'),
   });
   transport = link;
-  const {instance: id, dataCentre, incarnation} = context;
-  const self = {id, address: link.address, dataCentre, incarnation};
+  const {instance: id, admin, dataCentre, incarnation} = context;
+  const self = {id, address: link.address, admin, dataCentre, incarnation};
   state = initialMembership(
     self,
     MEMBERSHIP_LIMITS,
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -70,6 +70,8 @@
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
   readonly reads: Readonly<Record<'primary' | 'replica', number>>;
+  /** Requests refused so far, by reason. */
+  readonly refused: ReadonlyMap<RefusalReason, number>;
   /** The state as it is now, for operators. */
   readonly state: GroupState;
 }
@@ -107,6 +109,7 @@
   const acks = new Map<number, (result: AckResult) => void>();
   let state = initialGroup(cfg, context.instance, context.limits);
   const reads = {primary: 0, replica: 0};
+  const refused = new Map<RefusalReason, number>();
   let lastId = 0;
 
   const actor = spawn(
@@ -134,6 +137,7 @@
           {group: cfg.name, req: effect.id, why: effect.reason},
           'refused',
         );
+        refused.set(effect.reason, (refused.get(effect.reason) ?? 0) + 1);
         settlePlacement(effect.id, {refused: effect.reason});
         return;
       case 'acknowledge':
@@ -268,6 +272,7 @@
   return {
     name: cfg.name,
     reads,
+    refused,
     get state() {
       return state;
     },
--- /dev/null
+++ b/packages/daemon/src/metrics.ts
@@ -0,0 +1,204 @@
+/** The metrics of a daemon, in the text format of Prometheus. */
+import type {Clock, Disposable} from '@quetzalreel/common';
+import {Reach, primaryOf, writablePrimary} from '@quetzalreel/group';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {FleetHandle} from './fleet-actor.js';
+import type {GroupHandle} from './group-actor.js';
+import type {ShareHandle} from './share-actor.js';
+
+/** What the metrics are taken from. */
+export interface MetricsContext {
+  readonly clock: Clock;
+  readonly groups: () => Iterable<GroupHandle>;
+  readonly fleet: () => FleetHandle | undefined;
+  readonly shares: () => ShareHandle | undefined;
+  /** Generation in force; 0 when none is. */
+  readonly generation: () => number;
+  readonly storeDown: () => boolean;
+  readonly callers: () => number;
+  /** Time between two looks for a primary, milliseconds. */
+  readonly lookMs: number;
+}
+
+/** The metrics. */
+export interface Metrics extends Disposable {
+  readonly contentType: string;
+  text(): Promise<string>;
+}
+
+const MS_PER_S = 1000;
+const GAP_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 5, 7, 10, 30];
+
+/** Starts measuring. */
+export function startMetrics(context: MetricsContext): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const each = (tell: (group: GroupHandle) => void) => {
+    for (const group of context.groups()) tell(group);
+  };
+
+  /** A gauge or counter without labels, read when it is asked for. */
+  const value = (name: string, help: string, read: () => number) =>
+    new Gauge({
+      name: `quetzalreel_${name}`,
+      help,
+      registers,
+      collect() {
+        this.set(read());
+      },
+    });
+  value('configuration_generation', 'Generation in force.', context.generation);
+  value('members', 'Live members known here, this one included.', () => {
+    return context.fleet()?.members.length ?? 0;
+  });
+  value(
+    'store_reachable',
+    'Whether the last call to the store succeeded.',
+    () => (context.storeDown() ? 0 : 1),
+  );
+  value('caller_connections', 'Callers that are connected.', context.callers);
+  value('peer_links', 'Open links to other instances.', () => {
+    return context.fleet()?.traffic.links ?? 0;
+  });
+  value('replica_share_ratio', 'Reads on replicas, 0 to 1.', replicaShare);
+
+  function replicaShare(): number {
+    let replica = 0;
+    let all = 0;
+    each(({reads}) => {
+      replica += reads.replica;
+      all += reads.replica + reads.primary;
+    });
+    return all === 0 ? 0 : replica / all;
+  }
+
+  new Counter({
+    name: 'quetzalreel_reads_total',
+    help: 'Reads placed, by the role of the endpoint.',
+    labelNames: ['group', 'role'],
+    registers,
+    collect() {
+      this.reset();
+      each(({name, reads}) => {
+        for (const [role, count] of Object.entries(reads)) {
+          this.inc({group: name, role}, count);
+        }
+      });
+    },
+  });
+  new Counter({
+    name: 'quetzalreel_requests_refused_total',
+    help: 'Requests refused before they ran, by reason.',
+    labelNames: ['group', 'reason'],
+    registers,
+    collect() {
+      this.reset();
+      each(({name, refused}) => {
+        for (const [reason, count] of refused) {
+          this.inc({group: name, reason}, count);
+        }
+      });
+    },
+  });
+  new Counter({
+    name: 'quetzalreel_control_bytes_total',
+    help: 'Bytes exchanged with other instances.',
+    labelNames: ['direction'],
+    registers,
+    collect() {
+      this.reset();
+      const traffic = context.fleet()?.traffic;
+      this.inc({direction: 'sent'}, traffic?.sentBytes ?? 0);
+      this.inc({direction: 'received'}, traffic?.receivedBytes ?? 0);
+    },
+  });
+
+  /** A gauge for each group. */
+  const ofGroup = (
+    name: string,
+    help: string,
+    read: (group: GroupHandle) => number,
+  ) =>
+    new Gauge({
+      name: `quetzalreel_${name}`,
+      help,
+      labelNames: ['group'],
+      registers,
+      collect() {
+        this.reset();
+        each(group => this.set({group: group.name}, read(group)));
+      },
+    });
+  ofGroup('acks_held', 'Writes that wait for a majority.', group => {
+    return group.state.held.length;
+  });
+  ofGroup('requests_parked', 'Requests that wait for a place.', group => {
+    return group.state.waiting.length;
+  });
+  ofGroup('group_term', 'Term of the primary; 0 when none is known.', group => {
+    return primaryOf(group.state.view)?.status?.term ?? 0;
+  });
+
+  /** A gauge for each endpoint. */
+  const ofEndpoint = (
+    name: string,
+    help: string,
+    read: (group: GroupHandle, endpoint: string) => number,
+  ) =>
+    new Gauge({
+      name: `quetzalreel_${name}`,
+      help,
+      labelNames: ['endpoint'],
+      registers,
+      collect() {
+        this.reset();
+        each(group => {
+          for (const endpoint of group.state.view.endpoints.keys()) {
+            this.set({endpoint}, read(group, endpoint));
+          }
+        });
+      },
+    });
+  ofEndpoint('endpoint_requests', 'Requests that are on it.', (group, name) => {
+    return group.state.view.endpoints.get(name)!.busy;
+  });
+  ofEndpoint('endpoint_slots', 'Requests that may be on it.', (group, name) => {
+    return group.state.view.endpoints.get(name)!.capacity;
+  });
+  ofEndpoint(
+    'endpoint_connection_share',
+    'Connections that this instance may have open to it.',
+    (_group, name) => context.shares()?.connectionsOf(name) ?? 0,
+  );
+
+  const gaps = new Histogram({
+    name: 'quetzalreel_failover_gap_seconds',
+    help: 'Times without a primary that takes writes.',
+    labelNames: ['group'],
+    buckets: GAP_BUCKETS_S,
+    registers,
+  });
+  const missingSince = new Map<string, number>();
+
+  /** Notes when a group's primary is missing, and for how long it was. */
+  function look(): void {
+    const now = context.clock.now();
+    each(group => {
+      const {name} = group;
+      const primary = writablePrimary(group.state.view);
+      const isThere = primary?.reach === Reach.Up;
+      const since = missingSince.get(name);
+      if (!isThere && since === undefined) missingSince.set(name, now);
+      if (!isThere || since === undefined) return;
+      missingSince.delete(name);
+      gaps.observe({group: name}, (now - since) / MS_PER_S);
+    });
+  }
+
+  const timer = setInterval(look, context.lookMs);
+  return {
+    contentType: registry.contentType,
+    text: () => registry.metrics(),
+    dispose: () => clearInterval(timer),
+  };
+}
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -30,6 +30,15 @@
   readonly endpointPassword: string;
   /** Instances that share the endpoints' connections. */
   readonly instances: number;
+  /** Token of operators; empty on loopback lets everyone in. */
+  readonly operatorToken: string;
+  /** Certificate and key for callers' TLS, files; empty for none. */
+  readonly tlsCert: string;
+  readonly tlsKey: string;
+  /** Certificate, key and authority for TLS between instances, files. */
+  readonly peerTlsCert: string;
+  readonly peerTlsKey: string;
+  readonly peerTlsCa: string;
   /** Largest message that a caller may send, in bytes. */
   readonly maxMessageBytes: number;
   /** Least severe level that is logged. */
@@ -114,6 +123,48 @@
     defaultValue: () => 8,
     description: "instances that share the endpoints' connections",
   }),
+  operatorToken: option({
+    type: string,
+    long: 'operator-token',
+    env: env('OPERATOR_TOKEN'),
+    defaultValue: () => '',
+    description: 'token of operators; give it by the environment variable',
+  }),
+  tlsCert: option({
+    type: string,
+    long: 'tls-cert',
+    env: env('TLS_CERT'),
+    defaultValue: () => '',
+    description: 'file of the certificate for callers, read again on change',
+  }),
+  tlsKey: option({
+    type: string,
+    long: 'tls-key',
+    env: env('TLS_KEY'),
+    defaultValue: () => '',
+    description: 'file of its key',
+  }),
+  peerTlsCert: option({
+    type: string,
+    long: 'peer-tls-cert',
+    env: env('PEER_TLS_CERT'),
+    defaultValue: () => '',
+    description: 'file of the certificate for other instances',
+  }),
+  peerTlsKey: option({
+    type: string,
+    long: 'peer-tls-key',
+    env: env('PEER_TLS_KEY'),
+    defaultValue: () => '',
+    description: 'file of its key',
+  }),
+  peerTlsCa: option({
+    type: string,
+    long: 'peer-tls-ca',
+    env: env('PEER_TLS_CA'),
+    defaultValue: () => '',
+    description: 'file of the authority of all instances',
+  }),
   maxMessageBytes: option({
     type: number,
     long: 'max-message-bytes',
@@ -151,6 +202,23 @@
     const remedy = 'Give addresses such as 10.0.0.1:6434,10.0.0.2:6434.';
     throw new SettingError('peers', 'holds what is no address', remedy);
   }
+  const isLoopback = /^(127\.|::1$|localhost$)/.test(settings.host);
+  if (!isLoopback && settings.operatorToken === '') {
+    const remedy = 'Set QUETZALREEL_OPERATOR_TOKEN, or listen on loopback.';
+    throw new SettingError('operator-token', 'is missing', remedy);
+  }
+  for (const [flag, files] of [
+    ['tls-cert', [settings.tlsCert, settings.tlsKey]],
+    [
+      'peer-tls-cert',
+      [settings.peerTlsCert, settings.peerTlsKey, settings.peerTlsCa],
+    ],
+  ] as const) {
+    const given = files.filter(file => file !== '').length;
+    if (given === 0 || given === files.length) continue;
+    const remedy = 'Give all files that belong together, or none.';
+    throw new SettingError(flag, 'stands without its other files', remedy);
+  }
   if (!URL.canParse(settings.platformUrl)) {
     const remedy = 'Give an address such as http://10.0.0.1:8080.';
     throw new SettingError('platform-url', 'is no address', remedy);
--- a/packages/daemon/src/share-actor.ts
+++ b/packages/daemon/src/share-actor.ts
@@ -41,6 +41,8 @@
   onLoan(message: LoanMessage): void;
   /** Requests that may be on an endpoint at a time. */
   capacityOf(endpoint: EndpointConfig): number;
+  /** Connections that may be open to an endpoint now. */
+  connectionsOf(endpoint: string): number;
   readonly state: ShareState;
 }
 
@@ -132,6 +134,7 @@
       const free = Math.max(0, connections - CONTROL_CONNECTIONS);
       return Math.min(endpoint.slots, free);
     },
+    connectionsOf: endpoint => allowed(state, endpoint),
     dispose() {
       clearInterval(timer);
       stop(actor);
--- a/packages/daemon/test/test-config-actor.ts
+++ b/packages/daemon/test/test-config-actor.ts
@@ -48,6 +48,7 @@
     dataCentre: 'recife',
     host: '127.0.0.1',
     port: 0,
+    admin: '127.0.0.1:1',
     peers,
     seed: started,
     incarnation: 1,
--- a/packages/membership/src/check-message.ts
+++ b/packages/membership/src/check-message.ts
@@ -7,10 +7,11 @@
 
 const MEMBER = {
   type: 'object',
-  required: ['id', 'address', 'dataCentre', 'incarnation', 'status'],
+  required: ['id', 'address', 'admin', 'dataCentre', 'incarnation', 'status'],
   properties: {
     id: TEXT,
     address: TEXT,
+    admin: TEXT,
     dataCentre: TEXT,
     incarnation: COUNT,
     status: {enum: ['alive', 'suspect', 'dead', 'left']},
--- a/packages/membership/src/member.ts
+++ b/packages/membership/src/member.ts
@@ -19,6 +19,8 @@
   readonly id: string;
   /** Address of its peer port, `host:port`. */
   readonly address: string;
+  /** Address of its operators' port, `host:port`. */
+  readonly admin: string;
   readonly dataCentre: string;
   /** Raised by the instance alone, to refute what is said of it. */
   readonly incarnation: number;
--- a/packages/membership/test/fleet-of-cores.ts
+++ b/packages/membership/test/fleet-of-cores.ts
@@ -95,7 +95,8 @@
     },
   };
   for (const [i, id] of ids.entries()) {
-    const self = {id, address: id, dataCentre: 'recife', incarnation: 1};
+    const named = {id, address: id, admin: id, dataCentre: 'recife'};
+    const self = {...named, incarnation: 1};
     states.set(id, initialMembership(self, LIMITS, seededRandom(i + 1)));
     give(id, {type: 'listed', addresses: [ids[0]!]});
   }
--- a/packages/membership/test/test-membership.ts
+++ b/packages/membership/test/test-membership.ts
@@ -167,7 +167,7 @@
       fc.constantFrom('alive', 'suspect', 'dead', 'left'),
     )
     .map(([incarnation, status]) => {
-      const named = {id: 'a', address: 'a', dataCentre: 'recife'};
+      const named = {id: 'a', address: 'a', admin: 'a', dataCentre: 'recife'};
       return {...named, incarnation, status} as MemberRecord;
     });
   const last = (records: readonly MemberRecord[]) => {
