--- a/packages/ctl/src/instances.ts
+++ b/packages/ctl/src/instances.ts
@@ -23,6 +23,14 @@
   readonly endpoints: readonly EndpointRow[];
 }
 
+/** A member as one instance knows it. */
+export interface KnownMember {
+  readonly id: string;
+  readonly admin: string;
+  readonly dataCentre: string;
+  readonly status: string;
+}
+
 /** What one instance tells. */
 export interface InstanceState {
   readonly instance: string;
@@ -33,12 +41,7 @@
   readonly storeDown: boolean;
   readonly callers: number;
   readonly groups: readonly GroupRow[];
-  readonly members: ReadonlyArray<{
-    readonly id: string;
-    readonly admin: string;
-    readonly dataCentre: string;
-    readonly status: string;
-  }>;
+  readonly members: readonly KnownMember[];
   readonly shares: ReadonlyArray<{
     readonly endpoint: string;
     readonly connections: number;
@@ -108,27 +111,41 @@
     throw lastErr;
   }
 
+  async function askMember(known: KnownMember): Promise<Member> {
+    const {id, status, admin} = known;
+    try {
+      const state = (await call(admin, '/state', 'GET')) as InstanceState;
+      return {id, status, state};
+    } catch {
+      return {id, status, state: undefined};
+    }
+  }
+
   const entry = async () => (await callEntry('/state', 'GET')) as InstanceState;
   return {
     entry,
     async all() {
-      const {members} = await entry();
-      const live = members.filter(
-        ({status}) => status === 'alive' || status === 'suspect',
-      );
-      return Promise.all(
-        live.map(async ({id, status, admin}) => {
-          try {
-            const told = await call(admin, '/state', 'GET');
-            return {id, status, state: told as InstanceState};
-          } catch {
-            return {id, status, state: undefined};
-          }
-        }),
-      );
+      const found = new Map<string, Member>();
+      let known = (await entry()).members;
+      // An instance that just joined may be known to some of them only.
+      for (;;) {
+        const fresh = known.filter(item => isLive(item) && !found.has(item.id));
+        if (fresh.length === 0) return [...found.values()].sort(byId);
+        const told = await Promise.all(fresh.map(askMember));
+        for (const member of told) found.set(member.id, member);
+        known = told.flatMap(member => member.state?.members ?? []);
+      }
     },
     async promote(group, endpoint) {
       await callEntry(`/promote/${group}/${endpoint}`, 'POST');
     },
   };
 }
+
+function isLive({status}: KnownMember): boolean {
+  return status === 'alive' || status === 'suspect';
+}
+
+function byId(a: Member, b: Member): number {
+  return a.id < b.id ? -1 : 1;
+}
