--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -86,6 +86,8 @@
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
   readonly reads: Readonly<Record<'primary' | 'replica', number>>;
+  /** Requests refused so far, by reason. */
+  readonly refused: ReadonlyMap<RefusalReason, number>;
   /** The state as it is now, for operators. */
   readonly state: GroupState;
 }
@@ -130,6 +132,7 @@
     context.dataCentre,
   );
   const reads = {primary: 0, replica: 0};
+  const refused = new Map<RefusalReason, number>();
   let lastId = 0;
 
   const actor = spawn(
@@ -157,6 +160,7 @@
           {group: cfg.name, req: effect.id, why: effect.reason},
           'refused',
         );
+        refused.set(effect.reason, (refused.get(effect.reason) ?? 0) + 1);
         settlePlacement(effect.id, {refused: effect.reason});
         return;
       case 'acknowledge':
@@ -291,6 +295,7 @@
   return {
     name: cfg.name,
     reads,
+    refused,
     get state() {
       return state;
     },
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -80,8 +80,9 @@
   context: RequestContext,
   placed: Placed,
   reusable: boolean,
+  elapsedMs?: number,
 ): void {
-  context.group.release(placed.grant.endpoint);
+  context.group.release(placed.grant.endpoint, elapsedMs);
   if (context.residue.left) placed.connection.needsReset = true;
   context.group.give(placed.connection, reusable);
 }
