Let instances take turns at a change of primary, and judge it by evidence

Cause: instances raced with no delay and fenced one another; one refused fence ended an attempt that still had a majority, and each lost race cost 200 ms and more. Suspicion waited for calls to time out. Change: each instance has a turn in each group by a hash; an attempt ends only when a majority can't promise any more; silence counts from the last answer; a replica reports a refused connection at once; statuses asked for before the suspicion don't confirm it; when only instances have lost the primary, most of them must agree and a slow one gets a whole step; a planned change waits for its target's promise; attempts are unique to a process. Ruled out: fewer instances trying by chance alone; the split of promises shown in the logs was between instances that began in the same 5 ms.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -6,6 +6,7 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
+import {hashOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
@@ -52,6 +53,10 @@
     clock,
     log,
     instance: settings.instance,
+    rankIn: (group: string) => ({
+      rank: turnOf(settings, group),
+      watchers: settings.instances,
+    }),
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
@@ -120,3 +125,12 @@
   const part = Math.floor(free / settings.instances);
   return Math.max(1, Math.min(endpoint.slots, part));
 }
+
+/** This instance's turn in a group, spread evenly over the instances. */
+function turnOf(settings: Settings, group: string): number {
+  const hash = hashOf(`${group}/${settings.instance}`);
+  return (hash / HASHES) * settings.instances;
+}
+
+/** Number of values that `hashOf` can have. */
+const HASHES = 2 ** 32;
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -2,12 +2,12 @@
 
 /** Bounds of a group in one instance. */
 export const GROUP_LIMITS = {
-  suspectAfterMs: 250,
+  suspectAfterMs: 150,
   replicaSilenceMs: 150,
   stepMs: 1000,
   retryMs: 100,
   unfinishedAfterMs: 100,
-  startDelayMs: 0,
+  startDelayMs: 30,
   maxWaiting: 5000,
   maxWaitingBytes: 32 * 1024 * 1024,
 } as const;
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -2,6 +2,7 @@
  * The actor of one group: feeds events to the pure decisions of the `group`
  * package and carries out their effects.
  */
+import {randomUUID} from 'node:crypto';
 import {
   type Clock,
   type Disposable,
@@ -66,6 +67,12 @@
   take(endpoint: string): Promise<EndpointConnection>;
   give(connection: EndpointConnection, reusable: boolean): void;
   configure(cfg: GroupConfig): void;
+  /** Another instance has lost the primary of `term`. */
+  suspected(instance: string, term: number): void;
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  readOnly(endpoint: string, at: number): void;
+  /** An endpoint answered a statement. */
+  heard(endpoint: string): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -80,6 +87,10 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly instance: string;
+  /** Rank of this instance in a group, and how many instances watch it. */
+  readonly rankIn?: (group: string) => {rank: number; watchers: number};
+  /** Tells other instances that this one has lost the primary of a term. */
+  readonly suspects?: (group: string, term: number) => void;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -105,7 +116,10 @@
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
   const acks = new Map<number, (result: AckResult) => void>();
-  let state = initialGroup(cfg, context.instance, context.limits);
+  // An attempt of this process must not be taken for one of an earlier
+  // process of the same instance.
+  const holder = `${context.instance}.${randomUUID()}`;
+  let state = initialGroup(cfg, holder, context.limits);
   const reads = {primary: 0, replica: 0};
   let lastId = 0;
 
@@ -146,6 +160,9 @@
       case 'poll':
         for (const {poller} of parts.values()) poller.wake();
         return;
+      case 'suspect':
+        context.suspects?.(cfg.name, effect.term);
+        return;
       case 'failoverStep': {
         const {from, to, term, why} = effect;
         log.warn({group: cfg.name, from, to, term, why}, 'change of primary');
@@ -198,7 +215,8 @@
     } catch (err) {
       const why = messageOf(err);
       log.info({group: cfg.name, endpoint, call: effect.type, why}, 'control');
-      if (err instanceof FencedError) send({type: 'refused', attempt});
+      const type = err instanceof FencedError ? 'refused' : 'unanswered';
+      send({type, call: effect.type, endpoint, attempt});
     }
   }
 
@@ -222,7 +240,7 @@
         send({type: 'status', endpoint: name, status, askedAt}),
       failed: (reach, askedAt) =>
         send({type: 'failed', endpoint: name, reach, askedAt}),
-      isAwaited: () => state.held.length > 0 || state.waiting.length > 0,
+      isAwaited: () => isAwaited(state),
     });
     parts.set(name, {
       address: `${endpoint.host}:${endpoint.port}`,
@@ -242,6 +260,8 @@
   }
 
   function configure(next: GroupConfig): void {
+    const ranked = context.rankIn?.(next.name);
+    if (ranked) send({type: 'ranked', ...ranked});
     send({type: 'configured', cfg: next});
     const wanted = new Map(next.endpoints.map(item => [item.name, item]));
     for (const [name, part] of parts) {
@@ -297,11 +317,20 @@
       else connection.dispose();
     },
     configure,
+    suspected: (instance, term) => send({type: 'suspected', instance, term}),
+    readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
+    heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
 }
 
+/** Whether something waits for news of the endpoints. */
+function isAwaited(state: GroupState): boolean {
+  if (state.held.length > 0 || state.waiting.length > 0) return true;
+  return state.failover.step !== 'steady';
+}
+
 /** The event that reports the answer to each control call. */
 const EVENT_AFTER = {
   fence: 'promised',
--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -25,6 +25,8 @@
   readonly last: Position;
   /** Milliseconds since a replica last heard its primary; null on a primary. */
   readonly upstreamSilenceMs: number | null;
+  /** True while a replica's connections to its primary are refused. */
+  readonly upstreamRefused?: boolean;
 }
 
 /** A change of primary as one instance attempts it. */
--- a/packages/group/src/failover.ts
+++ b/packages/group/src/failover.ts
@@ -5,7 +5,16 @@
  */
 import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
 import {comparePositions, majorityOf, reaches} from '@quetzalreel/position';
-import {readChart} from './chart.js';
+import {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverInput,
+  type FailoverResult,
+  type FailoverState,
+  isCurrent,
+  move,
+} from './failover-state.js';
+import {isConfirmed, isSuspect, isUnfinished} from './suspicion.js';
 import {
   type EndpointView,
   type GroupView,
@@ -15,112 +24,6 @@
   writablePrimary,
 } from './view.js';
 
-/** States of `charts/failover.json`. */
-export type FailoverStep =
-  'steady' | 'suspecting' | 'draining' | 'fencing' | 'promoting';
-
-type FailoverInput =
-  | 'SUSPECT'
-  | 'HEARD'
-  | 'AGREED'
-  | 'PLANNED'
-  | 'CAUGHT_UP'
-  | 'PROMISED'
-  | 'PROMOTED'
-  | 'REFUSED'
-  | 'EXPIRED';
-
-const chart = readChart<FailoverStep, FailoverInput>('failover');
-
-/** Bounds of a change of primary, in milliseconds. */
-export interface FailoverLimits {
-  /** Silence of the primary before it is suspected. */
-  readonly suspectAfterMs: number;
-  /** Silence towards its replicas that confirms the suspicion. */
-  readonly replicaSilenceMs: number;
-  /** Longest time for each step. */
-  readonly stepMs: number;
-  /** Wait before trying again after an attempt that failed. */
-  readonly retryMs: number;
-  /** Age of an unfinished change before another instance takes it up. */
-  readonly unfinishedAfterMs: number;
-  /** Wait of this instance before it tries, so that few try at once. */
-  readonly startDelayMs: number;
-}
-
-/** Where a change of primary stands. */
-export interface FailoverState {
-  readonly step: FailoverStep;
-  /** When the step was entered, monotonic milliseconds. */
-  readonly since: number;
-  readonly attempt: Attempt | undefined;
-  /** Statuses of the endpoints that promised the attempt. */
-  readonly promises: ReadonlyMap<string, EndpointStatus>;
-  /** The endpoint being promoted. */
-  readonly candidate: string | undefined;
-  /** The endpoint that an operator wants, in a planned change. */
-  readonly target: string | undefined;
-  /** No new attempt before this time, monotonic milliseconds. */
-  readonly notBefore: number;
-  /** Attempts made, so that each has a holder of its own. */
-  readonly attempts: number;
-}
-
-/** What the change of primary asks to be done. */
-export type FailoverEffect =
-  | {
-      readonly type: 'fence';
-      readonly endpoint: string;
-      readonly attempt: Attempt;
-    }
-  | {
-      readonly type: 'promote';
-      readonly endpoint: string;
-      readonly attempt: Attempt;
-    }
-  | {
-      readonly type: 'follow';
-      readonly endpoint: string;
-      readonly attempt: Attempt;
-      readonly upstream: string;
-    }
-  | {
-      readonly type: 'failoverStep';
-      readonly from: FailoverStep;
-      readonly to: FailoverStep;
-      readonly term: number | undefined;
-      readonly why: string;
-    };
-
-/** The state after an event, and what is to be done. */
-export interface FailoverResult {
-  readonly state: FailoverState;
-  readonly effects: readonly FailoverEffect[];
-}
-
-/** No change under way. */
-export function initialFailover(): FailoverState {
-  return {
-    step: chart.initial,
-    since: 0,
-    attempt: undefined,
-    promises: new Map(),
-    candidate: undefined,
-    target: undefined,
-    notBefore: 0,
-    attempts: 0,
-  };
-}
-
-/** What the change of primary needs to know besides its own state. */
-export interface FailoverContext {
-  readonly view: GroupView;
-  readonly limits: FailoverLimits;
-  /** Identity of this instance. */
-  readonly instance: string;
-  readonly now: number;
-}
-
 /** Moves on as time passes and statuses arrive. */
 export function advance(
   state: FailoverState,
@@ -133,6 +36,8 @@
       return weighSuspicion(state, context);
     case 'draining':
       return awaitTarget(state, context);
+    case 'promoting':
+      return awaitPromotion(state, context);
     default:
       return expire(state, context);
   }
@@ -142,62 +47,69 @@
   state: FailoverState,
   context: FailoverContext,
 ): FailoverResult {
-  if (context.now < state.notBefore || !isSuspect(context)) {
+  const {view, limits, now} = context;
+  if (now < state.notBefore || !isSuspect(view, limits, now)) {
     return {state, effects: []};
   }
-  return move(state, 'SUSPECT', context, 'no primary that can take writes');
+  const started = {...state, seenTerm: highestTerm(view), toldAt: -Infinity};
+  const why = 'no primary that can take writes';
+  const moved = move(started, 'SUSPECT', context, why);
+  return {state: moved.state, effects: [...moved.effects, {type: 'poll'}]};
 }
 
 function weighSuspicion(
   state: FailoverState,
   context: FailoverContext,
 ): FailoverResult {
-  if (!isSuspect(context)) {
+  const {view, limits, now} = context;
+  if (!isSuspect(view, limits, now)) {
     return move(state, 'HEARD', context, 'the primary answers');
   }
-  const {startDelayMs, unfinishedAfterMs} = context.limits;
-  const unfinished = isUnfinished(context.view);
-  const wait = startDelayMs + (unfinished ? unfinishedAfterMs : 0);
-  const waited = context.now - state.since >= wait;
-  if (!waited || !isConfirmed(context)) return {state, effects: []};
-  return startFencing(state, 'AGREED', context, 'its replicas miss it too');
+  const seenTerm = highestTerm(view);
+  if (seenTerm > state.seenTerm) {
+    // Another instance is at work: its attempt gets the time to end.
+    return {state: {...state, seenTerm, since: now}, effects: []};
+  }
+  const waited = now - state.since >= waitOf(state, context);
+  if (!waited || !isConfirmed({...state, view, limits, now})) {
+    return tellPeers(state, context);
+  }
+  return startFencing(state, 'AGREED', context, 'others miss it too');
 }
 
-/** Whether this instance sees no primary that could take a write. */
-function isSuspect(context: FailoverContext): boolean {
-  const primary = primaryOf(context.view);
-  if (!primary) return knowsMajority(context.view);
-  if (!writablePrimary(context.view)) return true;
-  if (primary.reach === Reach.Down) return true;
-  const since = primary.failingSince;
-  return (
-    since !== undefined && context.now - since >= context.limits.suspectAfterMs
-  );
+/** How long the suspicion has to stand before this instance acts on it. */
+function waitOf(state: FailoverState, context: FailoverContext): number {
+  const {startDelayMs, unfinishedAfterMs, stepMs} = context.limits;
+  const turn = state.rank * startDelayMs;
+  if (!isUnfinished(context.view)) return turn;
+  // A fenced primary that answers means a planned change, which may wait for
+  // its target for a whole step.
+  const isAlive = primaryOf(context.view)?.reach === Reach.Up;
+  return turn + unfinishedAfterMs + (isAlive ? stepMs : 0);
 }
 
-/** Whether a majority of endpoints, without the primary, misses it too. */
-function isConfirmed(context: FailoverContext): boolean {
-  const {view, limits} = context;
-  const primary = primaryOf(view);
-  if (isUnfinished(view)) return true;
-  let missing = 0;
-  for (const endpoint of view.endpoints.values()) {
-    if (endpoint === primary || endpoint.reach !== Reach.Up) continue;
-    const silence = endpoint.status?.upstreamSilenceMs ?? 0;
-    if (!primary || silence >= limits.replicaSilenceMs) missing++;
+function tellPeers(
+  state: FailoverState,
+  context: FailoverContext,
+): FailoverResult {
+  const {now, limits, view} = context;
+  const term = primaryOf(view)?.status?.term;
+  if (term === undefined || now - state.toldAt < limits.suspectAfterMs) {
+    return {state, effects: []};
   }
-  return missing >= majorityOf(view.endpoints.size);
+  return {state: {...state, toldAt: now}, effects: [{type: 'suspect', term}]};
 }
 
-/** Whether a higher term was promised than the one that is served. */
-function isUnfinished(view: GroupView): boolean {
-  return primaryOf(view) !== undefined && !writablePrimary(view);
-}
-
-function knowsMajority(view: GroupView): boolean {
-  let known = 0;
-  for (const {status} of view.endpoints.values()) if (status) known++;
-  return known >= majorityOf(view.endpoints.size);
+/** Another instance says that it has lost the primary of `term`. */
+export function peerSuspects(
+  state: FailoverState,
+  instance: string,
+  term: number,
+  context: FailoverContext,
+): FailoverResult {
+  const told = {term, heardAt: context.now};
+  const peers = new Map(state.peers).set(instance, told);
+  return {state: {...state, peers}, effects: []};
 }
 
 /** Starts a planned change towards `target`. */
@@ -209,7 +121,13 @@
   const primary = writablePrimary(context.view);
   if (!primary || primary.cfg.name === target) return {state, effects: []};
   const attempt = nextAttempt(state, context);
-  const ordered = {...state, target, attempt, attempts: state.attempts + 1};
+  const ordered = {
+    ...state,
+    target,
+    attempt,
+    attempts: state.attempts + 1,
+    denials: new Set<string>(),
+  };
   const moved = move(ordered, 'PLANNED', context, `ordered to ${target}`);
   if (moved.state.step !== 'draining') return {state, effects: []};
   const fence: FailoverEffect = {
@@ -233,7 +151,8 @@
   if (context.now - state.since < context.limits.stepMs) {
     return {state, effects: []};
   }
-  return continueFencing(state, 'EXPIRED', context, 'target too far behind');
+  const given = {...state, target: undefined};
+  return continueFencing(given, 'EXPIRED', context, 'target too far behind');
 }
 
 function startFencing(
@@ -248,6 +167,7 @@
     attempt,
     attempts: state.attempts + 1,
     promises: new Map<string, EndpointStatus>(),
+    denials: new Set<string>(),
   };
   return continueFencing(started, input, context, why);
 }
@@ -286,19 +206,28 @@
   const promises = new Map(state.promises).set(endpoint, status);
   const next = {...state, promises};
   if (next.step === 'draining') return awaitTarget(next, context);
-  if (next.step !== 'fencing') return {state: next, effects: []};
-  if (promises.size < majorityOf(context.view.endpoints.size)) {
+  if (next.step !== 'fencing' || awaitsTarget(next, context)) {
     return {state: next, effects: []};
   }
   return promoteBest(next, context);
 }
 
+/** Whether the endpoint that an operator wants may still promise. */
+function awaitsTarget(state: FailoverState, context: FailoverContext): boolean {
+  const {target, promises, denials} = state;
+  if (target === undefined || promises.has(target)) return false;
+  return context.view.endpoints.has(target) && !denials.has(target);
+}
+
 function promoteBest(
   state: FailoverState,
   context: FailoverContext,
 ): FailoverResult {
+  const size = context.view.endpoints.size;
   const candidate = bestCandidate(state, context.view);
-  if (!candidate) return {state, effects: []};
+  if (!candidate || state.promises.size < majorityOf(size)) {
+    return {state, effects: []};
+  }
   const chosen = {...state, candidate};
   const moved = move(chosen, 'PROMISED', context, `${candidate} holds most`);
   const effect: FailoverEffect = {
@@ -354,65 +283,87 @@
     if (name === endpoint) continue;
     effects.push({type: 'follow', endpoint: name, attempt, upstream: endpoint});
   }
-  return {state: moved.state, effects};
+  return {state: {...moved.state, followedAt: context.now}, effects};
+}
+
+/** A call of an attempt, and the endpoint that it was made on. */
+export interface AttemptCall {
+  readonly call: 'fence' | 'promote' | 'follow';
+  readonly endpoint: string;
+  readonly attempt: Attempt;
 }
 
 /** An endpoint refused the attempt because it promised another. */
 export function refused(
   state: FailoverState,
-  attempt: Attempt,
+  on: AttemptCall,
   context: FailoverContext,
 ): FailoverResult {
-  if (!isCurrent(state, attempt)) return {state, effects: []};
-  return move(state, 'REFUSED', context, 'another attempt is ahead');
+  return denied(state, on, 'REFUSED', 'another attempt is ahead', context);
 }
 
-function expire(
+/** A call of the attempt got no answer; it may have taken effect. */
+export function unanswered(
   state: FailoverState,
+  on: AttemptCall,
   context: FailoverContext,
 ): FailoverResult {
-  if (context.now - state.since < context.limits.stepMs) {
-    return {state, effects: []};
+  return denied(state, on, 'EXPIRED', 'no answer to a call', context);
+}
+
+/** Gives the attempt up once it can't succeed any more, and not before. */
+function denied(
+  state: FailoverState,
+  on: AttemptCall,
+  input: 'REFUSED' | 'EXPIRED',
+  why: string,
+  context: FailoverContext,
+): FailoverResult {
+  if (!isCurrent(state, on.attempt)) return {state, effects: []};
+  if (on.call === 'promote') return move(state, input, context, why);
+  if (on.call !== 'fence') return {state, effects: []};
+  if (state.step === 'draining' && input === 'REFUSED') {
+    return move(state, input, context, why);
   }
-  return move(state, 'EXPIRED', context, 'no answer in time');
+  const denials = new Set(state.denials).add(on.endpoint);
+  const next = {...state, denials};
+  const size = context.view.endpoints.size;
+  const isPossible = size - denials.size >= majorityOf(size);
+  if (state.step !== 'fencing') return {state: next, effects: []};
+  if (isPossible && awaitsTarget(next, context)) {
+    return {state: next, effects: []};
+  }
+  if (isPossible) return promoteBest(next, context);
+  return move(next, input, context, why);
 }
 
-function isCurrent(state: FailoverState, attempt: Attempt): boolean {
-  return (
-    state.attempt?.term === attempt.term &&
-    state.attempt.holder === attempt.holder
-  );
+/** Waits for the candidate; its status tells as much as a lost answer. */
+function awaitPromotion(
+  state: FailoverState,
+  context: FailoverContext,
+): FailoverResult {
+  const {attempt, candidate} = state;
+  const status = context.view.endpoints.get(candidate ?? '')?.status;
+  const serves =
+    status?.role === 'primary' &&
+    status.term === attempt!.term &&
+    status.promisedTo === attempt!.holder;
+  if (serves) return promoted(state, candidate!, attempt!, context);
+  return expire(state, context);
 }
 
-function move(
+function expire(
   state: FailoverState,
-  input: FailoverInput,
   context: FailoverContext,
-  why: string,
 ): FailoverResult {
-  const step = chart.next(state.step, input);
-  if (step === state.step) return {state, effects: []};
-  const effect: FailoverEffect = {
-    type: 'failoverStep',
-    from: state.step,
-    to: step,
-    term: state.attempt?.term,
-    why,
-  };
-  const moved = {...state, step, since: context.now};
-  if (step !== 'steady') return {state: moved, effects: [effect]};
-  const failed = input === 'REFUSED' || input === 'EXPIRED';
-  return {
-    state: {
-      ...moved,
-      attempt: undefined,
-      candidate: undefined,
-      target: undefined,
-      promises: new Map(),
-      notBefore: failed ? context.now + context.limits.retryMs : 0,
-    },
-    effects: [effect],
-  };
+  if (context.now - state.since < context.limits.stepMs) {
+    return {state, effects: []};
+  }
+  if (state.step === 'fencing') {
+    const chosen = promoteBest(state, context);
+    if (chosen.effects.length > 0) return chosen;
+  }
+  return move(state, 'EXPIRED', context, 'no answer in time');
 }
 
 /** Endpoints that should follow the primary and do not. */
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -7,19 +7,24 @@
 import type {Position} from '@quetzalreel/position';
 import {type HeldAck, settleAcks} from './acks.js';
 import {
-  type FailoverContext,
-  type FailoverEffect,
-  type FailoverLimits,
-  type FailoverResult,
-  type FailoverState,
+  type AttemptCall,
   advance,
-  initialFailover,
   orderChange,
+  peerSuspects,
   promoted,
   promised,
   refused,
   strays,
+  unanswered,
 } from './failover.js';
+import {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverLimits,
+  type FailoverResult,
+  type FailoverState,
+  initialFailover,
+} from './failover-state.js';
 import {floorAfter, floorOf} from './floor.js';
 import {
   type QueueLimits,
@@ -94,7 +99,24 @@
       readonly status: EndpointStatus;
       readonly askedAt: number;
     }
-  | {readonly type: 'refused'; readonly attempt: Attempt}
+  /** An endpoint refused a call of an attempt, or gave no answer to it. */
+  | (AttemptCall & {readonly type: 'refused' | 'unanswered'})
+  /** A statement was answered by an endpoint, as a sign of its life. */
+  | {readonly type: 'heard'; readonly endpoint: string; readonly at: number}
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  | {readonly type: 'readOnly'; readonly endpoint: string; readonly at: number}
+  /** Another instance has lost the primary of a term. */
+  | {
+      readonly type: 'suspected';
+      readonly instance: string;
+      readonly term: number;
+    }
+  /** The rank of this instance, and how many watch the group. */
+  | {
+      readonly type: 'ranked';
+      readonly rank: number;
+      readonly watchers: number;
+    }
   | {readonly type: 'ordered'; readonly target: string}
   | {readonly type: 'tick'};
 
@@ -169,6 +191,25 @@
       const view = withFailure(state.view, endpoint, reach, askedAt);
       return settle({...state, view}, now);
     }
+    case 'heard': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        heardAt: event.at,
+      });
+      return {state: {...state, view}, effects: []};
+    }
+    case 'readOnly': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        readOnlyAt: event.at,
+      });
+      return {state: {...state, view}, effects: [{type: 'poll'}]};
+    }
+    case 'ranked': {
+      const {rank, watchers} = event;
+      return {
+        state: {...state, failover: {...state.failover, rank, watchers}},
+        effects: [],
+      };
+    }
     case 'tick':
       return settle(state, now);
     default:
@@ -178,7 +219,15 @@
 
 type FailoverEvent = Extract<
   GroupEvent,
-  {type: 'promised' | 'promoted' | 'refused' | 'ordered'}
+  {
+    type:
+      | 'promised'
+      | 'promoted'
+      | 'refused'
+      | 'unanswered'
+      | 'suspected'
+      | 'ordered';
+  }
 >;
 
 function stepFailover(
@@ -212,7 +261,11 @@
     case 'promoted':
       return promoted(state, event.endpoint, event.attempt, context);
     case 'refused':
-      return refused(state, event.attempt, context);
+      return refused(state, event, context);
+    case 'unanswered':
+      return unanswered(state, event, context);
+    case 'suspected':
+      return peerSuspects(state, event.instance, event.term, context);
     case 'ordered':
       return orderChange(state, event.target, context);
   }
@@ -347,20 +400,27 @@
   const change = advance(acks.state.failover, failoverContext(acks.state, now));
   const changed = {...acks.state, failover: change.state};
   const placed = placeWaiting(changed, now);
+  const follows = followStrays(placed.state, now);
+  const failover =
+    follows.length > 0
+      ? {...placed.state.failover, followedAt: now}
+      : placed.state.failover;
   return {
-    state: placed.state,
+    state: {...placed.state, failover},
     effects: [
       ...acks.effects,
       ...change.effects,
-      ...followStrays(changed),
+      ...follows,
       ...placed.effects,
     ],
   };
 }
 
 /** Tells endpoints that missed a change to follow the primary. */
-function followStrays(state: GroupState): GroupEffect[] {
-  if (state.failover.step !== 'steady') return [];
+function followStrays(state: GroupState, now: number): GroupEffect[] {
+  const {failover, limits} = state;
+  if (failover.step !== 'steady') return [];
+  if (now - failover.followedAt < limits.retryMs) return [];
   const primary = primaryOf(state.view);
   const attempt = primary && attemptOf(primary);
   if (!attempt || primary.reach !== Reach.Up) return [];
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -8,13 +8,18 @@
   type FailoverResult,
   type FailoverState,
   type FailoverStep,
-  advance,
   initialFailover,
+} from './failover-state.js';
+export {
+  type AttemptCall,
+  advance,
   orderChange,
+  peerSuspects,
   promised,
   promoted,
   refused,
   strays,
+  unanswered,
 } from './failover.js';
 export {floorAfter} from './floor.js';
 export {
@@ -45,7 +50,9 @@
   Reason,
   RefusalReason,
 } from './request.js';
+export {hashOf, rankOf} from './rank.js';
 export {type Choice, type FlooredRequest, choose} from './routing.js';
+export {type PeerSuspicion} from './suspicion.js';
 export {
   type EndpointView,
   type GroupView,
--- a/packages/group/src/routing.ts
+++ b/packages/group/src/routing.ts
@@ -39,6 +39,10 @@
   if (req.needsPrimary && req.avoid.includes(primary.cfg.name)) {
     return undefined;
   }
+  // It refused a write after this status was asked for: a change is under way.
+  if (req.needsPrimary && primary.askedAt <= primary.readOnlyAt) {
+    return undefined;
+  }
   // A primary holds all of its own term, so a floor of that term is reached
   // even when its last sample is older.
   if (primary.status!.term < req.floor.term) return undefined;
--- a/packages/group/src/view.ts
+++ b/packages/group/src/view.ts
@@ -27,6 +27,10 @@
   readonly status: EndpointStatus | undefined;
   /** When the call that gave the status was sent. */
   readonly askedAt: number;
+  /** When a statement's answer last came from it. */
+  readonly heardAt: number;
+  /** When it last refused a write as read-only. */
+  readonly readOnlyAt: number;
   readonly reach: Reach;
   /** Since when calls have failed; undefined while they are answered. */
   readonly failingSince: number | undefined;
@@ -72,6 +76,8 @@
     cfg,
     status: undefined,
     askedAt: -Infinity,
+    heardAt: -Infinity,
+    readOnlyAt: -Infinity,
     reach: Reach.Unknown,
     failingSince: undefined,
     busy: 0,
--- /dev/null
+++ b/packages/group/test/harness.ts
@@ -0,0 +1,421 @@
+/**
+ * Several group cores against in-memory databases, in simulated time. Delays
+ * and the order of what is due at once come from a seed.
+ */
+import {DEFAULT_WRITE} from '@quetzalreel/config';
+import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
+import type {Position} from '@quetzalreel/position';
+import {type Database, database} from '@quetzalreel/standin';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {
+  type GroupEffect,
+  type GroupEvent,
+  type GroupLimits,
+  type GroupState,
+  initialGroup,
+  stepGroup,
+} from '../src/index.js';
+
+export const LIMITS: GroupLimits = {
+  suspectAfterMs: 150,
+  replicaSilenceMs: 150,
+  stepMs: 1000,
+  retryMs: 100,
+  unfinishedAfterMs: 100,
+  startDelayMs: 30,
+  maxWaiting: 100,
+  maxWaitingBytes: 100_000,
+};
+
+const CALL_TIMEOUT_MS = 250;
+const POLL_MS = 20;
+const TICK_MS = 20;
+const REPLICATE_MS = 5;
+const WRITE_MS = 25;
+const DEADLINE_MS = 3000;
+const MAX_DELAY_MS = 4;
+
+/** A call from an instance to an endpoint, or the answer to one. */
+export interface Message {
+  readonly call: 'status' | 'fence' | 'promote' | 'follow' | 'write';
+  readonly isAnswer: boolean;
+  readonly instance: string;
+  readonly endpoint: string;
+}
+
+/** Reacts to a message before it arrives; true drops it. */
+export type Trigger = (message: Message, harness: Harness) => boolean | void;
+
+interface Endpoint {
+  readonly name: string;
+  readonly db: Database;
+  up: boolean;
+  frozen: boolean;
+  heardAt: number;
+}
+
+interface Instance {
+  readonly name: string;
+  state: GroupState;
+  alive: boolean;
+  paused: boolean;
+  inbox: GroupEvent[];
+  lastId: number;
+}
+
+type Control = Extract<GroupEffect, {attempt: Attempt}>;
+
+export type Harness = ReturnType<typeof createHarness>;
+
+/** Instances `i-1`… over endpoints `db-1`…; `db-1` is the primary. */
+export function createHarness(
+  seed: number,
+  size: number,
+  instances: number,
+  trigger: Trigger = () => {},
+) {
+  const random = xoroshiro128plus(seed);
+  const pick = (from: number, to: number) => uniformInt(random, from, to);
+  let now = 0;
+  /** What is to be done, by the millisecond in which it is due. */
+  const tasks = new Map<number, Array<() => void>>();
+  const cuts = new Set<string>();
+  const acked: Array<{key: string; term: number; at: number}> = [];
+  const unknown: string[] = [];
+  const violations: string[] = [];
+  const primaries = new Map<number, string>();
+  const terms = new Map<string, number>();
+  let writing = true;
+  let incarnations = 0;
+
+  const after = (delayMs: number, run: () => void) => {
+    const due = now + delayMs;
+    const others = tasks.get(due);
+    if (others) others.push(run);
+    else tasks.set(due, [run]);
+  };
+  const every = (periodMs: number, run: () => void) => {
+    after(periodMs + pick(0, 2), () => {
+      run();
+      every(periodMs, run);
+    });
+  };
+  const cfg = {
+    name: 'entries',
+    endpoints: Array.from({length: size}, (_, i) => ({
+      name: `db-${i + 1}`,
+      host: `db-${i + 1}`,
+      port: 1,
+      dataCentre: 'recife',
+      slots: 3,
+      connections: 20,
+      leaving: false,
+    })),
+  };
+  const endpoints = new Map<string, Endpoint>();
+  for (const {name} of cfg.endpoints) {
+    const upstream =
+      name === 'db-1' ? undefined : {term: 1, host: 'db-1', port: 1};
+    const db = database({name, upstream, now: () => now});
+    endpoints.set(name, {name, db, up: true, frozen: false, heardAt: 0});
+  }
+  const fleet = new Map<string, Instance>();
+
+  function start(name: string): Instance {
+    const holder = `${name}.${++incarnations}`;
+    const instance: Instance = {
+      name,
+      state: initialGroup(cfg, holder, LIMITS),
+      alive: true,
+      paused: false,
+      inbox: [],
+      lastId: 0,
+    };
+    fleet.set(name, instance);
+    const rank = Number(name.slice(2)) - 1;
+    feed(instance, {type: 'ranked', rank, watchers: instances});
+    every(TICK_MS, () => feed(instance, {type: 'tick'}));
+    for (const {name: endpoint} of cfg.endpoints) poll(instance, endpoint);
+    every(WRITE_MS, () => write(instance));
+    return instance;
+  }
+
+  function feed(instance: Instance, event: GroupEvent): void {
+    if (!instance.alive) return;
+    if (instance.paused) {
+      if (event.type !== 'tick') instance.inbox.push(event);
+      return;
+    }
+    const result = stepGroup(instance.state, event, now);
+    instance.state = result.state;
+    for (const effect of result.effects) perform(instance, effect);
+  }
+
+  const linked = (from: string, to: string) =>
+    !cuts.has(`${from}>${to}`) &&
+    !cuts.has(`${from}>*`) &&
+    !cuts.has(`*>${to}`);
+
+  /** Runs `work` on an endpoint; `failed` when no answer can come. */
+  function call<T>(
+    message: Omit<Message, 'isAnswer'>,
+    work: (db: Database) => T,
+    answered: (result: T) => void,
+    failed: (reach: 'silent' | 'down', err?: unknown) => void,
+  ): void {
+    const {instance: from, endpoint: to} = message;
+    const target = endpoints.get(to)!;
+    let settled = false;
+    const settle = (run: () => void) => {
+      if (!settled) run();
+      settled = true;
+    };
+    after(CALL_TIMEOUT_MS, () => settle(() => failed('silent')));
+    after(pick(1, MAX_DELAY_MS), () => {
+      if (trigger({...message, isAnswer: false}, harness)) return;
+      if (!linked(from, to) || target.frozen) return;
+      if (!target.up) {
+        settle(() => failed('down'));
+        return;
+      }
+      let reply: () => void;
+      try {
+        const result = work(target.db);
+        reply = () => answered(result);
+      } catch (err) {
+        reply = () => failed('down', err);
+      }
+      notePrimaries();
+      if (trigger({...message, isAnswer: true}, harness)) return;
+      after(pick(1, MAX_DELAY_MS), () => {
+        if (linked(to, from)) settle(reply);
+      });
+    });
+  }
+
+  function notePrimaries(): void {
+    for (const {name, db} of endpoints.values()) {
+      if (db.role !== 'primary') continue;
+      const other = primaries.get(db.term) ?? name;
+      primaries.set(db.term, other);
+      if (other !== name) violations.push(`two primaries in ${db.term}`);
+    }
+  }
+
+  function poll(instance: Instance, endpoint: string): void {
+    if (!instance.alive) return;
+    const askedAt = now;
+    const again = () => after(POLL_MS, () => poll(instance, endpoint));
+    call(
+      {call: 'status', instance: instance.name, endpoint},
+      db => db.status(),
+      status => {
+        feed(instance, {type: 'status', endpoint, status, askedAt});
+        again();
+      },
+      reach => {
+        feed(instance, {type: 'failed', endpoint, reach, askedAt});
+        again();
+      },
+    );
+  }
+
+  function perform(instance: Instance, effect: GroupEffect): void {
+    if (effect.type === 'grant') {
+      send(instance, effect.id, effect.grant.endpoint);
+    } else if (effect.type === 'acknowledge') {
+      acknowledge(keyOf(instance, effect.id));
+    } else if (effect.type === 'unknown') {
+      unknown.push(keyOf(instance, effect.id));
+    } else if (effect.type === 'suspect') {
+      tellPeers(instance, effect.term);
+    } else if ('attempt' in effect) {
+      control(instance, effect);
+    }
+  }
+
+  function tellPeers(from: Instance, term: number): void {
+    for (const to of fleet.values()) {
+      if (to === from || !linked(from.name, to.name)) continue;
+      const event = {type: 'suspected', instance: from.name, term} as const;
+      after(pick(1, MAX_DELAY_MS), () => feed(to, event));
+    }
+  }
+
+  function control(instance: Instance, effect: Control): void {
+    const {endpoint, attempt, type} = effect;
+    const askedAt = now;
+    const work = (db: Database): EndpointStatus => {
+      if (type === 'fence') return db.fence(attempt);
+      if (type === 'promote') return db.promote(attempt);
+      return db.follow(attempt, effect.upstream, 1);
+    };
+    const answered = (status: EndpointStatus) => {
+      const event = {endpoint, attempt, status, askedAt};
+      if (type === 'fence') feed(instance, {type: 'promised', ...event});
+      else if (type === 'promote') feed(instance, {type: 'promoted', ...event});
+      else feed(instance, {type: 'status', endpoint, status, askedAt});
+    };
+    const failed = (_reach: string, err?: unknown) => {
+      const kind = err ? 'refused' : 'unanswered';
+      feed(instance, {type: kind, call: type, endpoint, attempt});
+    };
+    const on = {call: type, instance: instance.name, endpoint};
+    call(on, work, answered, failed);
+  }
+
+  const keyOf = (instance: Instance, id: number) =>
+    `${instance.state.instance}/${id}`;
+
+  function write(instance: Instance): void {
+    if (!writing || !instance.alive || instance.paused) return;
+    const id = ++instance.lastId;
+    const req = {
+      id,
+      needsPrimary: true,
+      kind: DEFAULT_WRITE,
+      floor: {term: 0, offset: 0},
+      arrivedAt: now,
+      deadline: now + DEADLINE_MS,
+      bytes: 10,
+      avoid: [],
+    };
+    feed(instance, {type: 'requested', req});
+  }
+
+  function send(instance: Instance, id: number, endpoint: string): void {
+    const key = keyOf(instance, id);
+    const sentAt = now;
+    const change = {table: 'entries', key, op: 'insert', value: 'x'} as const;
+    const release = () => feed(instance, {type: 'released', endpoint});
+    call(
+      {call: 'write', instance: instance.name, endpoint},
+      db => db.commit([change]),
+      (position: Position) => {
+        terms.set(key, position.term);
+        release();
+        const deadline = sentAt + DEADLINE_MS;
+        feed(instance, {type: 'written', id, position, deadline});
+      },
+      (_reach, err) => {
+        release();
+        if (err) feed(instance, {type: 'readOnly', endpoint, at: sentAt});
+      },
+    );
+  }
+
+  /** The caller is told; every later primary must hold the write by then. */
+  function acknowledge(key: string): void {
+    const term = terms.get(key)!;
+    acked.push({key, term, at: now});
+    for (const {name, db} of endpoints.values()) {
+      if (db.role !== 'primary' || db.term < term) continue;
+      if (db.log.rows('entries', key).length === 1) continue;
+      violations.push(`${key} of term ${term} acked without ${name}`);
+    }
+  }
+
+  function replicate(): void {
+    for (const replica of endpoints.values()) {
+      const from = replica.db.upstream;
+      if (!from || !replica.up || replica.frozen) continue;
+      const source = endpoints.get(from.host)!;
+      if (!linked(source.name, replica.name) || source.frozen) continue;
+      if (!linked(replica.name, source.name)) continue;
+      if (!source.up) {
+        replica.db.refused();
+        continue;
+      }
+      if (!source.db.serves(from.term)) continue;
+      replica.db.heard();
+      const start = replica.db.align(from.term, source.db.log.runs());
+      const end = Math.min(source.db.log.length, start + pick(0, 3));
+      for (let i = start; start >= 0 && i < end; i++) {
+        if (!replica.db.receive(from.term, source.db.log.at(i)!)) break;
+      }
+    }
+  }
+
+  function advanceTo(end: number): void {
+    for (; now < end; now++) {
+      const due = tasks.get(now) ?? [];
+      // A task may add another one that is due at once.
+      for (const run of due) run();
+      tasks.delete(now);
+    }
+  }
+
+  const harness = {
+    endpoints,
+    instances: fleet,
+    cuts,
+    acked,
+    unknown,
+    violations,
+    pick,
+    get now() {
+      return now;
+    },
+    run: (forMs: number) => advanceTo(now + forMs),
+    kill(name: string) {
+      const endpoint = endpoints.get(name);
+      if (endpoint) endpoint.up = false;
+      else fleet.get(name)!.alive = false;
+    },
+    revive(name: string) {
+      const endpoint = endpoints.get(name);
+      if (endpoint) endpoint.up = true;
+      else start(name);
+    },
+    freeze(name: string, frozen: boolean) {
+      const endpoint = endpoints.get(name);
+      if (endpoint) {
+        endpoint.frozen = frozen;
+        return;
+      }
+      const instance = fleet.get(name)!;
+      instance.paused = frozen;
+      const late = frozen ? [] : instance.inbox.splice(0);
+      for (const event of late) feed(instance, event);
+    },
+    order(instance: string, target: string) {
+      feed(fleet.get(instance)!, {type: 'ordered', target});
+    },
+    /** Ends every fault and all writes, and lets things come to rest. */
+    heal() {
+      cuts.clear();
+      for (const endpoint of endpoints.values()) {
+        endpoint.up = true;
+        endpoint.frozen = false;
+      }
+      for (const instance of fleet.values()) {
+        if (instance.paused) harness.freeze(instance.name, false);
+      }
+    },
+    stopWrites() {
+      writing = false;
+    },
+    /** The primary of the highest term. */
+    primary(): Endpoint {
+      let found: Endpoint | undefined;
+      for (const endpoint of endpoints.values()) {
+        if (endpoint.db.role !== 'primary') continue;
+        if (!found || endpoint.db.term > found.db.term) found = endpoint;
+      }
+      return found!;
+    },
+    /** Acknowledged writes that the primary does not hold exactly once. */
+    lost(): string[] {
+      const {log} = harness.primary().db;
+      const bad: string[] = [];
+      for (const {key} of acked) {
+        if (log.rows('entries', key).length !== 1) bad.push(key);
+      }
+      return bad;
+    },
+  };
+  every(REPLICATE_MS, replicate);
+  for (let i = 1; i <= instances; i++) start(`i-${i}`);
+  return harness;
+}
--- a/packages/group/test/test-acks.ts
+++ b/packages/group/test/test-acks.ts
@@ -109,7 +109,7 @@
   },
 ];
 
-describe('held acknowledgements', () => {
+void describe('held acknowledgements', () => {
   for (const {name, parts, is} of TABLE) {
     it(name, () => {
       const held = [{id: 1, position: WRITE, deadline: FAR}];
--- a/packages/standin/src/database.ts
+++ b/packages/standin/src/database.ts
@@ -49,6 +49,8 @@
   receive(term: number, record: LogRecord): boolean;
   /** Notes that the primary was heard. */
   heard(): void;
+  /** Notes that a connection to the primary was refused. */
+  refused(): void;
   /** Calls `listener` after each change of the log or the role. */
   onChange(listener: () => void): () => void;
 }
@@ -70,6 +72,7 @@
   let term = 1;
   let promised: Attempt = {term: 1, holder: ''};
   let heardAt = options.now();
+  let refusedByUpstream = false;
   if (role === 'primary') log.append({term, changes: []});
 
   const changed = () => {
@@ -83,6 +86,7 @@
     last: log.last,
     upstreamSilenceMs:
       role === 'primary' ? null : Math.round(options.now() - heardAt),
+    upstreamRefused: role === 'replica' && refusedByUpstream,
   });
   const fenced = () =>
     new SqlError(
@@ -91,6 +95,10 @@
     );
   const holds = (attempt: Attempt) =>
     promised.term === attempt.term && promised.holder === attempt.holder;
+  const follows = (asked: number, host: string, port: number) =>
+    upstream?.term === asked &&
+    upstream.host === host &&
+    upstream.port === port;
 
   return {
     log,
@@ -124,11 +132,15 @@
     follow(attempt, host, port) {
       if (attempt.term < promised.term) throw fenced();
       if (attempt.term === promised.term && !holds(attempt)) throw fenced();
+      if (role === 'replica' && follows(attempt.term, host, port)) {
+        return status();
+      }
       promised = attempt;
       role = 'replica';
       term = attempt.term;
       upstream = {term, host, port};
       heardAt = options.now();
+      refusedByUpstream = false;
       changed();
       return status();
     },
@@ -159,6 +171,10 @@
     },
     heard() {
       heardAt = options.now();
+      refusedByUpstream = false;
+    },
+    refused() {
+      refusedByUpstream = true;
     },
     onChange(listener) {
       listeners.add(listener);
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -3,7 +3,11 @@
  * `SELECT quetzalreel_replicate(term, runs)` and gets rows without end: first
  * the primary's runs, then records, with an empty row as heartbeat.
  */
-import {type EndpointConnection, pgDriver} from '@quetzalreel/endpoint';
+import {
+  type EndpointConnection,
+  EndpointDownError,
+  pgDriver,
+} from '@quetzalreel/endpoint';
 import {type Frame, dataRow, query} from '@quetzalreel/wire';
 import type {Database, Upstream} from './database.js';
 import {type DatabaseFaults, REPLICATION_NAME} from './faults.js';
@@ -78,8 +82,9 @@
     while (active(upstream)) {
       try {
         await receiveFrom(upstream);
-      } catch {
+      } catch (err) {
         // The primary is down or changed; the loop asks again.
+        if (active(upstream) && isRefusal(err)) db.refused();
       }
       await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
     }
@@ -112,6 +117,12 @@
   };
 }
 
+function isRefusal(err: unknown): boolean {
+  if (!(err instanceof EndpointDownError)) return false;
+  const cause = err.cause() as NodeJS.ErrnoException | undefined;
+  return cause?.code === 'ECONNREFUSED';
+}
+
 function connectTo(
   name: string,
   upstream: Upstream,
