--- a/packages/endpoint/src/endpoint.ts
+++ b/packages/endpoint/src/endpoint.ts
@@ -58,6 +58,8 @@
 export class EndpointDownError extends TypedError {
   /** True when it was silent, false when it refused or broke off. */
   readonly silent: boolean;
+  /** SQLSTATE of its refusal; undefined when it gave none. */
+  readonly code: string | undefined;
 
   constructor(endpoint: string, what: string, cause?: unknown, silent = false) {
     super(
@@ -67,6 +69,7 @@
       cause,
     );
     this.silent = silent;
+    this.code = (cause as {code?: string} | undefined)?.code;
   }
 }
 
@@ -107,12 +110,18 @@
   abstract readonly endpoint: string;
   /** False once the connection has ended. */
   abstract readonly open: boolean;
+  /** True while no request is on it and no transaction is open on it. */
+  abstract readonly settled: boolean;
+  /** When bytes last came from the endpoint, monotonic milliseconds. */
+  abstract readonly heardAt: number;
+  /** Set once a request may have left state behind in the session. */
+  needsReset = false;
   /** Position after the last commit on this connection, if it told one. */
   abstract readonly committed: Position | undefined;
   /** Sends a request; its answer goes to `sink` up to ReadyForQuery. */
   abstract send(request: Buffer, sink: AnswerSink): void;
-  /** Called when the connection ends while no request is on it. */
-  abstract onClose(listener: () => void): void;
+  /** Calls `listener` when the connection ends, until disposed. */
+  abstract onClose(listener: () => void): Disposable;
   abstract dispose(): void;
 }
 
