Send a write once, and keep its key beside it

Cause: a write whose answer was lost could only be called unknown, and a caller's own resend with the same key ran again.

Change: a keyed write stores its key in the same transaction, and an outcome in doubt is looked up by it; a replica's connection to a silent primary ends by itself after 500 ms.

Ruled out: keys in the platform's store, a call for each write and lost in its outages.

--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -26,7 +26,9 @@
   type GroupLimits,
   type GroupState,
   type RefusalReason,
+  Reach,
   initialGroup,
+  primaryOf,
   stepGroup,
 } from '@quetzalreel/group';
 import {type ConnectionPool, connectionPool} from '@quetzalreel/pool';
@@ -83,6 +85,10 @@
   configure(cfg: GroupConfig): void;
   /** Another instance has lost the primary of `term`. */
   suspected(instance: string, term: number): void;
+  /** Closes a silent connection once a later term than `term` is served. */
+  guard(term: number, connection: EndpointConnection): Disposable;
+  /** Asks an endpoint for its status now. Throws EndpointDownError. */
+  statusOf(endpoint: string): Promise<EndpointStatus>;
   /** An endpoint refused a write that was sent at `at` as read-only. */
   readOnly(endpoint: string, at: number): void;
   /** An endpoint answered a statement. */
@@ -135,6 +141,10 @@
   const holder = `${context.instance}.${randomUUID()}`;
   let state = initialGroup(cfg, holder, context.limits);
   const reads = {primary: 0, replica: 0};
+  const guards = new Set<{
+    readonly term: number;
+    readonly connection: EndpointConnection;
+  }>();
   let lastId = 0;
 
   const actor = spawn(
@@ -143,6 +153,7 @@
       const result = stepGroup(current, event, clock.now());
       state = result.state;
       for (const effect of result.effects) perform(effect);
+      closeOvertaken();
       return state;
     },
     `group-${cfg.name}`,
@@ -150,6 +161,21 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  /**
+   * Ends what waits on a primary that has been replaced and is silent. One
+   * that still answers may prove that a write did not run.
+   */
+  function closeOvertaken(): void {
+    if (guards.size === 0) return;
+    const term = primaryOf(state.view)?.status?.term ?? 0;
+    for (const guarded of [...guards]) {
+      if (guarded.term >= term) continue;
+      const {endpoint} = guarded.connection;
+      const view = state.view.endpoints.get(endpoint);
+      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+    }
+  }
+
   function perform(effect: GroupEffect): void {
     switch (effect.type) {
       case 'grant':
@@ -336,6 +362,16 @@
       else connection.dispose();
     },
     configure,
+    guard(term, connection) {
+      const guarded = {term, connection};
+      guards.add(guarded);
+      return {dispose: () => guards.delete(guarded)};
+    },
+    async statusOf(endpoint) {
+      const part = parts.get(endpoint);
+      if (!part) throw new EndpointDownError(endpoint, 'not in this group');
+      return part.control.status();
+    },
     suspected: (instance, term) => send({type: 'suspected', instance, term}),
     readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
     heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
--- a/packages/daemon/src/write-request.ts
+++ b/packages/daemon/src/write-request.ts
@@ -2,8 +2,10 @@
 import {messageOf} from '@quetzalreel/common';
 import type {KindConfig} from '@quetzalreel/config';
 import type {Position} from '@quetzalreel/position';
+import {StatementClass} from '@quetzalreel/statement';
 import {SqlState, TransactionStatus} from '@quetzalreel/wire';
 import {type Answer, ask} from './answer.js';
+import {serveKeyedWrite} from './keyed-write.js';
 import {type Placed, findPlace, giveBack} from './placement.js';
 import type {CallerRequest} from './request-reader.js';
 import type {RequestContext} from './session-context.js';
@@ -16,9 +18,6 @@
   readonly answer: Buffer;
 }
 
-/** Tries of a write that was proved not to have run. */
-const MAX_TRIES = 4;
-
 /**
  * Serves a write. It is sent once; only a proof that it did not run allows
  * another try. Returns the transaction that it opened, if it did.
@@ -28,35 +27,56 @@
   request: CallerRequest,
   kind: KindConfig,
 ): Promise<OpenedTransaction | undefined> {
-  const deadline = context.clock.now() + kind.deadlineMs;
+  const {clock, group, reply} = context;
+  const {key, class: statementClass} = request.statement;
+  if (key !== undefined && statementClass === StatementClass.Write) {
+    await serveKeyedWrite(context, request, kind, key);
+    return undefined;
+  }
+  const deadline = clock.now() + kind.deadlineMs;
   const bytes = request.bytes.length;
-  for (let tries = 0; tries < MAX_TRIES; tries++) {
+  do {
     const wanted = {needsPrimary: true, kind, deadline, bytes, avoid: []};
     const placed = await findPlace(context, wanted);
     if (!placed) return undefined;
+    const {connection, grant} = placed;
+    if (!connection.open) {
+      // It broke before a byte was sent.
+      giveBack(context, placed, false);
+      continue;
+    }
+    const sentAt = clock.now();
+    const guard = group.guard(grant.term, connection);
     let answer: Answer;
     try {
+      const bound = {clock, until: deadline};
       answer = await ask(
-        placed.connection,
+        connection,
         request.bytes,
         request.hiddenFrames,
+        bound,
       );
     } catch (err) {
       giveBack(context, placed, false);
       const why = `outcome unknown: ${messageOf(err)}`;
-      context.reply.fail(SqlState.OutcomeUnknown, why);
+      reply.fail(SqlState.OutcomeUnknown, why);
       return undefined;
+    } finally {
+      guard.dispose();
     }
     if (answer.status !== TransactionStatus.Idle) {
       return {placed, status: answer.status, answer: answer.bytes};
     }
-    const {committed} = placed.connection;
+    const {committed} = connection;
     giveBack(context, placed, true);
-    if (answer.error?.code === SqlState.ReadOnly) continue;
+    if (answer.error?.code === SqlState.ReadOnly && !committed) {
+      group.readOnly(grant.endpoint, sentAt);
+      continue;
+    }
     await acknowledge(context, placed.id, answer, committed, deadline);
     return undefined;
-  }
-  context.reply.fail(SqlState.NotRun, 'not run: no endpoint takes writes');
+  } while (clock.now() < deadline);
+  reply.fail(SqlState.NotRun, 'not run: no endpoint takes writes');
   return undefined;
 }
 
@@ -67,17 +87,34 @@
   answer: Answer,
   committed: Position | undefined,
   deadline: number,
+): Promise<void> {
+  const {bytes} = answer;
+  await acknowledgeBytes(context, id, bytes, committed, deadline);
+}
+
+/**
+ * Sends `answer` once a majority holds `position`; at once when there is none,
+ * and "outcome unknown" when the position itself is unknown.
+ */
+export async function acknowledgeBytes(
+  context: RequestContext,
+  id: number,
+  answer: Buffer,
+  position: Position | 'unknown' | undefined,
+  deadline: number,
 ): Promise<void> {
   const {group, floor, reply} = context;
-  if (!committed) {
-    reply.answer(answer.bytes);
+  if (!position) {
+    reply.answer(answer);
     return;
   }
-  const result = await group.written(id, committed, deadline);
-  floor.raise(committed);
-  if (result === 'acknowledged') {
-    reply.answer(answer.bytes);
-    return;
+  if (position !== 'unknown') {
+    const result = await group.written(id, position, deadline);
+    floor.raise(position);
+    if (result === 'acknowledged') {
+      reply.answer(answer);
+      return;
+    }
   }
   const why = 'outcome unknown: no majority held it in time';
   reply.fail(SqlState.OutcomeUnknown, why);
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -27,7 +27,12 @@
   slots,
   waitPast,
 } from '@quetzalreel/standin';
-import {frameSplitter, readParameter} from '@quetzalreel/wire';
+import {
+  TransactionStatus,
+  frameSplitter,
+  readParameter,
+  readStatus,
+} from '@quetzalreel/wire';
 import {start, stop} from 'nact';
 import pg from 'pg';
 import {type CallerListener, startListener} from '../src/caller-listener.js';
@@ -254,7 +259,10 @@
 
 class FakeConnection extends EndpointConnection {
   open = true;
+  settled = true;
+  readonly heardAt = 0;
   committed: Position | undefined;
+  private readonly closeListeners = new Set<() => void>();
   private sink: AnswerSink | undefined;
   private last = Promise.resolve();
   private readonly frames = frameSplitter(MAX_FRAME_BYTES);
@@ -283,6 +291,7 @@
   send(request: Buffer, sink: AnswerSink): void {
     this.target.requests.push(request.toString('latin1'));
     this.sink = sink;
+    this.settled = false;
     this.committed = undefined;
     if (this.cut.has(this.target.name)) this.dispose();
     for (const frame of this.frames.push(request)) {
@@ -290,13 +299,17 @@
     }
   }
 
-  onClose(): void {}
+  onClose(listener: () => void): Disposable {
+    this.closeListeners.add(listener);
+    return {dispose: () => this.closeListeners.delete(listener)};
+  }
 
   dispose(): void {
     this.open = false;
     const sink = this.sink;
     this.sink = undefined;
     sink?.broken(new EndpointDownError(this.target.name, 'broke'));
+    for (const listener of this.closeListeners) listener();
   }
 
   private receive(bytes: Buffer): void {
@@ -310,7 +323,10 @@
         this.dispose();
       }
       const sink = this.sink;
-      if (frame.type === 'Z') this.sink = undefined;
+      if (frame.type === 'Z') {
+        this.sink = undefined;
+        this.settled = readStatus(frame) === TransactionStatus.Idle;
+      }
       sink?.frame(frame);
     }
   }
--- a/packages/daemon/test/small-fleet.ts
+++ b/packages/daemon/test/small-fleet.ts
@@ -130,6 +130,7 @@
     platformUrl: `http://${HOST}:${port}`,
     endpointUser: 'quetzalreel',
     endpointPassword: '',
+    sessionKey: '',
     instances,
     maxMessageBytes: 4 * 1024 * 1024,
     logLevel: 'fatal',
--- a/packages/daemon/test/test-pinned.ts
+++ b/packages/daemon/test/test-pinned.ts
@@ -73,6 +73,8 @@
       statement: classify(sql),
       sql,
       hiddenFrames: 0,
+      partial: false,
+      steps: ['query'],
     });
   const releaseCount = () => releases;
   return {clock, connection, transaction, serve, codes, given, releaseCount};
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -15,6 +15,8 @@
 
 const HEARTBEAT_MS = 20;
 const RECONNECT_MS = 20;
+/** Silence after which a replica gives its connection up. */
+const SILENCE_MS = 500;
 const CONNECT_TIMEOUT_MS = 1000;
 /** Most records sent at one go, so that heartbeats come between. */
 const BATCH_RECORDS = 500;
@@ -100,12 +102,20 @@
     const runs = JSON.stringify(db.log.runs());
     const sql = `SELECT quetzalreel_replicate(${upstream.term}, '${runs}')`;
     const receiver = recordReceiver(db, faults, upstream.term, connection);
+    let heardAt = performance.now();
+    const watch = setInterval(() => {
+      if (performance.now() - heardAt >= SILENCE_MS) connection.dispose();
+    }, HEARTBEAT_MS);
     await new Promise<void>(resolve => {
       connection.send(query(sql), {
-        frame: receiver,
+        frame: frame => {
+          heardAt = performance.now();
+          receiver(frame);
+        },
         broken: () => resolve(),
       });
     });
+    clearInterval(watch);
   }
 
   const unlisten = db.onChange(check);
