--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
+import {hashOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
@@ -107,6 +108,10 @@
     log,
     instance: settings.instance,
     dataCentre: settings.dataCentre,
+    rankIn: (group: string) => ({
+      rank: turnOf(settings, group),
+      watchers: settings.instances,
+    }),
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
@@ -249,3 +254,12 @@
   const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
   return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
 }
+
+/** This instance's turn in a group, spread evenly over the instances. */
+function turnOf(settings: Settings, group: string): number {
+  const hash = hashOf(`${group}/${settings.instance}`);
+  return (hash / HASHES) * settings.instances;
+}
+
+/** Number of values that `hashOf` can have. */
+const HASHES = 2 ** 32;
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -2,6 +2,7 @@
  * The actor of one group: feeds events to the pure decisions of the `group`
  * package and carries out their effects.
  */
+import {randomUUID} from 'node:crypto';
 import {
   type Clock,
   type Disposable,
@@ -25,7 +26,9 @@
   type GroupLimits,
   type GroupState,
   type RefusalReason,
+  Reach,
   initialGroup,
+  primaryOf,
   stepGroup,
 } from '@quetzalreel/group';
 import {type ConnectionPool, connectionPool} from '@quetzalreel/pool';
@@ -82,6 +85,16 @@
   configure(cfg: GroupConfig): void;
   /** Sets how many requests may be on an endpoint at a time. */
   setCapacity(endpoint: string, capacity: number): void;
+  /** Another instance has lost the primary of `term`. */
+  suspected(instance: string, term: number): void;
+  /** Closes a silent connection once a later term than `term` is served. */
+  guard(term: number, connection: EndpointConnection): Disposable;
+  /** Asks an endpoint for its status now. Throws EndpointDownError. */
+  statusOf(endpoint: string): Promise<EndpointStatus>;
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  readOnly(endpoint: string, at: number): void;
+  /** An endpoint answered a statement. */
+  heard(endpoint: string): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -100,6 +113,10 @@
   readonly instance: string;
   /** Data centre of this instance. */
   readonly dataCentre: string;
+  /** Rank of this instance in a group, and how many instances watch it. */
+  readonly rankIn?: (group: string) => {rank: number; watchers: number};
+  /** Tells other instances that this one has lost the primary of a term. */
+  readonly suspects?: (group: string, term: number) => void;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -125,14 +142,16 @@
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
   const acks = new Map<number, (result: AckResult) => void>();
-  let state = initialGroup(
-    cfg,
-    context.instance,
-    context.limits,
-    context.dataCentre,
-  );
+  // An attempt of this process must not be taken for one of an earlier
+  // process of the same instance.
+  const holder = `${context.instance}.${randomUUID()}`;
+  let state = initialGroup(cfg, holder, context.limits, context.dataCentre);
   const reads = {primary: 0, replica: 0};
   const refused = new Map<RefusalReason, number>();
+  const guards = new Set<{
+    readonly term: number;
+    readonly connection: EndpointConnection;
+  }>();
   let lastId = 0;
 
   const actor = spawn(
@@ -141,6 +160,7 @@
       const result = stepGroup(current, event, clock.now());
       state = result.state;
       for (const effect of result.effects) perform(effect);
+      closeOvertaken();
       return state;
     },
     `group-${cfg.name}`,
@@ -148,6 +168,21 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  /**
+   * Ends what waits on a primary that has been replaced and is silent. One
+   * that still answers may prove that a write did not run.
+   */
+  function closeOvertaken(): void {
+    if (guards.size === 0) return;
+    const term = primaryOf(state.view)?.status?.term ?? 0;
+    for (const guarded of [...guards]) {
+      if (guarded.term >= term) continue;
+      const {endpoint} = guarded.connection;
+      const view = state.view.endpoints.get(endpoint);
+      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+    }
+  }
+
   function perform(effect: GroupEffect): void {
     switch (effect.type) {
       case 'grant':
@@ -173,6 +208,9 @@
       case 'poll':
         for (const {poller} of parts.values()) poller.wake();
         return;
+      case 'suspect':
+        context.suspects?.(cfg.name, effect.term);
+        return;
       case 'failoverStep': {
         const {from, to, term, why} = effect;
         log.warn({group: cfg.name, from, to, term, why}, 'change of primary');
@@ -225,7 +263,8 @@
     } catch (err) {
       const why = messageOf(err);
       log.info({group: cfg.name, endpoint, call: effect.type, why}, 'control');
-      if (err instanceof FencedError) send({type: 'refused', attempt});
+      const type = err instanceof FencedError ? 'refused' : 'unanswered';
+      send({type, call: effect.type, endpoint, attempt});
     }
   }
 
@@ -250,7 +289,7 @@
         send({type: 'status', endpoint: name, status, askedAt}),
       failed: (reach, askedAt) =>
         send({type: 'failed', endpoint: name, reach, askedAt}),
-      isAwaited: () => state.held.length > 0 || state.waiting.length > 0,
+      isAwaited: () => isAwaited(state),
     });
     parts.set(name, {
       address: `${endpoint.host}:${endpoint.port}`,
@@ -269,6 +308,8 @@
   }
 
   function configure(next: GroupConfig): void {
+    const ranked = context.rankIn?.(next.name);
+    if (ranked) send({type: 'ranked', ...ranked});
     send({type: 'configured', cfg: next});
     const wanted = new Map(next.endpoints.map(item => [item.name, item]));
     for (const [name, part] of parts) {
@@ -333,11 +374,30 @@
     configure,
     setCapacity: (endpoint, capacity) =>
       send({type: 'capacity', endpoint, capacity}),
+    guard(term, connection) {
+      const guarded = {term, connection};
+      guards.add(guarded);
+      return {dispose: () => guards.delete(guarded)};
+    },
+    async statusOf(endpoint) {
+      const part = parts.get(endpoint);
+      if (!part) throw new EndpointDownError(endpoint, 'not in this group');
+      return part.control.status();
+    },
+    suspected: (instance, term) => send({type: 'suspected', instance, term}),
+    readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
+    heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
 }
 
+/** Whether something waits for news of the endpoints. */
+function isAwaited(state: GroupState): boolean {
+  if (state.held.length > 0 || state.waiting.length > 0) return true;
+  return state.failover.step !== 'steady';
+}
+
 /** The event that reports the answer to each control call. */
 const EVENT_AFTER = {
   fence: 'promised',
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -263,6 +263,7 @@
   settled = true;
   readonly heardAt = 0;
   committed: Position | undefined;
+  private readonly closeListeners = new Set<() => void>();
   private sink: AnswerSink | undefined;
   private last = Promise.resolve();
   private readonly frames = frameSplitter(MAX_FRAME_BYTES);
@@ -299,8 +300,9 @@
     }
   }
 
-  onClose() {
-    return {dispose() {}};
+  onClose(listener: () => void): Disposable {
+    this.closeListeners.add(listener);
+    return {dispose: () => this.closeListeners.delete(listener)};
   }
 
   dispose(): void {
@@ -308,6 +310,7 @@
     const sink = this.sink;
     this.sink = undefined;
     sink?.broken(new EndpointDownError(this.target.name, 'broke'));
+    for (const listener of this.closeListeners) listener();
   }
 
   private receive(bytes: Buffer): void {
--- a/packages/standin/src/replication.ts
+++ b/packages/standin/src/replication.ts
@@ -3,7 +3,11 @@
  * `SELECT quetzalreel_replicate(term, runs)` and gets rows without end: first
  * the primary's runs, then records, with an empty row as heartbeat.
  */
-import {type EndpointConnection, pgDriver} from '@quetzalreel/endpoint';
+import {
+  type EndpointConnection,
+  EndpointDownError,
+  pgDriver,
+} from '@quetzalreel/endpoint';
 import {type Frame, dataRow, query} from '@quetzalreel/wire';
 import type {Database, Upstream} from './database.js';
 import {type DatabaseFaults, REPLICATION_NAME} from './faults.js';
@@ -11,6 +15,8 @@
 
 const HEARTBEAT_MS = 20;
 const RECONNECT_MS = 20;
+/** Silence after which a replica gives its connection up. */
+const SILENCE_MS = 500;
 const CONNECT_TIMEOUT_MS = 1000;
 /** Most records sent at one go, so that heartbeats come between. */
 const BATCH_RECORDS = 500;
@@ -78,8 +84,9 @@
     while (active(upstream)) {
       try {
         await receiveFrom(upstream);
-      } catch {
+      } catch (err) {
         // The primary is down or changed; the loop asks again.
+        if (active(upstream) && isRefusal(err)) db.refused();
       }
       await new Promise(resolve => setTimeout(resolve, RECONNECT_MS));
     }
@@ -95,12 +102,20 @@
     const runs = JSON.stringify(db.log.runs());
     const sql = `SELECT quetzalreel_replicate(${upstream.term}, '${runs}')`;
     const receiver = recordReceiver(db, faults, upstream.term, connection);
+    let heardAt = performance.now();
+    const watch = setInterval(() => {
+      if (performance.now() - heardAt >= SILENCE_MS) connection.dispose();
+    }, HEARTBEAT_MS);
     await new Promise<void>(resolve => {
       connection.send(query(sql), {
-        frame: receiver,
+        frame: frame => {
+          heardAt = performance.now();
+          receiver(frame);
+        },
         broken: () => resolve(),
       });
     });
+    clearInterval(watch);
   }
 
   const unlisten = db.onChange(check);
@@ -112,6 +127,12 @@
   };
 }
 
+function isRefusal(err: unknown): boolean {
+  if (!(err instanceof EndpointDownError)) return false;
+  const cause = err.cause() as NodeJS.ErrnoException | undefined;
+  return cause?.code === 'ECONNREFUSED';
+}
+
 function connectTo(
   name: string,
   upstream: Upstream,
