Keep the bytes that arrive as a login ends once

One listener on the socket that is handed over stays, because under TLS the other one saw ciphertext.

--- a/packages/login/src/login.ts
+++ b/packages/login/src/login.ts
@@ -61,11 +61,7 @@
       finish(undefined);
     };
     const count = (chunk: Buffer) => {
-      // Until the hand-over this is the only listener: keep what comes.
-      if (authenticated) {
-        early.push(chunk);
-        return;
-      }
+      if (authenticated) return;
       received += chunk.length;
       if (received > MAX_LOGIN_BYTES) refuse();
     };
