Send a read elsewhere at once while an endpoint takes no connection

Change: a pool without any connection whose last attempt failed gives reads back at once; a write waits, because it has nowhere else to go.

--- a/packages/pool/src/pool-state.ts
+++ b/packages/pool/src/pool-state.ts
@@ -204,17 +204,22 @@
   return {...state, connections: [back, ...rest]};
 }
 
-/** Fails requests that have waited for too long. */
+/**
+ * Fails requests that have waited for too long, and reads at once while the
+ * endpoint takes no connection: they can go elsewhere, a write can't.
+ */
 function giveUp(
   state: PoolState,
   now: number,
   effects: PoolEffect[],
 ): PoolState {
-  const late = state.waiting.filter(req => now >= req.until);
-  if (late.length === 0) return state;
-  for (const {id} of late) effects.push({type: 'fail', req: id});
-  const waiting = state.waiting.filter(req => now < req.until);
-  return {...state, waiting};
+  const isShut = state.connections.length === 0 && state.failures > 0;
+  const waiting: PoolRequest[] = [];
+  for (const req of state.waiting) {
+    if (now < req.until && (req.isWrite || !isShut)) waiting.push(req);
+    else effects.push({type: 'fail', req: req.id});
+  }
+  return waiting.length === state.waiting.length ? state : {...state, waiting};
 }
 
 /** Lends to those who wait; doubtful connections are checked first. */
--- a/packages/pool/test/test-pool-state.ts
+++ b/packages/pool/test/test-pool-state.ts
@@ -168,6 +168,17 @@
     ],
     expected: ['fail 10'],
   },
+  {
+    name: 'sends reads elsewhere at once while none can be opened',
+    size: 1,
+    steps: [
+      [0, tick],
+      [0, wanted(10)],
+      [0, wanted(11, true)],
+      [1, {type: 'notOpened'}],
+    ],
+    expected: ['fail 10'],
+  },
   {
     name: 'resets what may hold state before it is lent again',
     size: 1,
