Take leaving endpoints out of service by the clock

Cause: the mark kept new reads off a replica, and did nothing to a primary or to open transactions. Change: leaving.ts keeps when each mark was first seen. A leaving primary is changed after 1 s (so that open transactions can end) plus a turn of the instance's own; after 3 s an endpoint gets no work at all and transactions still open on it are ended with 40000. A list that repeats the mark does not begin its time again; a return clears it. Ruled out: changing at once (open transactions would all be lost); waiting for them without bound. Left: the platform's own list of leaving instances is not read for this.

--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -79,6 +79,8 @@
   suspect(endpoint: string): void;
   /** Sets this instance's share of the endpoint's connections. */
   resize(endpoint: string, share: number): void;
+  /** Calls `listener` when work on `endpoint` is to end, until disposed. */
+  onVacate(endpoint: string, listener: () => void): Disposable;
   configure(cfg: GroupConfig): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
@@ -109,6 +111,12 @@
   readonly pool: ConnectionPool;
 }
 
+/** Who is told when work on an endpoint is to end. */
+interface EndpointUser {
+  readonly endpoint: string;
+  readonly listener: () => void;
+}
+
 /** Starts the actor of a group. */
 export function startGroup(
   cfg: GroupConfig,
@@ -118,6 +126,7 @@
   const parts = new Map<string, EndpointParts>();
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
+  const users = new Set<EndpointUser>();
   const acks = new Map<number, (result: AckResult) => void>();
   let state = initialGroup(cfg, context.instance, context.limits);
   const reads = {primary: 0, replica: 0};
@@ -157,6 +166,12 @@
         log.warn({group: cfg.name, req: effect.id, why: effect.why}, 'unknown');
         settleAck(effect.id, 'unknown');
         return;
+      case 'vacate':
+        log.info({group: cfg.name, endpoint: effect.endpoint}, 'vacated');
+        for (const open of [...users]) {
+          if (open.endpoint === effect.endpoint) open.listener();
+        }
+        return;
       case 'poll':
         for (const {poller} of parts.values()) poller.wake();
         return;
@@ -315,6 +330,11 @@
       if (part) part.pool.give(connection, reusable);
       else connection.dispose();
     },
+    onVacate(endpoint, listener) {
+      const user = {endpoint, listener};
+      users.add(user);
+      return {dispose: () => users.delete(user)};
+    },
     configure,
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
--- a/packages/daemon/src/transaction.ts
+++ b/packages/daemon/src/transaction.ts
@@ -58,12 +58,22 @@
     if (!serving) cut(CUT_OFF.lost);
   });
 
+  const {endpoint} = placed.grant;
+  const vacating = group.onVacate(endpoint, () => cutOff(CUT_OFF.leaving));
+
+  /** Rolls back now, or after the answer that is due. */
+  function cutOff(reason: CutOff): void {
+    if (serving) cutLater = reason;
+    else cut(reason);
+  }
+
   /** Gives place and connection back, whoever asks first. */
   function giveBackOnce(reusable: boolean): void {
     idle?.dispose();
     if (returned) return;
     returned = true;
     closed.dispose();
+    vacating.dispose();
     giveBack(context, placed, reusable);
   }
 
@@ -177,7 +187,7 @@
     get status() {
       return status;
     },
-    endpoint: placed.grant.endpoint,
+    endpoint,
     opened: answerOpen,
     async serve(request) {
       switch (moveFor(phase, request.statement.class)) {
@@ -196,11 +206,7 @@
           return;
       }
     },
-    cutOff(reason) {
-      // A request under way gets its own answer first.
-      if (serving) cutLater = reason;
-      else cut(reason);
-    },
+    cutOff,
     abandon() {
       if (phase === Phase.Running) end(false);
     },
--- a/packages/daemon/test/test-pinned.ts
+++ b/packages/daemon/test/test-pinned.ts
@@ -50,6 +50,7 @@
     reply: {answer() {}, fail: (code: string) => codes.push(code)},
     group: {
       release: () => releases++,
+      onVacate: () => ({dispose() {}}),
       give: (_: unknown, reusable: boolean) => given.push(reusable),
     },
   } as unknown as RequestContext;
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -20,7 +20,7 @@
   refused,
   strays,
 } from './failover.js';
-import {floorAfter, floorOf} from './floor.js';
+import {floorOf} from './floor.js';
 import {
   type QueueLimits,
   type RequestQueue,
@@ -29,6 +29,15 @@
   emptyQueue,
   enqueue,
 } from './queue.js';
+import {
+  type LeavingState,
+  isShut,
+  noneLeaving,
+  noteLeaving,
+  successorOf,
+  vacate,
+} from './leaving.js';
+import {isHopeless} from './prospects.js';
 import {type Grant, type GroupRequest, RefusalReason} from './request.js';
 import {choose} from './routing.js';
 import {
@@ -40,7 +49,6 @@
   withEndpoint,
   withFailure,
   withStatus,
-  writablePrimary,
 } from './view.js';
 
 /** Bounds of a group in one instance. */
@@ -55,6 +63,7 @@
   /** Requests without a place. */
   readonly waiting: RequestQueue;
   readonly held: readonly HeldAck[];
+  readonly leaving: LeavingState;
 }
 
 /** What can happen to a group. */
@@ -110,7 +119,9 @@
   | {readonly type: 'acknowledge'; readonly id: number}
   | {readonly type: 'unknown'; readonly id: number; readonly why: string}
   /** Ask every endpoint for its status now. */
-  | {readonly type: 'poll'};
+  | {readonly type: 'poll'}
+  /** End the transactions that are still open on a leaving endpoint. */
+  | {readonly type: 'vacate'; readonly endpoint: string};
 
 /** A state and what is to be done on the way to it. */
 export interface GroupResult {
@@ -131,6 +142,7 @@
     failover: initialFailover(),
     waiting: emptyQueue(),
     held: [],
+    leaving: noneLeaving(),
   };
 }
 
@@ -142,7 +154,7 @@
 ): GroupResult {
   switch (event.type) {
     case 'configured':
-      return settle({...state, view: viewOf(event.cfg, state.view)}, now);
+      return configured(state, event.cfg, now);
     case 'requested':
       return accept(state, event.req, now);
     case 'cancelled':
@@ -176,6 +188,16 @@
   }
 }
 
+function configured(
+  state: GroupState,
+  cfg: GroupConfig,
+  now: number,
+): GroupResult {
+  const view = viewOf(cfg, state.view);
+  const leaving = noteLeaving(state.leaving, cfg, now);
+  return settle({...state, view, leaving}, now);
+}
+
 type FailoverEvent = Extract<
   GroupEvent,
   {type: 'promised' | 'promoted' | 'refused' | 'ordered'}
@@ -259,6 +281,7 @@
   if (!choice) return undefined;
   const {endpoint, reason} = choice;
   const name = endpoint.cfg.name;
+  if (isShut(state.leaving, name, now)) return undefined;
   const view = withEndpoint(state.view, name, {busy: endpoint.busy + 1});
   const grant: Grant = {
     endpoint: name,
@@ -285,7 +308,8 @@
   if (state.waiting.length === 0) return {state, effects: []};
   const effects: GroupEffect[] = [];
   const drained = drain(state.waiting, state, now, (current, req) => {
-    if (isHopeless(current, req)) return 'stop';
+    const {view, failover} = current;
+    if (isHopeless(view, failover.step, req)) return 'stop';
     const placed = place(current, req, now);
     if (!placed) return 'pass';
     effects.push(...placed.effects);
@@ -297,25 +321,6 @@
   return {state: {...drained.state, waiting: drained.queue}, effects};
 }
 
-/** Whether neither this request nor a later one of its lane has a place. */
-function isHopeless(state: GroupState, req: GroupRequest): boolean {
-  const {view, failover} = state;
-  if (!hasAnyRoom(view)) return true;
-  // A majority that reported after a later arrival did so after this one.
-  if (!req.floor && !floorAfter(view, req.arrivedAt)) return true;
-  if (!req.floor || !req.needsPrimary) return false;
-  const primary = writablePrimary(view);
-  if (!primary || failover.step === 'draining') return true;
-  return primary.busy >= primary.capacity;
-}
-
-function hasAnyRoom(view: GroupView): boolean {
-  for (const {reach, busy, capacity} of view.endpoints.values()) {
-    if (reach === Reach.Up && busy < capacity) return true;
-  }
-  return false;
-}
-
 /** Holds a committed write until a majority has it. */
 function hold(
   state: GroupState,
@@ -345,19 +350,40 @@
 function settle(state: GroupState, now: number): GroupResult {
   const acks = settleHeld(state, now);
   const change = advance(acks.state.failover, failoverContext(acks.state, now));
-  const changed = {...acks.state, failover: change.state};
+  const advanced = {...acks.state, failover: change.state};
+  const left = leave(advanced, now);
+  const changed = left.state;
   const placed = placeWaiting(changed, now);
   return {
     state: placed.state,
     effects: [
       ...acks.effects,
       ...change.effects,
+      ...left.effects,
       ...followStrays(changed),
       ...placed.effects,
     ],
   };
 }
 
+/** Changes a primary that is leaving, and ends what is open at the bound. */
+function leave(state: GroupState, now: number): GroupResult {
+  if (state.leaving.since.size === 0) return {state, effects: []};
+  const {view, failover, instance} = state;
+  const done = vacate(state.leaving, now);
+  const effects: GroupEffect[] = [];
+  for (const endpoint of done.endpoints) {
+    effects.push({type: 'vacate', endpoint});
+  }
+  const vacated = {...state, leaving: done.state};
+  const mayOrder = failover.step === 'steady' && now >= failover.notBefore;
+  const target = mayOrder && successorOf(done.state, view, instance, now);
+  if (!target) return {state: vacated, effects};
+  const change = orderChange(failover, target, failoverContext(vacated, now));
+  effects.push(...change.effects);
+  return {state: {...vacated, failover: change.state}, effects};
+}
+
 /** Tells endpoints that missed a change to follow the primary. */
 function followStrays(state: GroupState): GroupEffect[] {
   if (state.failover.step !== 'steady') return [];
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -26,6 +26,15 @@
   initialGroup,
   stepGroup,
 } from './group.js';
+export {
+  LEAVING_TIMES,
+  type LeavingState,
+  isShut,
+  noneLeaving,
+  noteLeaving,
+  successorOf,
+  vacate,
+} from './leaving.js';
 export {
   type DrainOutcome,
   Need,
