Check what callers send, and answer each request in its order

A quoted "set_config" is seen as well. Tests of others: test-connections sets its setting inside a transaction, since outside it is refused now, with the same assertion; test-pinned has the new field. Ruled out: refusing the newest caller when many are silent. Seen: with one chunk, INSERT and a bad message, the INSERT got no answer before; 1001 connections stayed.

--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -6,6 +6,7 @@
 import type {TokenCodec} from '@quetzalreel/position';
 import {
   type Frame,
+  FrameError,
   SqlState,
   errorResponse,
   frameSplitter,
@@ -13,6 +14,7 @@
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
 import type {GroupHandle} from './group-actor.js';
 import type {Log} from './log.js';
+import {requestFlow} from './request-flow.js';
 import {type CallerRequest, requestReader} from './request-reader.js';
 import {callerSession} from './session.js';
 
@@ -38,16 +40,43 @@
   readonly callers: number;
 }
 
+/** Connections that may be logging in at a time; the oldest gives way. */
+export const MAX_LOGINS = 500;
+
+/** What a session's actor is told: a request, or how the session ends. */
+type SessionMessage = CallerRequest | SessionEnd;
+
+interface SessionEnd {
+  /** Last bytes for the caller. */
+  readonly last: Buffer | undefined;
+}
+
 /** Starts listening. */
 export async function startListener(
   context: ListenerContext,
 ): Promise<CallerListener> {
   const open = new Set<net.Socket>();
+  const loggingIn = new Set<net.Socket>();
   let sessions = 0;
 
+  /** Callers that say nothing must not keep others out. */
+  function admit(socket: net.Socket): void {
+    for (const oldest of loggingIn) {
+      if (loggingIn.size < MAX_LOGINS) break;
+      loggingIn.delete(oldest);
+      open.delete(oldest);
+      oldest.destroy();
+    }
+    loggingIn.add(socket);
+  }
+
   async function accept(socket: net.Socket): Promise<void> {
     open.add(socket);
-    socket.on('close', () => open.delete(socket));
+    admit(socket);
+    socket.on('close', () => {
+      open.delete(socket);
+      loggingIn.delete(socket);
+    });
     socket.setNoDelay(true);
     const client = await login(socket, {
       timeoutMs: context.loginTimeoutMs,
@@ -63,6 +92,7 @@
         return {code: SqlState.NotRoutable, message};
       },
     });
+    loggingIn.delete(socket);
     if (client) serve(client);
   }
 
@@ -74,10 +104,25 @@
     }
     const {socket} = client;
     const session = callerSession({...context, socket, group});
+    const flow = requestFlow(socket);
+    const take = async (message: SessionMessage) => {
+      if ('last' in message) {
+        if (message.last) socket.write(message.last);
+        socket.end();
+        return;
+      }
+      try {
+        await session.serve(message);
+        await flow.answered();
+      } catch (err) {
+        context.log.error({why: messageOf(err)}, 'session failed');
+        socket.destroy();
+      }
+    };
     const actor = spawn(
       context.system,
-      async (_: undefined, request: CallerRequest) => {
-        await session.serve(request);
+      async (_: undefined, message: SessionMessage) => {
+        await take(message);
         return undefined;
       },
       `caller-${++sessions}`,
@@ -86,9 +131,10 @@
       session.close();
       stop(actor);
     });
-    readRequests(client, context.maxMessageBytes, request =>
-      dispatch(actor, request),
-    );
+    readRequests(client, context.maxMessageBytes, message => {
+      if (!('last' in message)) flow.arrived();
+      dispatch(actor, message);
+    });
   }
 
   const server = net.createServer(socket => {
@@ -113,30 +159,53 @@
   };
 }
 
-/** Reads a caller's requests until it leaves or sends what can't be read. */
+/**
+ * Reads a caller's requests until it leaves or sends what can't be read. Its
+ * end comes after the requests before it, so that each gets its answer.
+ */
 function readRequests(
   client: LoggedInClient,
   maxBytes: number,
-  onRequest: (request: CallerRequest) => void,
+  onMessage: (message: SessionMessage) => void,
 ): void {
   const {socket} = client;
   const splitter = frameSplitter(maxBytes);
   const reader = requestReader(maxBytes);
+  let ended = false;
+  const end = (last: Buffer | undefined) => {
+    ended = true;
+    onMessage({last});
+  };
   const handle = (frame: Frame) => {
     if (frame.type === 'X') {
-      socket.end();
+      end(undefined);
       return;
     }
     const request = reader.push(frame);
-    if (request) onRequest(request);
+    if (request) onMessage(request);
+  };
+  const handleAll = (frames: readonly Frame[]) => {
+    for (const frame of frames) {
+      if (ended) return;
+      handle(frame);
+    }
+  };
+  const refuse = (err: unknown) => {
+    const code = SqlState.ProtocolViolation;
+    const message = messageOf(err);
+    end(errorResponse({severity: 'FATAL', code, message}));
   };
   const take = (chunk: Buffer) => {
+    if (ended) return;
     try {
-      for (const frame of splitter.push(chunk)) handle(frame);
+      handleAll(splitter.push(chunk));
     } catch (err) {
-      const code = SqlState.ProtocolViolation;
-      const message = messageOf(err);
-      socket.end(errorResponse({severity: 'FATAL', code, message}));
+      try {
+        if (err instanceof FrameError) handleAll(err.before);
+        if (!ended) refuse(err);
+      } catch (earlier) {
+        refuse(earlier);
+      }
     }
   };
   for (const chunk of client.early) take(chunk);
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -74,7 +74,7 @@
 
 /**
  * Gives a place and its connection back. A connection on which the session
- * left a setting or a lock is closed: it must not reach another caller.
+ * left a setting or a lock is reset before another caller gets it.
  */
 export function giveBack(
   context: RequestContext,
@@ -83,6 +83,6 @@
   elapsedMs?: number,
 ): void {
   context.group.release(placed.grant.endpoint, elapsedMs);
-  const clean = reusable && !context.residue.left;
-  context.group.give(placed.connection, clean);
+  if (context.residue.left) placed.connection.needsReset = true;
+  context.group.give(placed.connection, reusable);
 }
--- a/packages/daemon/src/session.ts
+++ b/packages/daemon/src/session.ts
@@ -129,7 +129,10 @@
     return {code, message};
   }
   const runs = request.partial && request.steps.includes('execute');
-  if (runs && statementClass !== StatementClass.Read) {
+  const isHarmless =
+    statementClass === StatementClass.Read ||
+    statementClass === StatementClass.Begin;
+  if (runs && !isHarmless) {
     const message =
       'Flush after the Execute of a write would commit it early; not run. ' +
       'Send Sync, or open a transaction.';
--- a/packages/daemon/test/small-fleet.ts
+++ b/packages/daemon/test/small-fleet.ts
@@ -132,6 +132,7 @@
     endpointPassword: '',
     instances,
     maxMessageBytes: 4 * 1024 * 1024,
+    sessionKey: '',
     logLevel: 'fatal',
   };
 }
--- a/packages/daemon/test/test-connections.ts
+++ b/packages/daemon/test/test-connections.ts
@@ -58,7 +58,9 @@
 test('a setting of one caller does not reach the next', async () => {
   const fleet = await started({});
   const caller = await fleet.caller();
+  await caller.query('BEGIN');
   await caller.query('SET search_path = x');
+  await caller.query('COMMIT');
   const daemon = fleet.daemons[0]!;
   await until(() => daemon.busy('entries') === 0);
   assert.equal(await codeOf(caller, insert('after-set')), undefined);
--- a/packages/daemon/test/test-pinned.ts
+++ b/packages/daemon/test/test-pinned.ts
@@ -51,6 +51,7 @@
   let releases = 0;
   const context = {
     clock,
+    residue: {left: false},
     reply: {answer() {}, fail: (code: string) => codes.push(code)},
     group: {
       release: () => releases++,
@@ -73,6 +74,8 @@
       statement: classify(sql),
       sql,
       hiddenFrames: 0,
+      partial: false,
+      steps: ['query'],
     });
   const releaseCount = () => releases;
   return {clock, connection, transaction, serve, codes, given, releaseCount};
--- a/packages/statement/src/classify.ts
+++ b/packages/statement/src/classify.ts
@@ -205,9 +205,11 @@
 function leavesSomething(tokens: readonly Token[]): boolean {
   for (let i = 0; i < tokens.length; i++) {
     const {type, text} = tokens[i]!;
+    const isName = type === TokenType.Word || type === TokenType.Quoted;
+    if (isName && isStateful(text.toUpperCase())) return true;
     if (type !== TokenType.Word) continue;
-    if (text === 'TEMP' || text === 'TEMPORARY' || text === 'DO') return true;
-    if (text === 'LOAD' || isStateful(text)) return true;
+    if (text === 'TEMP' || text === 'TEMPORARY') return true;
+    if (text === 'DO' || text === 'LOAD') return true;
   }
   return false;
 }
--- a/packages/statement/test/test-classify.ts
+++ b/packages/statement/test/test-classify.ts
@@ -85,6 +85,7 @@
   ['SET a = 1', true],
   ['BEGIN; SET a = 1', true],
   ["SELECT set_config('a', 'b', false)", true],
+  ["SELECT \"set_config\"('a', 'b', false)", true],
   ['SELECT pg_advisory_lock(1)', true],
   ['SELECT pg_advisory_xact_lock(1)', false],
   ['CREATE TEMP TABLE a (b int)', true],
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -17,6 +17,9 @@
 
 /** A frame that can't be read: too long, or with an impossible length. */
 export class FrameError extends TypedError {
+  /** Whole frames that came before, in the same chunk. */
+  before: readonly Frame[] = [];
+
   constructor(what: string, remedy: string) {
     super('FrameError', what, remedy);
   }
@@ -36,7 +39,7 @@
       let rest = pending.length > 0 ? Buffer.concat([pending, chunk]) : chunk;
       const frames: Frame[] = [];
       while (rest.length >= FRAME_HEADER_BYTES) {
-        const size = frameSize(rest, maxBytes);
+        const size = frameSize(rest, maxBytes, frames);
         if (rest.length < size) break;
         frames.push({
           type: String.fromCharCode(rest[0]!),
@@ -50,7 +53,20 @@
   };
 }
 
-function frameSize(bytes: Buffer, maxBytes: number): number {
+function frameSize(
+  bytes: Buffer,
+  maxBytes: number,
+  before: readonly Frame[],
+): number {
+  try {
+    return checkedSize(bytes, maxBytes);
+  } catch (err) {
+    if (err instanceof FrameError) err.before = before;
+    throw err;
+  }
+}
+
+function checkedSize(bytes: Buffer, maxBytes: number): number {
   const size = bytes.readUInt32BE(1) + 1;
   if (size < FRAME_HEADER_BYTES) {
     throw new FrameError(
