--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -12,6 +12,12 @@
   frameSplitter,
 } from '@quetzalreel/wire';
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
+import {
+  type DrainReport,
+  type DrainTimes,
+  type DrainableCaller,
+  drainCallers,
+} from './drain.js';
 import type {GroupHandle} from './group-actor.js';
 import type {Log} from './log.js';
 import {requestFlow} from './request-flow.js';
@@ -30,6 +36,10 @@
   /** Undefined when there is no key for session tokens. */
   readonly tokens: TokenCodec | undefined;
   readonly configuration: () => Configuration;
+  /** Checks a caller's password. */
+  readonly verify: (user: string, password: string) => Promise<boolean>;
+  /** Certificate and key; undefined means no TLS. */
+  readonly tls?: () => {readonly cert: Buffer; readonly key: Buffer};
   readonly groupOf: (database: string) => GroupHandle | undefined;
 }
 
@@ -38,6 +48,8 @@
   readonly port: number;
   /** Callers that are connected now. */
   readonly callers: number;
+  /** Accepts no more and dismisses the callers; resolves when they are gone. */
+  drain(times: DrainTimes): Promise<DrainReport>;
 }
 
 /** Connections that may be logging in at a time; the oldest gives way. */
@@ -57,7 +69,9 @@
 ): Promise<CallerListener> {
   const open = new Set<net.Socket>();
   const loggingIn = new Set<net.Socket>();
+  const callers = new Set<DrainableCaller>();
   let sessions = 0;
+  let draining = false;
 
   /** Callers that say nothing must not keep others out. */
   function admit(socket: net.Socket): void {
@@ -80,6 +94,11 @@
     socket.setNoDelay(true);
     const client = await login(socket, {
       timeoutMs: context.loginTimeoutMs,
+      // A configuration without callers lets everyone in.
+      ...(context.configuration().callers.length > 0
+        ? {verify: context.verify}
+        : {}),
+      ...(context.tls ? {tls: context.tls} : {}),
       parameters: {
         client_encoding: 'UTF8',
         standard_conforming_strings: 'on',
@@ -105,6 +124,8 @@
     const {socket} = client;
     const session = callerSession({...context, socket, group});
     const flow = requestFlow(socket);
+    let pending = 0;
+    let dismissed = false;
     const take = async (message: SessionMessage) => {
       if ('last' in message) {
         if (message.last) socket.write(message.last);
@@ -118,6 +139,10 @@
         context.log.error({why: messageOf(err)}, 'session failed');
         socket.destroy();
       }
+      pending--;
+      if (draining && pending === 0 && !session.inTransaction) {
+        caller.dismiss();
+      }
     };
     const actor = spawn(
       context.system,
@@ -127,12 +152,32 @@
       },
       `caller-${++sessions}`,
     );
+    const caller: DrainableCaller = {
+      get pending() {
+        return pending;
+      },
+      get inTransaction() {
+        return session.inTransaction;
+      },
+      dismiss() {
+        if (dismissed) return;
+        dismissed = true;
+        socket.end(stoppingMessage());
+      },
+    };
+    callers.add(caller);
     socket.on('close', () => {
+      callers.delete(caller);
       session.close();
       stop(actor);
     });
     readRequests(client, context.maxMessageBytes, message => {
-      if (!('last' in message)) flow.arrived();
+      // What comes after the dismissal was not run, as it says.
+      if (dismissed) return;
+      if (!('last' in message)) {
+        pending++;
+        flow.arrived();
+      }
       dispatch(actor, message);
     });
   }
@@ -152,6 +197,11 @@
     get callers() {
       return open.size;
     },
+    drain(times) {
+      draining = true;
+      server.close();
+      return drainCallers(callers, context.clock, times);
+    },
     dispose() {
       server.close();
       for (const socket of open) socket.destroy();
@@ -159,6 +209,13 @@
   };
 }
 
+function stoppingMessage(): Buffer {
+  const code = SqlState.AdminShutdown;
+  const message =
+    'this instance stops; nothing more was run. Connect again to reach another.';
+  return errorResponse({severity: 'FATAL', code, message});
+}
+
 /**
  * Reads a caller's requests until it leaves or sends what can't be read. Its
  * end comes after the requests before it, so that each gets its answer.
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -80,10 +80,14 @@
   /** Sets this instance's share of the endpoint's connections. */
   resize(endpoint: string, share: number): void;
   configure(cfg: GroupConfig): void;
+  /** Sets how many requests may be on an endpoint at a time. */
+  setCapacity(endpoint: string, capacity: number): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
   readonly reads: Readonly<Record<'primary' | 'replica', number>>;
+  /** Requests refused so far, by reason. */
+  readonly refused: ReadonlyMap<RefusalReason, number>;
   /** The state as it is now, for operators. */
   readonly state: GroupState;
 }
@@ -128,6 +132,7 @@
     context.dataCentre,
   );
   const reads = {primary: 0, replica: 0};
+  const refused = new Map<RefusalReason, number>();
   let lastId = 0;
 
   const actor = spawn(
@@ -155,6 +160,7 @@
           {group: cfg.name, req: effect.id, why: effect.reason},
           'refused',
         );
+        refused.set(effect.reason, (refused.get(effect.reason) ?? 0) + 1);
         settlePlacement(effect.id, {refused: effect.reason});
         return;
       case 'acknowledge':
@@ -289,6 +295,7 @@
   return {
     name: cfg.name,
     reads,
+    refused,
     get state() {
       return state;
     },
@@ -324,6 +331,8 @@
       else connection.dispose();
     },
     configure,
+    setCapacity: (endpoint, capacity) =>
+      send({type: 'capacity', endpoint, capacity}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -73,8 +73,8 @@
 }
 
 /**
- * Gives a place and its connection back. A connection on which the session
- * left a setting or a lock is reset before another caller gets it.
+ * Gives a place and its connection back. A setting or a lock that the session
+ * left on it must not reach another caller, so the pool resets it first.
  */
 export function giveBack(
   context: RequestContext,
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -27,7 +27,12 @@
   slots,
   waitPast,
 } from '@quetzalreel/standin';
-import {frameSplitter, readParameter} from '@quetzalreel/wire';
+import {
+  TransactionStatus,
+  frameSplitter,
+  readParameter,
+  readStatus,
+} from '@quetzalreel/wire';
 import {start, stop} from 'nact';
 import pg from 'pg';
 import {type CallerListener, startListener} from '../src/caller-listener.js';
@@ -171,6 +176,7 @@
       maxMessageBytes: 64 * 1024,
       loginTimeoutMs: TIMES.loginMs,
       tokens: tokenCodec(KEY),
+      verify: async () => true,
       configuration: () => CONFIGURATION,
       groupOf: database => (database === GROUP ? group : undefined),
     }),
@@ -254,6 +260,7 @@
 
 class FakeConnection extends EndpointConnection {
   open = true;
+  settled = true;
   readonly heardAt = 0;
   committed: Position | undefined;
   private sink: AnswerSink | undefined;
@@ -284,6 +291,7 @@
   send(request: Buffer, sink: AnswerSink): void {
     this.target.requests.push(request.toString('latin1'));
     this.sink = sink;
+    this.settled = false;
     this.committed = undefined;
     if (this.cut.has(this.target.name)) this.dispose();
     for (const frame of this.frames.push(request)) {
@@ -291,10 +299,6 @@
     }
   }
 
-  get settled(): boolean {
-    return this.sink === undefined;
-  }
-
   onClose(): Disposable {
     return {dispose: () => {}};
   }
@@ -317,7 +321,10 @@
         this.dispose();
       }
       const sink = this.sink;
-      if (frame.type === 'Z') this.sink = undefined;
+      if (frame.type === 'Z') {
+        this.sink = undefined;
+        this.settled = readStatus(frame) === TransactionStatus.Idle;
+      }
       sink?.frame(frame);
     }
   }
--- a/packages/daemon/test/test-session.ts
+++ b/packages/daemon/test/test-session.ts
@@ -218,6 +218,28 @@
   const setting = "SELECT \"set_config\"('a', 'b', false)";
   assert.equal(await resetsAfter(setting), 1);
 });
+withFixture(
+  'a connection that keeps a setting is reset before it is used again',
+  async all => {
+    const client = await (await all.instance('a')).client();
+    const [e1] = all.endpoints;
+    const resetsAfter = async (inside: string): Promise<number> => {
+      await client.query('BEGIN');
+      const before = e1!.requests.length;
+      await client.query(inside);
+      await client.query('COMMIT');
+      await write(client, 'x');
+      const sent = e1!.requests.slice(before);
+      const next = sent.findIndex(sql => sql.includes('INSERT'));
+      const resets = sent.filter(sql => sql.includes('DISCARD ALL'));
+      assert.ok(next > sent.findIndex(sql => sql.includes('DISCARD ALL')));
+      return resets.length;
+    };
+    assert.equal(await resetsAfter('SET LOCAL search_path = a'), 0);
+    assert.equal(await resetsAfter('SET search_path = a'), 1);
+    assert.equal(await resetsAfter('SELECT 1'), 0);
+  },
+);
 
 withFixture('a read that may write is sent to a primary once', async all => {
   const a = await all.instance('a');
