--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 /** Puts the parts of a daemon together. */
+import {randomInt} from 'node:crypto';
 import {
   type Disposable,
   disposableStore,
@@ -6,17 +7,21 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
-import {hashOf} from '@quetzalreel/group';
+import {hashOf, rankOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
 import {startListener} from './caller-listener.js';
-import {followConfiguration} from './config-actor.js';
-import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {type ConfigFollower, followConfiguration} from './config-actor.js';
+import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
+import type {DrainReport} from './drain.js';
+import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
 import {createLog} from './log.js';
-import type {Settings} from './settings.js';
+import {type Settings, peerAddresses} from './settings.js';
+import {suspicions} from './suspicions.js';
+import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
 export interface Daemon extends Disposable {
@@ -24,8 +29,15 @@
   readonly adminPort: number;
   /** Requests and transactions that hold a place in a group now. */
   busy(group: string): number;
+  /** Address that other instances reach this one by. */
+  readonly peerAddress: string;
+  /** Finishes what is under way, then releases everything. */
+  stop(): Promise<DrainReport>;
 }
 
+/** Seeds of random choices are below this. */
+const MAX_SEED = 2 ** 31;
+
 /** Starts a daemon; resolves when it serves callers. */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
   const log = createLog(settings.instance, settings.logLevel);
@@ -34,8 +46,43 @@
   const system = start();
   owned.add({dispose: () => stop(system)});
   const groups = new Map<string, GroupHandle>();
+  let stopping = false;
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
+  let follower: ConfigFollower | undefined = undefined;
+
+  const platform = httpPlatformClient({
+    url: settings.platformUrl,
+    timeoutMs: TIMES.platformCallMs,
+  });
+  const shares: ShareHandle = owned.add(
+    await startShares({
+      system,
+      clock,
+      log,
+      instance: settings.instance,
+      expected: settings.instances,
+      tickMs: TIMES.fleetTickMs,
+      setCapacity(endpoint, capacity) {
+        groupWith(endpoint)?.setCapacity(endpoint, capacity);
+      },
+      useOf(endpoint) {
+        const state = groupWith(endpoint)?.state;
+        const busy = state?.view.endpoints.get(endpoint)?.busy ?? 0;
+        return {busy, waiting: state?.waiting.length ?? 0};
+      },
+      wantLoan: (endpoint, count) => fleet.wantLoan(endpoint, count),
+      grantLoan: (to, endpoint, count) => fleet.grantLoan(to, endpoint, count),
+    }),
+  );
+
+  function groupWith(endpoint: string): GroupHandle | undefined {
+    for (const group of groups.values()) {
+      if (group.state.view.endpoints.has(endpoint)) return group;
+    }
+    return undefined;
+  }
+
   const driverOf = (endpoint: EndpointConfig) =>
     pgDriver(
       {
@@ -50,23 +97,31 @@
       },
       {callTimeoutMs: TIMES.controlCallMs},
     );
+  let members: readonly string[] = [];
+  const exchange = suspicions({
+    clock,
+    instance: settings.instance,
+    holdMs: GROUP_LIMITS.stepMs,
+    groupOf: name => groups.get(name),
+    tell: suspected => fleet.suspect(suspected),
+  });
   const context = {
     system,
     clock,
     log,
     instance: settings.instance,
-    rankIn: (group: string) => ({
-      rank: turnOf(settings, group),
-      watchers: settings.instances,
-    }),
+    rankIn: (group: string) => turnIn(group, settings, members),
+    suspects: (group: string, term: number) => exchange.suspects(group, term),
+    dataCentre: settings.dataCentre,
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
     driverOf,
-    capacityOf: (endpoint: EndpointConfig) => share(endpoint, settings),
+    capacityOf: (endpoint: EndpointConfig) => shares.capacityOf(endpoint),
   };
 
   function apply(cfg: Configuration): void {
+    shares.configure(cfg);
     const wanted = new Set(cfg.groups.map(group => group.name));
     for (const [name, group] of groups) {
       if (wanted.has(name)) continue;
@@ -80,12 +135,34 @@
     }
   }
 
-  const platform = httpPlatformClient({
-    url: settings.platformUrl,
-    timeoutMs: TIMES.platformCallMs,
-  });
-  const follower = owned.add(
-    followConfiguration(platform, clock, log, TIMES.config, apply),
+  const fleet: FleetHandle = owned.add(
+    await joinFleet({
+      system,
+      platform,
+      clock,
+      log,
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      host: settings.host,
+      port: settings.peerPort,
+      peers: peerAddresses(settings),
+      seed: randomInt(MAX_SEED),
+      incarnation: Date.now(),
+      inForce: () => follower?.inForce,
+      onConfig: event => follower?.offer(event),
+      onMembers: live => {
+        members = live.map(({id}) => id);
+        shares.setMembers(live);
+        for (const group of groups.values()) group.rank();
+      },
+      onReports: reports => exchange.heard(reports),
+      onLoan: message => shares.onLoan(message),
+    }),
+  );
+  const {configPeers: peers} = fleet;
+  const times = TIMES.config;
+  follower = owned.add(
+    followConfiguration({system, platform, clock, log, times, peers, apply}),
   );
   await follower.first;
   const listener = owned.add(
@@ -96,7 +173,7 @@
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
       tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
-      configuration: () => follower.current!,
+      configuration: () => follower!.current!,
       groupOf: name => groups.get(name),
     }),
   );
@@ -105,9 +182,9 @@
       host: settings.host,
       port: settings.adminPort,
       instance: settings.instance,
-      configuration: () => follower.current,
+      configuration: () => follower!.current,
       groups: () => groups.values(),
-      ready: () => !owned.disposed,
+      ready: () => !owned.disposed && !stopping,
     }),
   );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
@@ -115,6 +192,15 @@
     port: listener.port,
     adminPort: admin.port,
     busy: name => busyPlaces(groups.get(name)),
+    peerAddress: fleet.address,
+    async stop() {
+      stopping = true;
+      log.info('stopping');
+      const report = await listener.drain(DRAIN_TIMES);
+      log.info(report, 'stopped');
+      owned.dispose();
+      return report;
+    },
     dispose: () => owned.dispose(),
   };
 }
@@ -128,19 +214,21 @@
 }
 
 /**
- * Requests that this instance may have on an endpoint at a time: its part of
- * the connections, when each instance keeps one more for control calls.
+ * This instance's turn in a group, and how many instances watch it. Until the
+ * members are known a hash spreads the turns.
  */
-function share(endpoint: EndpointConfig, settings: Settings): number {
-  const free = endpoint.connections - settings.instances;
-  const part = Math.floor(free / settings.instances);
-  return Math.max(1, Math.min(endpoint.slots, part));
-}
-
-/** This instance's turn in a group, spread evenly over the instances. */
-function turnOf(settings: Settings, group: string): number {
+function turnIn(
+  group: string,
+  settings: Settings,
+  members: readonly string[],
+): {rank: number; watchers: number} {
+  if (members.length > 1) {
+    const rank = rankOf(settings.instance, members, group);
+    return {rank, watchers: members.length};
+  }
   const hash = hashOf(`${group}/${settings.instance}`);
-  return (hash / HASHES) * settings.instances;
+  const rank = (hash / HASHES) * settings.instances;
+  return {rank, watchers: settings.instances};
 }
 
 /** Number of values that `hashOf` can have. */
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -26,7 +26,9 @@
   type GroupLimits,
   type GroupState,
   type RefusalReason,
+  Reach,
   initialGroup,
+  primaryOf,
   stepGroup,
 } from '@quetzalreel/group';
 import {type ConnectionPool, connectionPool} from '@quetzalreel/pool';
@@ -63,7 +65,7 @@
   /** Asks for a place; resolves when there is one or it is refused. */
   request(input: RequestInput): Promise<Placement>;
   /** Gives a place back. */
-  release(endpoint: string): void;
+  release(endpoint: string, elapsedMs?: number): void;
   /** Resolves when the write at `position` is safe, or at `deadline`. */
   written(id: number, position: Position, deadline: number): Promise<AckResult>;
   /**
@@ -81,12 +83,20 @@
   /** Sets this instance's share of the endpoint's connections. */
   resize(endpoint: string, share: number): void;
   configure(cfg: GroupConfig): void;
+  /** Asks again for the rank of this instance, as members have changed. */
+  rank(): void;
   /** Another instance has lost the primary of `term`. */
   suspected(instance: string, term: number): void;
+  /** Closes a silent connection once a later term than `term` is served. */
+  guard(term: number, connection: EndpointConnection): Disposable;
+  /** Asks an endpoint for its status now. Throws EndpointDownError. */
+  statusOf(endpoint: string): Promise<EndpointStatus>;
   /** An endpoint refused a write that was sent at `at` as read-only. */
   readOnly(endpoint: string, at: number): void;
   /** An endpoint answered a statement. */
   heard(endpoint: string): void;
+  /** Sets how many requests may be on an endpoint at a time. */
+  setCapacity(endpoint: string, capacity: number): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -105,6 +115,8 @@
   readonly rankIn?: (group: string) => {rank: number; watchers: number};
   /** Tells other instances that this one has lost the primary of a term. */
   readonly suspects?: (group: string, term: number) => void;
+  /** Data centre of this instance. */
+  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -133,8 +145,12 @@
   // An attempt of this process must not be taken for one of an earlier
   // process of the same instance.
   const holder = `${context.instance}.${randomUUID()}`;
-  let state = initialGroup(cfg, holder, context.limits);
+  let state = initialGroup(cfg, holder, context.limits, context.dataCentre);
   const reads = {primary: 0, replica: 0};
+  const guards = new Set<{
+    readonly term: number;
+    readonly connection: EndpointConnection;
+  }>();
   let lastId = 0;
 
   const actor = spawn(
@@ -143,6 +159,7 @@
       const result = stepGroup(current, event, clock.now());
       state = result.state;
       for (const effect of result.effects) perform(effect);
+      closeOvertaken();
       return state;
     },
     `group-${cfg.name}`,
@@ -150,6 +167,21 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  /**
+   * Ends what waits on a primary that has been replaced and is silent. One
+   * that still answers may prove that a write did not run.
+   */
+  function closeOvertaken(): void {
+    if (guards.size === 0) return;
+    const term = primaryOf(state.view)?.status?.term ?? 0;
+    for (const guarded of [...guards]) {
+      if (guarded.term >= term) continue;
+      const {endpoint} = guarded.connection;
+      const view = state.view.endpoints.get(endpoint);
+      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+    }
+  }
+
   function perform(effect: GroupEffect): void {
     switch (effect.type) {
       case 'grant':
@@ -273,9 +305,13 @@
     part?.pool.dispose();
   }
 
-  function configure(next: GroupConfig): void {
-    const ranked = context.rankIn?.(next.name);
+  function rank(): void {
+    const ranked = context.rankIn?.(cfg.name);
     if (ranked) send({type: 'ranked', ...ranked});
+  }
+
+  function configure(next: GroupConfig): void {
+    rank();
     send({type: 'configured', cfg: next});
     const wanted = new Map(next.endpoints.map(item => [item.name, item]));
     for (const [name, part] of parts) {
@@ -313,7 +349,8 @@
         send({type: 'requested', req});
       });
     },
-    release: endpoint => send({type: 'released', endpoint}),
+    release: (endpoint, elapsedMs) =>
+      send({type: 'released', endpoint, elapsedMs}),
     written(id, position, deadline) {
       return new Promise(resolve => {
         acks.set(id, resolve);
@@ -336,9 +373,22 @@
       else connection.dispose();
     },
     configure,
+    rank,
+    guard(term, connection) {
+      const guarded = {term, connection};
+      guards.add(guarded);
+      return {dispose: () => guards.delete(guarded)};
+    },
+    async statusOf(endpoint) {
+      const part = parts.get(endpoint);
+      if (!part) throw new EndpointDownError(endpoint, 'not in this group');
+      return part.control.status();
+    },
     suspected: (instance, term) => send({type: 'suspected', instance, term}),
     readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
     heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
+    setCapacity: (endpoint, capacity) =>
+      send({type: 'capacity', endpoint, capacity}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -57,7 +57,7 @@
   type EndpointView,
   type GroupView,
   Reach,
-  ageOf,
+  currentAsOf,
   highestTerm,
   primaryOf,
   viewOf,
