--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,7 +7,7 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
-import {hashOf} from '@quetzalreel/group';
+import {hashOf, rankOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
@@ -24,6 +24,7 @@
 import {startMetrics} from './metrics.js';
 import {operatorState} from './operator-state.js';
 import {type Settings, peerAddresses} from './settings.js';
+import {suspicions} from './suspicions.js';
 import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
@@ -102,16 +103,22 @@
       },
       {callTimeoutMs: TIMES.controlCallMs},
     );
+  let members: readonly string[] = [];
+  const exchange = suspicions({
+    clock,
+    instance: settings.instance,
+    holdMs: GROUP_LIMITS.stepMs,
+    groupOf: name => groups.get(name),
+    tell: suspected => fleet?.suspect(suspected),
+  });
   const context = {
     system,
     clock,
     log,
     instance: settings.instance,
+    rankIn: (group: string) => turnIn(group, settings, members),
+    suspects: (group: string, term: number) => exchange.suspects(group, term),
     dataCentre: settings.dataCentre,
-    rankIn: (group: string) => ({
-      rank: turnOf(settings, group),
-      watchers: settings.instances,
-    }),
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
@@ -191,8 +198,12 @@
       ...tlsBetweenInstances(settings, log),
       inForce: () => follower?.inForce,
       onConfig: event => follower?.offer(event),
-      onMembers: members => shares.setMembers(members),
-      onReports: () => {},
+      onMembers: live => {
+        members = live.map(({id}) => id);
+        shares.setMembers(live);
+        for (const group of groups.values()) group.rank();
+      },
+      onReports: reports => exchange.heard(reports),
       onLoan: message => shares.onLoan(message),
     }),
   );
@@ -255,10 +266,22 @@
   return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
 }
 
-/** This instance's turn in a group, spread evenly over the instances. */
-function turnOf(settings: Settings, group: string): number {
+/**
+ * This instance's turn in a group, and how many instances watch it. Until the
+ * members are known a hash spreads the turns.
+ */
+function turnIn(
+  group: string,
+  settings: Settings,
+  members: readonly string[],
+): {rank: number; watchers: number} {
+  if (members.length > 1) {
+    const rank = rankOf(settings.instance, members, group);
+    return {rank, watchers: members.length};
+  }
   const hash = hashOf(`${group}/${settings.instance}`);
-  return (hash / HASHES) * settings.instances;
+  const rank = (hash / HASHES) * settings.instances;
+  return {rank, watchers: settings.instances};
 }
 
 /** Number of values that `hashOf` can have. */
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -87,6 +87,8 @@
   configure(cfg: GroupConfig): void;
   /** Sets how many requests may be on an endpoint at a time. */
   setCapacity(endpoint: string, capacity: number): void;
+  /** Asks again for the rank of this instance, as members have changed. */
+  rank(): void;
   /** Another instance has lost the primary of `term`. */
   suspected(instance: string, term: number): void;
   /** Closes a silent connection once a later term than `term` is served. */
@@ -322,9 +324,13 @@
     part?.pool.dispose();
   }
 
-  function configure(next: GroupConfig): void {
-    const ranked = context.rankIn?.(next.name);
+  function rank(): void {
+    const ranked = context.rankIn?.(cfg.name);
     if (ranked) send({type: 'ranked', ...ranked});
+  }
+
+  function configure(next: GroupConfig): void {
+    rank();
     send({type: 'configured', cfg: next});
     const wanted = new Map(next.endpoints.map(item => [item.name, item]));
     for (const [name, part] of parts) {
@@ -394,6 +400,7 @@
     configure,
     setCapacity: (endpoint, capacity) =>
       send({type: 'capacity', endpoint, capacity}),
+    rank,
     guard(term, connection) {
       const guarded = {term, connection};
       guards.add(guarded);
