--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -3,6 +3,7 @@
 import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
 import type {Configuration} from '@quetzalreel/config';
 import {type LoggedInClient, login} from '@quetzalreel/login';
+import type {TokenCodec} from '@quetzalreel/position';
 import {
   type Frame,
   SqlState,
@@ -24,9 +25,11 @@
   readonly port: number;
   readonly maxMessageBytes: number;
   readonly loginTimeoutMs: number;
+  /** Undefined when there is no key for session tokens. */
+  readonly tokens: TokenCodec | undefined;
   readonly configuration: () => Configuration;
-  /** Checks a caller's password. */
-  readonly verify: (user: string, password: string) => Promise<boolean>;
+  /** Checks a caller's password; undefined lets everyone in. */
+  readonly verify?: (user: string, password: string) => Promise<boolean>;
   /** Certificate and key; undefined means no TLS. */
   readonly tls?: () => {readonly cert: Buffer; readonly key: Buffer};
   readonly groupOf: (database: string) => GroupHandle | undefined;
@@ -53,7 +56,7 @@
     const client = await login(socket, {
       timeoutMs: context.loginTimeoutMs,
       // A configuration without callers lets everyone in.
-      ...(context.configuration().callers.length > 0
+      ...(context.verify && context.configuration().callers.length > 0
         ? {verify: context.verify}
         : {}),
       ...(context.tls ? {tls: context.tls} : {}),
@@ -127,7 +130,7 @@
 ): void {
   const {socket} = client;
   const splitter = frameSplitter(maxBytes);
-  const reader = requestReader();
+  const reader = requestReader(maxBytes);
   const handle = (frame: Frame) => {
     if (frame.type === 'X') {
       socket.end();
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,6 +8,7 @@
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
 import {httpPlatformClient} from '@quetzalreel/platform';
+import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
 import {type CallerListener, startListener} from './caller-listener.js';
@@ -29,6 +30,8 @@
   readonly adminPort: number;
   /** Address that other instances reach this one by. */
   readonly peerAddress: string;
+  /** Requests and transactions that hold a place in a group now. */
+  busy(group: string): number;
 }
 
 /** Seeds of random choices are below this. */
@@ -196,6 +199,7 @@
       port: settings.port,
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
+      tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
       configuration,
       verify: credentialChecker(configuration).verify,
       ...tlsForCallers(settings, log),
@@ -207,6 +211,7 @@
     port: listener.port,
     adminPort: admin.port,
     peerAddress: fleet.address,
+    busy: name => busyPlaces(groups.get(name)),
     dispose: () => owned.dispose(),
   };
 }
@@ -222,3 +227,11 @@
   const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
   return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
 }
+
+function busyPlaces(group: GroupHandle | undefined): number {
+  let busy = 0;
+  for (const item of group?.state.view.endpoints.values() ?? []) {
+    busy += item.busy;
+  }
+  return busy;
+}
--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -102,6 +102,7 @@
     configuration: () => cfg,
     verify: credentialChecker(() => cfg).verify,
     tls: keyFiles(files.paths, log),
+    tokens: undefined,
     groupOf: () => ({}) as GroupHandle,
   });
   const names: string[] = [];
@@ -259,6 +260,7 @@
   endpointUser: 'u',
   endpointPassword: PASSWORD,
   instances: 8,
+  sessionKey: '',
   operatorToken: '',
   tlsCert: '',
   tlsKey: '',
