--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -103,6 +103,7 @@
     configuration: () => cfg,
     verify: credentialChecker(() => cfg).verify,
     tls: keyFiles(files.paths, log),
+    tokens: undefined,
     groupOf: () => ({}) as GroupHandle,
   });
   const names: string[] = [];
@@ -261,6 +262,7 @@
   sessionKey: '',
   endpointPassword: PASSWORD,
   instances: 8,
+  sessionKey: '',
   operatorToken: '',
   tlsCert: '',
   tlsKey: '',
