--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -36,8 +36,8 @@
   /** Undefined when there is no key for session tokens. */
   readonly tokens: TokenCodec | undefined;
   readonly configuration: () => Configuration;
-  /** Checks a caller's password; undefined lets everyone in. */
-  readonly verify?: (user: string, password: string) => Promise<boolean>;
+  /** Checks a caller's password. */
+  readonly verify: (user: string, password: string) => Promise<boolean>;
   /** Certificate and key; undefined means no TLS. */
   readonly tls?: () => {readonly cert: Buffer; readonly key: Buffer};
   readonly groupOf: (database: string) => GroupHandle | undefined;
@@ -95,7 +95,7 @@
     const client = await login(socket, {
       timeoutMs: context.loginTimeoutMs,
       // A configuration without callers lets everyone in.
-      ...(context.verify && context.configuration().callers.length > 0
+      ...(context.configuration().callers.length > 0
         ? {verify: context.verify}
         : {}),
       ...(context.tls ? {tls: context.tls} : {}),
--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -103,7 +103,6 @@
     configuration: () => cfg,
     verify: credentialChecker(() => cfg).verify,
     tls: keyFiles(files.paths, log),
-    tokens: undefined,
     groupOf: () => ({}) as GroupHandle,
   });
   const names: string[] = [];
@@ -262,7 +261,6 @@
   sessionKey: '',
   endpointPassword: PASSWORD,
   instances: 8,
-  sessionKey: '',
   operatorToken: '',
   tlsCert: '',
   tlsKey: '',
