--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,4 +1,5 @@
 /** Puts the parts of a daemon together. */
+import {randomInt} from 'node:crypto';
 import {
   type Disposable,
   disposableStore,
@@ -6,16 +7,25 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
+import {hashOf, rankOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
-import {startListener} from './caller-listener.js';
-import {followConfiguration} from './config-actor.js';
-import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {type CallerListener, startListener} from './caller-listener.js';
+import {type ConfigFollower, followConfiguration} from './config-actor.js';
+import {credentialChecker} from './credentials.js';
+import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
+import type {DrainReport} from './drain.js';
+import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
-import {createLog} from './log.js';
-import type {Settings} from './settings.js';
+import {keyFiles} from './key-files.js';
+import {type Log, createLog} from './log.js';
+import {startMetrics} from './metrics.js';
+import {operatorState} from './operator-state.js';
+import {type Settings, peerAddresses} from './settings.js';
+import {suspicions} from './suspicions.js';
+import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
 export interface Daemon extends Disposable {
@@ -23,8 +33,15 @@
   readonly adminPort: number;
   /** Requests and transactions that hold a place in a group now. */
   busy(group: string): number;
+  /** Address that other instances reach this one by. */
+  readonly peerAddress: string;
+  /** Finishes what is under way, then releases everything. */
+  stop(): Promise<DrainReport>;
 }
 
+/** Seeds of random choices are below this. */
+const MAX_SEED = 2 ** 31;
+
 /** Starts a daemon; resolves when it serves callers. */
 export async function startDaemon(settings: Settings): Promise<Daemon> {
   const log = createLog(settings.instance, settings.logLevel);
@@ -33,8 +50,45 @@
   const system = start();
   owned.add({dispose: () => stop(system)});
   const groups = new Map<string, GroupHandle>();
+  let stopping = false;
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
+  let follower: ConfigFollower | undefined = undefined;
+  let listener: CallerListener | undefined = undefined;
+  let fleet: FleetHandle | undefined = undefined;
+
+  const platform = httpPlatformClient({
+    url: settings.platformUrl,
+    timeoutMs: TIMES.platformCallMs,
+  });
+  const shares: ShareHandle = owned.add(
+    await startShares({
+      system,
+      clock,
+      log,
+      instance: settings.instance,
+      expected: settings.instances,
+      tickMs: TIMES.fleetTickMs,
+      setCapacity(endpoint, capacity) {
+        groupWith(endpoint)?.setCapacity(endpoint, capacity);
+      },
+      useOf(endpoint) {
+        const state = groupWith(endpoint)?.state;
+        const busy = state?.view.endpoints.get(endpoint)?.busy ?? 0;
+        return {busy, waiting: state?.waiting.length ?? 0};
+      },
+      wantLoan: (endpoint, count) => fleet?.wantLoan(endpoint, count),
+      grantLoan: (to, endpoint, count) => fleet?.grantLoan(to, endpoint, count),
+    }),
+  );
+
+  function groupWith(endpoint: string): GroupHandle | undefined {
+    for (const group of groups.values()) {
+      if (group.state.view.endpoints.has(endpoint)) return group;
+    }
+    return undefined;
+  }
+
   const driverOf = (endpoint: EndpointConfig) =>
     pgDriver(
       {
@@ -49,19 +103,31 @@
       },
       {callTimeoutMs: TIMES.controlCallMs},
     );
+  let members: readonly string[] = [];
+  const exchange = suspicions({
+    clock,
+    instance: settings.instance,
+    holdMs: GROUP_LIMITS.stepMs,
+    groupOf: name => groups.get(name),
+    tell: suspected => fleet?.suspect(suspected),
+  });
   const context = {
     system,
     clock,
     log,
     instance: settings.instance,
+    rankIn: (group: string) => turnIn(group, settings, members),
+    suspects: (group: string, term: number) => exchange.suspects(group, term),
+    dataCentre: settings.dataCentre,
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
     driverOf,
-    capacityOf: (endpoint: EndpointConfig) => share(endpoint, settings),
+    capacityOf: (endpoint: EndpointConfig) => shares.capacityOf(endpoint),
   };
 
   function apply(cfg: Configuration): void {
+    shares.configure(cfg);
     const wanted = new Set(cfg.groups.map(group => group.name));
     for (const [name, group] of groups) {
       if (wanted.has(name)) continue;
@@ -75,15 +141,80 @@
     }
   }
 
-  const platform = httpPlatformClient({
-    url: settings.platformUrl,
-    timeoutMs: TIMES.platformCallMs,
-  });
-  const follower = owned.add(
-    followConfiguration(platform, clock, log, TIMES.config, apply),
+  /** Whether the platform's balancer may send callers here. */
+  const ready = () =>
+    !owned.disposed &&
+    !stopping &&
+    listener !== undefined &&
+    follower?.current !== undefined;
+  const metrics = owned.add(
+    startMetrics({
+      clock,
+      groups: () => groups.values(),
+      fleet: () => fleet,
+      shares: () => shares,
+      generation: () => follower?.current?.generation ?? 0,
+      storeDown: () => follower?.storeDown ?? false,
+      callers: () => listener?.callers ?? 0,
+      lookMs: TIMES.tickMs,
+    }),
+  );
+  const admin = owned.add(
+    await startAdmin({
+      host: settings.host,
+      port: settings.adminPort,
+      token: settings.operatorToken,
+      groups: () => groups.values(),
+      ready,
+      metrics,
+      state: () =>
+        operatorState({
+          instance: settings.instance,
+          dataCentre: settings.dataCentre,
+          inForce: follower?.inForce,
+          storeDown: follower?.storeDown ?? false,
+          ready: ready(),
+          callers: listener?.callers ?? 0,
+          groups: [...groups.values()],
+          fleet,
+          shares,
+        }),
+    }),
+  );
+  fleet = owned.add(
+    await joinFleet({
+      system,
+      platform,
+      clock,
+      log,
+      instance: settings.instance,
+      dataCentre: settings.dataCentre,
+      host: settings.host,
+      port: settings.peerPort,
+      admin: `${settings.host}:${admin.port}`,
+      peers: peerAddresses(settings),
+      seed: randomInt(MAX_SEED),
+      incarnation: Date.now(),
+      ...tlsBetweenInstances(settings, log),
+      inForce: () => follower?.inForce,
+      onConfig: event => follower?.offer(event),
+      onMembers: live => {
+        members = live.map(({id}) => id);
+        shares.setMembers(live);
+        for (const group of groups.values()) group.rank();
+      },
+      onReports: reports => exchange.heard(reports),
+      onLoan: message => shares.onLoan(message),
+    }),
+  );
+  const {configPeers: peers} = fleet;
+  const times = TIMES.config;
+  follower = owned.add(
+    followConfiguration({system, platform, clock, log, times, peers, apply}),
   );
   await follower.first;
-  const listener = owned.add(
+  const configuration = () => follower!.current!;
+  listener = owned.add(
     await startListener({
       ...context,
       host: settings.host,
@@ -91,25 +222,26 @@
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
       tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
-      configuration: () => follower.current!,
+      configuration,
+      verify: credentialChecker(configuration).verify,
+      ...tlsForCallers(settings, log),
       groupOf: name => groups.get(name),
     }),
   );
-  const admin = owned.add(
-    await startAdmin({
-      host: settings.host,
-      port: settings.adminPort,
-      instance: settings.instance,
-      configuration: () => follower.current,
-      groups: () => groups.values(),
-      ready: () => !owned.disposed,
-    }),
-  );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
   return {
     port: listener.port,
     adminPort: admin.port,
     busy: name => busyPlaces(groups.get(name)),
+    peerAddress: fleet.address,
+    async stop() {
+      stopping = true;
+      log.info('stopping');
+      const report = await listener.drain(DRAIN_TIMES);
+      log.info(report, 'stopped');
+      owned.dispose();
+      return report;
+    },
     dispose: () => owned.dispose(),
   };
 }
@@ -122,12 +254,35 @@
   return busy;
 }
 
+/** Keys for callers' TLS, when settings name them. */
+function tlsForCallers(settings: Settings, log: Log) {
+  const {tlsCert: cert, tlsKey: key} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key}, log)};
+}
+
+/** Keys for TLS between instances, when settings name them. */
+function tlsBetweenInstances(settings: Settings, log: Log) {
+  const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
+}
+
 /**
- * Requests that this instance may have on an endpoint at a time: its part of
- * the connections, when each instance keeps one more for control calls.
+ * This instance's turn in a group, and how many instances watch it. Until the
+ * members are known a hash spreads the turns.
  */
-function share(endpoint: EndpointConfig, settings: Settings): number {
-  const free = endpoint.connections - settings.instances;
-  const part = Math.floor(free / settings.instances);
-  return Math.max(1, Math.min(endpoint.slots, part));
+function turnIn(
+  group: string,
+  settings: Settings,
+  members: readonly string[],
+): {rank: number; watchers: number} {
+  if (members.length > 1) {
+    const rank = rankOf(settings.instance, members, group);
+    return {rank, watchers: members.length};
+  }
+  const hash = hashOf(`${group}/${settings.instance}`);
+  const rank = (hash / HASHES) * settings.instances;
+  return {rank, watchers: settings.instances};
 }
+
+/** Number of values that `hashOf` can have. */
+const HASHES = 2 ** 32;
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -2,12 +2,12 @@
 
 /** Bounds of a group in one instance. */
 export const GROUP_LIMITS = {
-  suspectAfterMs: 250,
+  suspectAfterMs: 150,
   replicaSilenceMs: 150,
   stepMs: 1000,
   retryMs: 100,
   unfinishedAfterMs: 100,
-  startDelayMs: 0,
+  startDelayMs: 30,
   maxWaiting: 5000,
   maxWaitingBytes: 32 * 1024 * 1024,
 } as const;
@@ -22,7 +22,40 @@
   idleTransactionMs: 10_000,
   readSilenceMs: 1000,
   platformCallMs: 2000,
-  config: {watchMs: 2000, retryMs: 200},
+  config: {watchMs: 2000, rereadMs: 1000, retryMs: 200},
+  fleetTickMs: 50,
+  /** Time between two reads of the platform's list of instances. */
+  instanceListMs: 2000,
+  /** Wait before one peer is asked for the same document again. */
+  documentAskMs: 300,
+} as const;
+
+/** Times and bounds of membership. */
+export const MEMBERSHIP_LIMITS = {
+  probeMs: 500,
+  directMs: 150,
+  probeTimeoutMs: 450,
+  suspicionMs: 2000,
+  forgetMs: 60_000,
+  pauseMs: 1000,
+  relays: 3,
+  fanOut: 3,
+} as const;
+
+/** Bounds of the links between instances. */
+export const LINK_LIMITS = {
+  maxFrameBytes: 2 * 1024 * 1024,
+  maxQueuedBytes: 8 * 1024 * 1024,
+  silentMs: 1000,
+  idleMs: 10_000,
+  connectMs: 1000,
+} as const;
+
+/** Times of the shares of connections. */
+export const SHARE_LIMITS = {
+  settleMs: 2000,
+  loanMs: 1000,
+  askMs: 100,
 } as const;
 
 /** Times of the pools of connections. */
@@ -35,3 +68,10 @@
   maxRetryMs: 1000,
   tickMs: 20,
 } as const;
+
+/** Bounds of a planned stop. */
+export const DRAIN_TIMES = {
+  transactionMs: 5000,
+  totalMs: 15_000,
+  stepMs: 10,
+} as const;
--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -20,12 +20,25 @@
   readonly port: number;
   /** Port for operators and metrics; 0 takes a free one. */
   readonly adminPort: number;
+  /** Port for other instances; 0 takes a free one. */
+  readonly peerPort: number;
+  /** Addresses of other instances, `host:port` with commas between. */
+  readonly peers: string;
   /** Base address of the platform's object API. */
   readonly platformUrl: string;
   readonly endpointUser: string;
   readonly endpointPassword: string;
   /** Instances that share the endpoints' connections. */
   readonly instances: number;
+  /** Token of operators; empty on loopback lets everyone in. */
+  readonly operatorToken: string;
+  /** Certificate and key for callers' TLS, files; empty for none. */
+  readonly tlsCert: string;
+  readonly tlsKey: string;
+  /** Certificate, key and authority for TLS between instances, files. */
+  readonly peerTlsCert: string;
+  readonly peerTlsKey: string;
+  readonly peerTlsCa: string;
   /** Largest message that a caller may send, in bytes. */
   readonly maxMessageBytes: number;
   /** Key of session tokens, the same on every instance; empty for none. */
@@ -71,6 +84,20 @@
     defaultValue: () => 6433,
     description: 'port for operators and metrics, 0 for a free one',
   }),
+  peerPort: option({
+    type: number,
+    long: 'peer-port',
+    env: env('PEER_PORT'),
+    defaultValue: () => 6434,
+    description: 'port for other instances, 0 for a free one',
+  }),
+  peers: option({
+    type: string,
+    long: 'peers',
+    env: env('PEERS'),
+    defaultValue: () => '',
+    description: 'some other instances, host:port with commas between',
+  }),
   platformUrl: option({
     type: string,
     long: 'platform-url',
@@ -98,6 +125,48 @@
     defaultValue: () => 8,
     description: "instances that share the endpoints' connections",
   }),
+  operatorToken: option({
+    type: string,
+    long: 'operator-token',
+    env: env('OPERATOR_TOKEN'),
+    defaultValue: () => '',
+    description: 'token of operators; give it by the environment variable',
+  }),
+  tlsCert: option({
+    type: string,
+    long: 'tls-cert',
+    env: env('TLS_CERT'),
+    defaultValue: () => '',
+    description: 'file of the certificate for callers, read again on change',
+  }),
+  tlsKey: option({
+    type: string,
+    long: 'tls-key',
+    env: env('TLS_KEY'),
+    defaultValue: () => '',
+    description: 'file of its key',
+  }),
+  peerTlsCert: option({
+    type: string,
+    long: 'peer-tls-cert',
+    env: env('PEER_TLS_CERT'),
+    defaultValue: () => '',
+    description: 'file of the certificate for other instances',
+  }),
+  peerTlsKey: option({
+    type: string,
+    long: 'peer-tls-key',
+    env: env('PEER_TLS_KEY'),
+    defaultValue: () => '',
+    description: 'file of its key',
+  }),
+  peerTlsCa: option({
+    type: string,
+    long: 'peer-tls-ca',
+    env: env('PEER_TLS_CA'),
+    defaultValue: () => '',
+    description: 'file of the authority of all instances',
+  }),
   maxMessageBytes: option({
     type: number,
     long: 'max-message-bytes',
@@ -130,6 +199,7 @@
   for (const [flag, port] of [
     ['port', settings.port],
     ['admin-port', settings.adminPort],
+    ['peer-port', settings.peerPort],
   ] as const) {
     if (Number.isInteger(port) && port >= 0 && port <= MAX_PORT) continue;
     throw new SettingError(flag, `is ${port}`, 'Give a whole number to 65535.');
@@ -138,6 +208,28 @@
     const remedy = 'Use up to 64 letters, digits, dots and dashes.';
     throw new SettingError('instance', 'is no usable name', remedy);
   }
+  for (const address of peerAddresses(settings)) {
+    if (/^[\w.:[\]-]+:\d{1,5}$/.test(address)) continue;
+    const remedy = 'Give addresses such as 10.0.0.1:6434,10.0.0.2:6434.';
+    throw new SettingError('peers', 'holds what is no address', remedy);
+  }
+  const isLoopback = /^(127\.|::1$|localhost$)/.test(settings.host);
+  if (!isLoopback && settings.operatorToken === '') {
+    const remedy = 'Set QUETZALREEL_OPERATOR_TOKEN, or listen on loopback.';
+    throw new SettingError('operator-token', 'is missing', remedy);
+  }
+  for (const [flag, files] of [
+    ['tls-cert', [settings.tlsCert, settings.tlsKey]],
+    [
+      'peer-tls-cert',
+      [settings.peerTlsCert, settings.peerTlsKey, settings.peerTlsCa],
+    ],
+  ] as const) {
+    const given = files.filter(file => file !== '').length;
+    if (given === 0 || given === files.length) continue;
+    const remedy = 'Give all files that belong together, or none.';
+    throw new SettingError(flag, 'stands without its other files', remedy);
+  }
   if (!URL.canParse(settings.platformUrl)) {
     const remedy = 'Give an address such as http://10.0.0.1:8080.';
     throw new SettingError('platform-url', 'is no address', remedy);
@@ -148,3 +240,9 @@
   }
   return settings;
 }
+
+/** The addresses of `--peers`. */
+export function peerAddresses(settings: Settings): string[] {
+  const parts = settings.peers.split(',').map(part => part.trim());
+  return parts.filter(part => part !== '');
+}
--- a/packages/statement/test/test-classify.ts
+++ b/packages/statement/test/test-classify.ts
@@ -85,10 +85,15 @@
   ['SET a = 1', true],
   ['BEGIN; SET a = 1', true],
   ["SELECT set_config('a', 'b', false)", true],
+  ["SELECT \"set_config\"('a', 'b', false)", true],
   ['SELECT pg_advisory_lock(1)', true],
   ['SELECT pg_advisory_xact_lock(1)', false],
   ['CREATE TEMP TABLE a (b int)', true],
   ['INSERT INTO a VALUES (1)', false],
+  ["/*kind='k'*/ set x = 1", true],
+  ['SELECT 1; SET x = 1', true],
+  ['UPDATE t SET a = 1', false],
+  ['SELECT 1', false],
 ];
 
 for (const [sql, expected] of LEAVES_STATE) {
