Bound a read's wait for a connection, so that another endpoint serves it

Cause: a read placed on an endpoint that could not be connected to waited for a connection until its own deadline; in test-session, "the primary serves when the only replica lags" failed 4 of 20 times with QR001. Change: a read waits 100 ms for a connection and is then placed anew; writes keep their bound. The tests that expect an answer use a kind with 10 s, those that expect none one with 400 ms, so that a busy machine decides nothing. Ruled out: a retry of the test.

--- a/packages/daemon/src/placement.ts
+++ b/packages/daemon/src/placement.ts
@@ -25,6 +25,8 @@
   readonly connection: EndpointConnection;
 }
 
+/** Longest wait of a read for a connection; another endpoint may have one. */
+const READ_CONNECT_MS = 100;
 /** Pause before the primary is tried again, in milliseconds. */
 const RETRY_MS = 20;
 
@@ -53,11 +55,9 @@
     const {grant, id} = placement;
     floor.raise(grant.floor);
     try {
-      const connection = await group.take(
-        grant.endpoint,
-        needsPrimary,
-        deadline,
-      );
+      const patience = clock.now() + READ_CONNECT_MS;
+      const until = needsPrimary ? deadline : Math.min(patience, deadline);
+      const connection = await group.take(grant.endpoint, needsPrimary, until);
       return {grant, id, connection};
     } catch (err) {
       log.info({endpoint: grant.endpoint, why: messageOf(err)}, 'connect');
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -92,7 +92,8 @@
     },
   ],
   kinds: [
-    {name: 'list', access: 'read', maxAgeMs: 60_000, deadlineMs: 400},
+    {name: 'list', access: 'read', maxAgeMs: 60_000, deadlineMs: 10_000},
+    {name: 'brief', access: 'read', maxAgeMs: 60_000, deadlineMs: 400},
     {name: 'pay', access: 'write', deadlineMs: 400},
   ],
 });
--- a/packages/daemon/test/test-session.ts
+++ b/packages/daemon/test/test-session.ts
@@ -7,6 +7,8 @@
 
 const READS = 6;
 const LIST = "/*kind='list'*/";
+/** A kind whose deadline is soon, for reads that must not be answered. */
+const BRIEF = "/*kind='brief'*/";
 
 /** Runs `body` with a fixture and cleans up after it. */
 function withFixture(
@@ -23,8 +25,11 @@
   });
 }
 
-async function read(client: pg.Client): Promise<string | undefined> {
-  const sql = `SELECT value FROM entry WHERE key = 'rider' ${LIST}`;
+async function read(
+  client: pg.Client,
+  kind = LIST,
+): Promise<string | undefined> {
+  const sql = `SELECT value FROM entry WHERE key = 'rider' ${kind}`;
   const res = await client.query<{value: string}>(sql);
   return res.rows[0]?.value;
 }
@@ -113,7 +118,7 @@
   const roamed = await b.client();
   await roamed.query(`SET quetzalreel.session = '${token}'`);
   await expectSeen(roamed);
-  assert.equal(await codeOf(read(await b.client())), 'QR001');
+  assert.equal(await codeOf(read(await b.client(), BRIEF)), 'QR001');
 });
 
 withFixture('a caller sees its write after a change of primary', async all => {
@@ -140,8 +145,8 @@
   const token = await tokenOf(client);
   const withToken = await a.client();
   await withToken.query(`SET quetzalreel.session = '${token}'`);
-  assert.equal(await codeOf(read(withToken)), 'QR001');
-  assert.equal(await codeOf(read(await a.client())), 'QR001');
+  assert.equal(await codeOf(read(withToken, BRIEF)), 'QR001');
+  assert.equal(await codeOf(read(await a.client(), BRIEF)), 'QR001');
 });
 
 withFixture('tokens that are no good are refused at once', async all => {
