--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
+import {hashOf, rankOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
@@ -23,6 +24,7 @@
 import {startMetrics} from './metrics.js';
 import {operatorState} from './operator-state.js';
 import {type Settings, peerAddresses} from './settings.js';
+import {suspicions} from './suspicions.js';
 import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
@@ -101,11 +103,21 @@
       },
       {callTimeoutMs: TIMES.controlCallMs},
     );
+  let members: readonly string[] = [];
+  const exchange = suspicions({
+    clock,
+    instance: settings.instance,
+    holdMs: GROUP_LIMITS.stepMs,
+    groupOf: name => groups.get(name),
+    tell: suspected => fleet?.suspect(suspected),
+  });
   const context = {
     system,
     clock,
     log,
     instance: settings.instance,
+    rankIn: (group: string) => turnIn(group, settings, members),
+    suspects: (group: string, term: number) => exchange.suspects(group, term),
     dataCentre: settings.dataCentre,
     limits: GROUP_LIMITS,
     times: TIMES.poll,
@@ -186,8 +198,12 @@
       ...tlsBetweenInstances(settings, log),
       inForce: () => follower?.inForce,
       onConfig: event => follower?.offer(event),
-      onMembers: members => shares.setMembers(members),
-      onReports: () => {},
+      onMembers: live => {
+        members = live.map(({id}) => id);
+        shares.setMembers(live);
+        for (const group of groups.values()) group.rank();
+      },
+      onReports: reports => exchange.heard(reports),
       onLoan: message => shares.onLoan(message),
     }),
   );
@@ -249,3 +265,24 @@
   const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
   return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
 }
+
+/**
+ * This instance's turn in a group, and how many instances watch it. Until the
+ * members are known a hash spreads the turns.
+ */
+function turnIn(
+  group: string,
+  settings: Settings,
+  members: readonly string[],
+): {rank: number; watchers: number} {
+  if (members.length > 1) {
+    const rank = rankOf(settings.instance, members, group);
+    return {rank, watchers: members.length};
+  }
+  const hash = hashOf(`${group}/${settings.instance}`);
+  const rank = (hash / HASHES) * settings.instances;
+  return {rank, watchers: settings.instances};
+}
+
+/** Number of values that `hashOf` can have. */
+const HASHES = 2 ** 32;
