--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -12,13 +12,17 @@
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
-import {startListener} from './caller-listener.js';
+import {type CallerListener, startListener} from './caller-listener.js';
 import {type ConfigFollower, followConfiguration} from './config-actor.js';
+import {credentialChecker} from './credentials.js';
 import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
 import type {DrainReport} from './drain.js';
 import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
-import {createLog} from './log.js';
+import {keyFiles} from './key-files.js';
+import {type Log, createLog} from './log.js';
+import {startMetrics} from './metrics.js';
+import {operatorState} from './operator-state.js';
 import {type Settings, peerAddresses} from './settings.js';
 import {suspicions} from './suspicions.js';
 import {type ShareHandle, startShares} from './share-actor.js';
@@ -50,6 +54,8 @@
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
   let follower: ConfigFollower | undefined = undefined;
+  let listener: CallerListener | undefined = undefined;
+  let fleet: FleetHandle | undefined = undefined;
 
   const platform = httpPlatformClient({
     url: settings.platformUrl,
@@ -71,8 +77,8 @@
         const busy = state?.view.endpoints.get(endpoint)?.busy ?? 0;
         return {busy, waiting: state?.waiting.length ?? 0};
       },
-      wantLoan: (endpoint, count) => fleet.wantLoan(endpoint, count),
-      grantLoan: (to, endpoint, count) => fleet.grantLoan(to, endpoint, count),
+      wantLoan: (endpoint, count) => fleet?.wantLoan(endpoint, count),
+      grantLoan: (to, endpoint, count) => fleet?.grantLoan(to, endpoint, count),
     }),
   );
 
@@ -103,7 +109,7 @@
     instance: settings.instance,
     holdMs: GROUP_LIMITS.stepMs,
     groupOf: name => groups.get(name),
-    tell: suspected => fleet.suspect(suspected),
+    tell: suspected => fleet?.suspect(suspected),
   });
   const context = {
     system,
@@ -135,7 +141,47 @@
     }
   }
 
-  const fleet: FleetHandle = owned.add(
+  /** Whether the platform's balancer may send callers here. */
+  const ready = () =>
+    !owned.disposed &&
+    !stopping &&
+    listener !== undefined &&
+    follower?.current !== undefined;
+  const metrics = owned.add(
+    startMetrics({
+      clock,
+      groups: () => groups.values(),
+      fleet: () => fleet,
+      shares: () => shares,
+      generation: () => follower?.current?.generation ?? 0,
+      storeDown: () => follower?.storeDown ?? false,
+      callers: () => listener?.callers ?? 0,
+      lookMs: TIMES.tickMs,
+    }),
+  );
+  const admin = owned.add(
+    await startAdmin({
+      host: settings.host,
+      port: settings.adminPort,
+      token: settings.operatorToken,
+      groups: () => groups.values(),
+      ready,
+      metrics,
+      state: () =>
+        operatorState({
+          instance: settings.instance,
+          dataCentre: settings.dataCentre,
+          inForce: follower?.inForce,
+          storeDown: follower?.storeDown ?? false,
+          ready: ready(),
+          callers: listener?.callers ?? 0,
+          groups: [...groups.values()],
+          fleet,
+          shares,
+        }),
+    }),
+  );
+  fleet = owned.add(
     await joinFleet({
       system,
       platform,
@@ -145,9 +191,11 @@
       dataCentre: settings.dataCentre,
       host: settings.host,
       port: settings.peerPort,
+      admin: `${settings.host}:${admin.port}`,
       peers: peerAddresses(settings),
       seed: randomInt(MAX_SEED),
       incarnation: Date.now(),
+      ...tlsBetweenInstances(settings, log),
       inForce: () => follower?.inForce,
       onConfig: event => follower?.offer(event),
       onMembers: live => {
@@ -165,7 +213,8 @@
     followConfiguration({system, platform, clock, log, times, peers, apply}),
   );
   await follower.first;
-  const listener = owned.add(
+  const configuration = () => follower!.current!;
+  listener = owned.add(
     await startListener({
       ...context,
       host: settings.host,
@@ -173,20 +222,12 @@
       maxMessageBytes: settings.maxMessageBytes,
       loginTimeoutMs: TIMES.loginMs,
       tokens: settings.sessionKey ? tokenCodec(settings.sessionKey) : undefined,
-      configuration: () => follower!.current!,
+      configuration,
+      verify: credentialChecker(configuration).verify,
+      ...tlsForCallers(settings, log),
       groupOf: name => groups.get(name),
     }),
   );
-  const admin = owned.add(
-    await startAdmin({
-      host: settings.host,
-      port: settings.adminPort,
-      instance: settings.instance,
-      configuration: () => follower!.current,
-      groups: () => groups.values(),
-      ready: () => !owned.disposed && !stopping,
-    }),
-  );
   log.info({port: listener.port, adminPort: admin.port}, 'serving');
   return {
     port: listener.port,
@@ -213,6 +254,18 @@
   return busy;
 }
 
+/** Keys for callers' TLS, when settings name them. */
+function tlsForCallers(settings: Settings, log: Log) {
+  const {tlsCert: cert, tlsKey: key} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key}, log)};
+}
+
+/** Keys for TLS between instances, when settings name them. */
+function tlsBetweenInstances(settings: Settings, log: Log) {
+  const {peerTlsCert: cert, peerTlsKey: key, peerTlsCa: ca} = settings;
+  return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
+}
+
 /**
  * This instance's turn in a group, and how many instances watch it. Until the
  * members are known a hash spreads the turns.
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -85,6 +85,8 @@
   configure(cfg: GroupConfig): void;
   /** Asks again for the rank of this instance, as members have changed. */
   rank(): void;
+  /** Sets how many requests may be on an endpoint at a time. */
+  setCapacity(endpoint: string, capacity: number): void;
   /** Another instance has lost the primary of `term`. */
   suspected(instance: string, term: number): void;
   /** Closes a silent connection once a later term than `term` is served. */
@@ -95,12 +97,12 @@
   readOnly(endpoint: string, at: number): void;
   /** An endpoint answered a statement. */
   heard(endpoint: string): void;
-  /** Sets how many requests may be on an endpoint at a time. */
-  setCapacity(endpoint: string, capacity: number): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
   readonly reads: Readonly<Record<'primary' | 'replica', number>>;
+  /** Requests refused so far, by reason. */
+  readonly refused: ReadonlyMap<RefusalReason, number>;
   /** The state as it is now, for operators. */
   readonly state: GroupState;
 }
@@ -111,12 +113,12 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly instance: string;
+  /** Data centre of this instance. */
+  readonly dataCentre: string;
   /** Rank of this instance in a group, and how many instances watch it. */
   readonly rankIn?: (group: string) => {rank: number; watchers: number};
   /** Tells other instances that this one has lost the primary of a term. */
   readonly suspects?: (group: string, term: number) => void;
-  /** Data centre of this instance. */
-  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -147,6 +149,7 @@
   const holder = `${context.instance}.${randomUUID()}`;
   let state = initialGroup(cfg, holder, context.limits, context.dataCentre);
   const reads = {primary: 0, replica: 0};
+  const refused = new Map<RefusalReason, number>();
   const guards = new Set<{
     readonly term: number;
     readonly connection: EndpointConnection;
@@ -194,6 +197,7 @@
           {group: cfg.name, req: effect.id, why: effect.reason},
           'refused',
         );
+        refused.set(effect.reason, (refused.get(effect.reason) ?? 0) + 1);
         settlePlacement(effect.id, {refused: effect.reason});
         return;
       case 'acknowledge':
@@ -338,6 +342,7 @@
   return {
     name: cfg.name,
     reads,
+    refused,
     get state() {
       return state;
     },
@@ -374,6 +379,8 @@
     },
     configure,
     rank,
+    setCapacity: (endpoint, capacity) =>
+      send({type: 'capacity', endpoint, capacity}),
     guard(term, connection) {
       const guarded = {term, connection};
       guards.add(guarded);
@@ -387,8 +394,6 @@
     suspected: (instance, term) => send({type: 'suspected', instance, term}),
     readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
     heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
-    setCapacity: (endpoint, capacity) =>
-      send({type: 'capacity', endpoint, capacity}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -176,6 +176,7 @@
       maxMessageBytes: 64 * 1024,
       loginTimeoutMs: TIMES.loginMs,
       tokens: tokenCodec(KEY),
+      verify: async () => true,
       configuration: () => CONFIGURATION,
       groupOf: database => (database === GROUP ? group : undefined),
     }),
