--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -82,11 +82,13 @@
   suspect(endpoint: string): void;
   /** Sets this instance's share of the endpoint's connections. */
   resize(endpoint: string, share: number): void;
+  /** Calls `listener` when work on `endpoint` is to end, until disposed. */
+  onVacate(endpoint: string, listener: () => void): Disposable;
   configure(cfg: GroupConfig): void;
-  /** Asks again for the rank of this instance, as members have changed. */
-  rank(): void;
   /** Sets how many requests may be on an endpoint at a time. */
   setCapacity(endpoint: string, capacity: number): void;
+  /** Asks again for the rank of this instance, as members have changed. */
+  rank(): void;
   /** Another instance has lost the primary of `term`. */
   suspected(instance: string, term: number): void;
   /** Closes a silent connection once a later term than `term` is served. */
@@ -95,8 +97,6 @@
   statusOf(endpoint: string): Promise<EndpointStatus>;
   /** An endpoint refused a write that was sent at `at` as read-only. */
   readOnly(endpoint: string, at: number): void;
-  /** An endpoint answered a statement. */
-  heard(endpoint: string): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -134,6 +134,12 @@
   readonly pool: ConnectionPool;
 }
 
+/** Who is told when work on an endpoint is to end. */
+interface EndpointUser {
+  readonly endpoint: string;
+  readonly listener: () => void;
+}
+
 /** Starts the actor of a group. */
 export function startGroup(
   cfg: GroupConfig,
@@ -143,6 +149,7 @@
   const parts = new Map<string, EndpointParts>();
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
+  const users = new Set<EndpointUser>();
   const acks = new Map<number, (result: AckResult) => void>();
   // An attempt of this process must not be taken for one of an earlier
   // process of the same instance.
@@ -207,6 +214,12 @@
         log.warn({group: cfg.name, req: effect.id, why: effect.why}, 'unknown');
         settleAck(effect.id, 'unknown');
         return;
+      case 'vacate':
+        log.info({group: cfg.name, endpoint: effect.endpoint}, 'vacated');
+        for (const open of [...users]) {
+          if (open.endpoint === effect.endpoint) open.listener();
+        }
+        return;
       case 'poll':
         for (const {poller} of parts.values()) poller.wake();
         return;
@@ -377,10 +390,15 @@
       if (part) part.pool.give(connection, reusable);
       else connection.dispose();
     },
+    onVacate(endpoint, listener) {
+      const user = {endpoint, listener};
+      users.add(user);
+      return {dispose: () => users.delete(user)};
+    },
     configure,
-    rank,
     setCapacity: (endpoint, capacity) =>
       send({type: 'capacity', endpoint, capacity}),
+    rank,
     guard(term, connection) {
       const guarded = {term, connection};
       guards.add(guarded);
@@ -393,7 +411,6 @@
     },
     suspected: (instance, term) => send({type: 'suspected', instance, term}),
     readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
-    heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/daemon/test/test-session.ts
+++ b/packages/daemon/test/test-session.ts
@@ -201,6 +201,23 @@
   assert.equal(await read(client), undefined);
 });
 
+withFixture('a connection that keeps a setting is reset', async all => {
+  const client = await (await all.instance('a')).client();
+  const [e1] = all.endpoints;
+  const resetsAfter = async (inside: string): Promise<number> => {
+    const resets = () =>
+      e1!.requests.filter(sql => sql.includes('DISCARD ALL')).length;
+    const before = resets();
+    await client.query('BEGIN');
+    await client.query(inside).catch(() => {});
+    await client.query('ROLLBACK');
+    await write(client, 'x');
+    return resets() - before;
+  };
+  assert.equal(await resetsAfter('SELECT 1'), 0);
+  const setting = "SELECT \"set_config\"('a', 'b', false)";
+  assert.equal(await resetsAfter(setting), 1);
+});
 withFixture(
   'a connection that keeps a setting is reset before it is used again',
   async all => {
--- a/packages/group/test/harness.ts
+++ b/packages/group/test/harness.ts
@@ -30,10 +30,10 @@
 
 const CALL_TIMEOUT_MS = 250;
 const POLL_MS = 20;
-const TICK_MS = 20;
+export const TICK_MS = 20;
 const REPLICATE_MS = 5;
 const WRITE_MS = 25;
-const DEADLINE_MS = 3000;
+export const DEADLINE_MS = 3000;
 const MAX_DELAY_MS = 4;
 
 /** A call from an instance to an endpoint, or the answer to one. */
@@ -52,7 +52,8 @@
   readonly db: Database;
   up: boolean;
   frozen: boolean;
-  heardAt: number;
+  /** Time that it takes for each answer, milliseconds. */
+  slowMs: number;
 }
 
 interface Instance {
@@ -83,6 +84,9 @@
   const cuts = new Set<string>();
   const acked: Array<{key: string; term: number; at: number}> = [];
   const unknown: string[] = [];
+  /** Requests told "not run", with the time that they had waited. */
+  const refused: Array<{instance: string; waitedMs: number}> = [];
+  const askedAt = new Map<string, number>();
   const violations: string[] = [];
   const primaries = new Map<number, string>();
   const terms = new Map<string, number>();
@@ -118,7 +122,7 @@
     const upstream =
       name === 'db-1' ? undefined : {term: 1, host: 'db-1', port: 1};
     const db = database({name, upstream, now: () => now});
-    endpoints.set(name, {name, db, up: true, frozen: false, heardAt: 0});
+    endpoints.set(name, {name, db, up: true, frozen: false, slowMs: 0});
   }
   const fleet = new Map<string, Instance>();
 
@@ -171,7 +175,8 @@
       if (!settled) run();
       settled = true;
     };
-    after(CALL_TIMEOUT_MS, () => settle(() => failed('silent')));
+    const boundMs = message.call === 'write' ? DEADLINE_MS : CALL_TIMEOUT_MS;
+    after(boundMs, () => settle(() => failed('silent')));
     after(pick(1, MAX_DELAY_MS), () => {
       if (trigger({...message, isAnswer: false}, harness)) return;
       if (!linked(from, to) || target.frozen) return;
@@ -188,7 +193,7 @@
       }
       notePrimaries();
       if (trigger({...message, isAnswer: true}, harness)) return;
-      after(pick(1, MAX_DELAY_MS), () => {
+      after(pick(1, MAX_DELAY_MS) + target.slowMs, () => {
         if (linked(to, from)) settle(reply);
       });
     });
@@ -228,6 +233,9 @@
       acknowledge(keyOf(instance, effect.id));
     } else if (effect.type === 'unknown') {
       unknown.push(keyOf(instance, effect.id));
+    } else if (effect.type === 'refuse') {
+      const waitedMs = now - askedAt.get(keyOf(instance, effect.id))!;
+      refused.push({instance: instance.name, waitedMs});
     } else if (effect.type === 'suspect') {
       tellPeers(instance, effect.term);
     } else if ('attempt' in effect) {
@@ -271,6 +279,7 @@
   function write(instance: Instance): void {
     if (!writing || !instance.alive || instance.paused) return;
     const id = ++instance.lastId;
+    askedAt.set(keyOf(instance, id), now);
     const req = {
       id,
       needsPrimary: true,
@@ -288,13 +297,14 @@
     const key = keyOf(instance, id);
     const sentAt = now;
     const change = {table: 'entries', key, op: 'insert', value: 'x'} as const;
-    const release = () => feed(instance, {type: 'released', endpoint});
+    const release = (elapsedMs?: number) =>
+      feed(instance, {type: 'released', endpoint, elapsedMs});
     call(
       {call: 'write', instance: instance.name, endpoint},
       db => db.commit([change]),
       (position: Position) => {
         terms.set(key, position.term);
-        release();
+        release(now - sentAt);
         const deadline = sentAt + DEADLINE_MS;
         feed(instance, {type: 'written', id, position, deadline});
       },
@@ -352,6 +362,7 @@
     cuts,
     acked,
     unknown,
+    refused,
     violations,
     pick,
     get now() {
--- a/packages/group/test/test-failover-faults.ts
+++ b/packages/group/test/test-failover-faults.ts
@@ -2,7 +2,13 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {type Harness, type Trigger, createHarness} from './harness.js';
+import {
+  DEADLINE_MS,
+  type Harness,
+  TICK_MS,
+  type Trigger,
+  createHarness,
+} from './harness.js';
 
 /** Longest time to the next acknowledgement once a majority is reachable. */
 const PROGRESS_MS = 5000;
@@ -229,6 +235,32 @@
     },
     then: stillLeads,
   },
+  {
+    name: 'that instance answers writes "not run" within their deadline',
+    act: h => {
+      cutBothWays(h, 'i-1', 'db-1');
+      h.run(DEADLINE_MS + 1000);
+    },
+    then: h => {
+      stillLeads(h);
+      assert.ok(h.refused.length > 0);
+      for (const {instance, waitedMs} of h.refused) {
+        assert.equal(instance, 'i-1');
+        assert.ok(waitedMs <= DEADLINE_MS + TICK_MS, `${waitedMs}`);
+      }
+    },
+  },
+  {
+    name: 'a primary that is slow is not replaced',
+    act: h => {
+      h.endpoints.get('db-1')!.slowMs = 400;
+      h.run(4000);
+    },
+    then: h => {
+      stillLeads(h);
+      h.endpoints.get('db-1')!.slowMs = 0;
+    },
+  },
   {
     name: 'one instance is paused and wakes',
     act: h => {
