Give a status call the time that a slow primary may take

Cause: status calls gave up after 250 ms, so a primary that answered in 400 ms was silent to every instance, got no writes, and most instances agreed to replace it. Change: control calls wait 1 s. Silence is judged by the last answer, so a frozen primary is suspected no later; a write that waits on one is told by the same measure. Ruled out: writes to an endpoint that is silent; they would only add to the writes of unknown outcome.

--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -16,7 +16,7 @@
 export const TIMES = {
   poll: {idleMs: 50, holdMs: 10, failingMs: 20},
   tickMs: 20,
-  controlCallMs: 250,
+  controlCallMs: 1000,
   connectMs: 1000,
   loginMs: 10_000,
   idleTransactionMs: 10_000,
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -20,6 +20,7 @@
   FencedError,
 } from '@quetzalreel/endpoint';
 import {
+  type EndpointView,
   type Grant,
   type GroupEffect,
   type GroupEvent,
@@ -177,6 +178,14 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  function isSilent(view: EndpointView): boolean {
+    const heardAt = Math.max(view.askedAt, view.heardAt);
+    const silenceMs = clock.now() - heardAt;
+    return (
+      view.reach !== Reach.Up || silenceMs >= context.limits.suspectAfterMs
+    );
+  }
+
   /**
    * Ends what waits on a primary that has been replaced and is silent. One
    * that still answers may prove that a write did not run.
@@ -188,7 +197,7 @@
       if (guarded.term >= term) continue;
       const {endpoint} = guarded.connection;
       const view = state.view.endpoints.get(endpoint);
-      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+      if (!view || isSilent(view)) guarded.connection.dispose();
     }
   }
 
