--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -7,19 +7,24 @@
 import type {Position} from '@quetzalreel/position';
 import {type HeldAck, settleAcks} from './acks.js';
 import {
-  type FailoverContext,
-  type FailoverEffect,
-  type FailoverLimits,
-  type FailoverResult,
-  type FailoverState,
+  type AttemptCall,
   advance,
-  initialFailover,
   orderChange,
+  peerSuspects,
   promoted,
   promised,
   refused,
   strays,
+  unanswered,
 } from './failover.js';
+import {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverLimits,
+  type FailoverResult,
+  type FailoverState,
+  initialFailover,
+} from './failover-state.js';
 import {floorOf} from './floor.js';
 import {
   type QueueLimits,
@@ -40,6 +45,7 @@
 import {isHopeless} from './prospects.js';
 import {type Grant, type GroupRequest, RefusalReason} from './request.js';
 import {choose} from './routing.js';
+import {boundsFor, shareOf} from './shedding.js';
 import {
   type GroupView,
   Reach,
@@ -48,6 +54,7 @@
   viewOf,
   withEndpoint,
   withFailure,
+  withLatency,
   withStatus,
 } from './view.js';
 
@@ -57,6 +64,8 @@
 /** All that one instance decides on for a group. */
 export interface GroupState {
   readonly instance: string;
+  /** Data centre of this instance; empty when it is not known. */
+  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly view: GroupView;
   readonly failover: FailoverState;
@@ -71,7 +80,12 @@
   | {readonly type: 'configured'; readonly cfg: GroupConfig}
   | {readonly type: 'requested'; readonly req: GroupRequest}
   | {readonly type: 'cancelled'; readonly id: number}
-  | {readonly type: 'released'; readonly endpoint: string}
+  | {
+      readonly type: 'released';
+      readonly endpoint: string;
+      /** Time that the statement took; undefined when it tells nothing. */
+      readonly elapsedMs?: number | undefined;
+    }
   | {
       readonly type: 'capacity';
       readonly endpoint: string;
@@ -103,7 +117,24 @@
       readonly status: EndpointStatus;
       readonly askedAt: number;
     }
-  | {readonly type: 'refused'; readonly attempt: Attempt}
+  /** An endpoint refused a call of an attempt, or gave no answer to it. */
+  | (AttemptCall & {readonly type: 'refused' | 'unanswered'})
+  /** A statement was answered by an endpoint, as a sign of its life. */
+  | {readonly type: 'heard'; readonly endpoint: string; readonly at: number}
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  | {readonly type: 'readOnly'; readonly endpoint: string; readonly at: number}
+  /** Another instance has lost the primary of a term. */
+  | {
+      readonly type: 'suspected';
+      readonly instance: string;
+      readonly term: number;
+    }
+  /** The rank of this instance, and how many watch the group. */
+  | {
+      readonly type: 'ranked';
+      readonly rank: number;
+      readonly watchers: number;
+    }
   | {readonly type: 'ordered'; readonly target: string}
   | {readonly type: 'tick'};
 
@@ -134,9 +165,11 @@
   cfg: GroupConfig,
   instance: string,
   limits: GroupLimits,
+  dataCentre = '',
 ): GroupState {
   return {
     instance,
+    dataCentre,
     limits,
     view: viewOf(cfg),
     failover: initialFailover(),
@@ -163,7 +196,7 @@
         effects: [],
       };
     case 'released':
-      return placeWaiting(released(state, event.endpoint), now);
+      return placeWaiting(released(state, event, now), now);
     case 'capacity': {
       const {endpoint, capacity} = event;
       const view = withEndpoint(state.view, endpoint, {capacity});
@@ -181,6 +214,25 @@
       const view = withFailure(state.view, endpoint, reach, askedAt);
       return settle({...state, view}, now);
     }
+    case 'heard': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        heardAt: event.at,
+      });
+      return {state: {...state, view}, effects: []};
+    }
+    case 'readOnly': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        readOnlyAt: event.at,
+      });
+      return {state: {...state, view}, effects: [{type: 'poll'}]};
+    }
+    case 'ranked': {
+      const {rank, watchers} = event;
+      return {
+        state: {...state, failover: {...state.failover, rank, watchers}},
+        effects: [],
+      };
+    }
     case 'tick':
       return settle(state, now);
     default:
@@ -200,7 +252,15 @@
 
 type FailoverEvent = Extract<
   GroupEvent,
-  {type: 'promised' | 'promoted' | 'refused' | 'ordered'}
+  {
+    type:
+      | 'promised'
+      | 'promoted'
+      | 'refused'
+      | 'unanswered'
+      | 'suspected'
+      | 'ordered';
+  }
 >;
 
 function stepFailover(
@@ -234,7 +294,11 @@
     case 'promoted':
       return promoted(state, event.endpoint, event.attempt, context);
     case 'refused':
-      return refused(state, event.attempt, context);
+      return refused(state, event, context);
+    case 'unanswered':
+      return unanswered(state, event, context);
+    case 'suspected':
+      return peerSuspects(state, event.instance, event.term, context);
     case 'ordered':
       return orderChange(state, event.target, context);
   }
@@ -253,16 +317,26 @@
 ): GroupResult {
   const placed = place(state, req, now);
   if (placed) return placed;
-  const waiting = enqueue(state.waiting, req, state.limits);
+  const waiting = enqueue(state.waiting, req, boundsFor(req, state.limits));
   if (!waiting) {
-    const reason = RefusalReason.QueueFull;
+    const isShed = shareOf(req) < 1;
+    const reason = isShed ? RefusalReason.Shed : RefusalReason.QueueFull;
     return {state, effects: [{type: 'refuse', id: req.id, reason}]};
   }
-  const isProved = req.floor && !req.unproved;
-  const effects: GroupEffect[] = isProved ? [] : [{type: 'poll'}];
+  const effects: GroupEffect[] = awaitsStatus(state, req)
+    ? [{type: 'poll'}]
+    : [];
   return {state: {...state, waiting}, effects};
 }
 
+/** Whether a request waits for news of the endpoints, not for a free place. */
+function awaitsStatus(state: GroupState, req: GroupRequest): boolean {
+  if (!req.floor || req.unproved) return true;
+  if (req.needsPrimary) return false;
+  const primary = primaryOf(state.view);
+  return primary !== undefined && primary.busy < primary.capacity;
+}
+
 /** Gives a request a place; undefined when there is none now. */
 function place(
   state: GroupState,
@@ -277,7 +351,7 @@
   }
   const {floor} = found;
   if (req.needsPrimary && state.failover.step === 'draining') return undefined;
-  const choice = choose(state.view, {...req, floor}, now);
+  const choice = choose(state.view, {...req, floor}, now, state.dataCentre);
   if (!choice) return undefined;
   const {endpoint, reason} = choice;
   const name = endpoint.cfg.name;
@@ -297,10 +371,16 @@
   };
 }
 
-function released(state: GroupState, name: string): GroupState {
+function released(
+  state: GroupState,
+  event: Extract<GroupEvent, {type: 'released'}>,
+  now: number,
+): GroupState {
+  const {endpoint: name, elapsedMs} = event;
   const busy = state.view.endpoints.get(name)?.busy ?? 0;
   const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
-  return {...state, view};
+  if (elapsedMs === undefined) return {...state, view};
+  return {...state, view: withLatency(view, name, elapsedMs, now)};
 }
 
 /** Gives places to waiting requests, the first of each need first. */
@@ -354,13 +434,18 @@
   const left = leave(advanced, now);
   const changed = left.state;
   const placed = placeWaiting(changed, now);
+  const follows = followStrays(placed.state, now);
+  const failover =
+    follows.length > 0
+      ? {...placed.state.failover, followedAt: now}
+      : placed.state.failover;
   return {
-    state: placed.state,
+    state: {...placed.state, failover},
     effects: [
       ...acks.effects,
       ...change.effects,
       ...left.effects,
-      ...followStrays(changed),
+      ...follows,
       ...placed.effects,
     ],
   };
@@ -385,8 +470,10 @@
 }
 
 /** Tells endpoints that missed a change to follow the primary. */
-function followStrays(state: GroupState): GroupEffect[] {
-  if (state.failover.step !== 'steady') return [];
+function followStrays(state: GroupState, now: number): GroupEffect[] {
+  const {failover, limits} = state;
+  if (failover.step !== 'steady') return [];
+  if (now - failover.followedAt < limits.retryMs) return [];
   const primary = primaryOf(state.view);
   const attempt = primary && attemptOf(primary);
   if (!attempt || primary.reach !== Reach.Up) return [];
--- a/packages/group/src/prospects.ts
+++ b/packages/group/src/prospects.ts
@@ -1,5 +1,5 @@
 /** Whether any request of a lane of the queue can be placed now. */
-import type {FailoverStep} from './failover.js';
+import type {FailoverStep} from './failover-state.js';
 import {floorAfter} from './floor.js';
 import type {GroupRequest} from './request.js';
 import {type GroupView, Reach, writablePrimary} from './view.js';
