Remove two properties that a merge had doubled in a test

Cause: two lines of work added the same setting to one object, and both stayed in the merge, which the compiler refuses.

Change: each stands once. No check changes.

Before: the tests did not compile. After: they compile and pass.

--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -103,7 +103,6 @@
     configuration: () => cfg,
     verify: credentialChecker(() => cfg).verify,
     tls: keyFiles(files.paths, log),
-    tokens: undefined,
     groupOf: () => ({}) as GroupHandle,
   });
   const names: string[] = [];
@@ -259,7 +258,6 @@
   peers: '10.0.0.1:6434, 10.0.0.2:6434',
   platformUrl: 'http://127.0.0.1:1',
   endpointUser: 'u',
-  sessionKey: '',
   endpointPassword: PASSWORD,
   instances: 8,
   sessionKey: '',
