--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -260,7 +260,6 @@
   endpointUser: 'u',
   endpointPassword: PASSWORD,
   instances: 8,
-  sessionKey: '',
   operatorToken: '',
   tlsCert: '',
   tlsKey: '',
