Let a newcomer keep to itself what it was told, and measure the fleet

Cause: an instance passed on every member of the roster that it was given at its start, so bytes per node grew with the fleet for a minute after a start; the metrics library's default metrics sampled the event loop all the time. Seen: sent and received bytes a second per node at 8, 16, 32, 64 members: 1638, 1713, 4107, 7352; processor 2.8 to 3.3 % of a core. Change: a roster is taken in without passing it on; processor time and memory are read when asked for; the fleet's tick is 100 ms. Also: tests that passed with the wake rule and with the listed strangers taken out are replaced by ones that fail then; servers of tests close on failure.

--- /dev/null
+++ b/packages/bench/src/fleet-trial.ts
@@ -0,0 +1,417 @@
+/**
+ * Measures of the fleet on separate processes: how long an accepted
+ * configuration takes to be in force everywhere under each fault of the
+ * platform, and what control costs a node as the fleet grows.
+ */
+import {type ChildProcess, spawn} from 'node:child_process';
+import net from 'node:net';
+import {createInterface} from 'node:readline';
+import {fileURLToPath} from 'node:url';
+import {type Disposable, systemClock} from '@quetzalreel/common';
+import {type FleetHandle, createLog, joinFleet} from '@quetzalreel/daemon';
+import {
+  type ListedInstance,
+  PlatformClient,
+  type StoredObject,
+} from '@quetzalreel/platform';
+import {
+  type PlatformFaults,
+  type PlatformServer,
+  platformServer,
+} from '@quetzalreel/standin';
+import {command, number, option, run} from 'cmd-ts';
+import {type ActorSystemRef, start, stop} from 'nact';
+
+const HOST = '127.0.0.1';
+const DAEMON = fileURLToPath(
+  new URL('main.js', import.meta.resolve('@quetzalreel/daemon')),
+);
+const print = (line: unknown) =>
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
+
+/** What may happen to connections through a gate. */
+type GateMode = 'pass' | 'refuse' | 'freeze';
+
+/** A way to the platform that can fail for those who use it. */
+interface Gate extends Disposable {
+  readonly port: number;
+  mode: GateMode;
+}
+
+async function openGate(target: number): Promise<Gate> {
+  const sockets = new Set<net.Socket>();
+  let mode: GateMode = 'pass';
+  const server = net.createServer(near => {
+    const far = net.connect(target, HOST);
+    const pair: Array<[net.Socket, net.Socket]> = [
+      [near, far],
+      [far, near],
+    ];
+    for (const [from, to] of pair) {
+      sockets.add(from);
+      from.on('error', () => to.destroy());
+      from.on('close', () => {
+        sockets.delete(from);
+        to.destroy();
+      });
+      // What was frozen is lost, as behind a router that forgot the pair.
+      from.on('data', chunk => {
+        if (mode === 'pass') to.write(chunk);
+      });
+    }
+    if (mode === 'refuse') near.destroy();
+  });
+  await new Promise<void>(resolve => server.listen(0, HOST, resolve));
+  return {
+    port: (server.address() as net.AddressInfo).port,
+    get mode() {
+      return mode;
+    },
+    set mode(next) {
+      mode = next;
+      if (next === 'freeze') return;
+      for (const socket of sockets) socket.destroy();
+    },
+    dispose() {
+      server.close();
+      for (const socket of sockets) socket.destroy();
+    },
+  };
+}
+
+interface DaemonProcess {
+  readonly child: ChildProcess;
+  readonly admin: number;
+  readonly peer: string;
+}
+
+async function startDaemon(
+  index: number,
+  platformPort: number,
+): Promise<DaemonProcess> {
+  const flags = {
+    instance: `node-${index}`,
+    'data-centre': ['recife', 'fortaleza', 'natal'][index % 3]!,
+    port: '0',
+    'admin-port': '0',
+    'peer-port': '0',
+    'platform-url': `http://${HOST}:${platformPort}`,
+    'log-level': 'fatal',
+  };
+  const args = Object.entries(flags).flatMap(([flag, value]) => [
+    `--${flag}`,
+    value,
+  ]);
+  const child = spawn(process.execPath, [DAEMON, ...args], {
+    stdio: ['ignore', 'pipe', 'inherit'],
+  });
+  const lines = createInterface({input: child.stdout});
+  const line = await new Promise<string>((resolve, reject) => {
+    lines.once('line', resolve);
+    child.once('exit', code => reject(new Error(`daemon ended: ${code}`)));
+  });
+  const {admin, peer} = JSON.parse(line) as {admin: number; peer: string};
+  return {child, admin, peer};
+}
+
+interface DaemonState {
+  readonly generation: number;
+  readonly members: ReadonlyArray<{readonly status: string}>;
+  readonly control: {
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+    readonly sentMessages: number;
+    readonly links: number;
+  };
+}
+
+async function stateOf(daemon: DaemonProcess): Promise<DaemonState> {
+  const res = await fetch(`http://${HOST}:${daemon.admin}/state`);
+  return (await res.json()) as DaemonState;
+}
+
+/** Values of metrics without labels, by name. */
+async function metricsOf(daemon: DaemonProcess): Promise<Map<string, number>> {
+  const res = await fetch(`http://${HOST}:${daemon.admin}/metrics`);
+  const values = new Map<string, number>();
+  for (const line of (await res.text()).split('\n')) {
+    const [name, value] = line.split(' ');
+    if (name && !name.startsWith('#')) values.set(name, Number(value));
+  }
+  return values;
+}
+
+function listed(addresses: readonly string[]): ListedInstance[] {
+  return addresses.map((address, i) => ({
+    id: `listed-${i}`,
+    address,
+    dataCentre: 'recife',
+    leaving: false,
+  }));
+}
+
+/** Stores the next generation; returns when it was accepted. */
+async function accept(
+  server: PlatformServer,
+  generation: number,
+  version: number | undefined,
+): Promise<{version: number; at: number}> {
+  const condition: Record<string, string> =
+    version === undefined
+      ? {'If-None-Match': '*'}
+      : {'If-Match': `"${version}"`};
+  const url = `http://${HOST}:${server.port}/objects/configuration`;
+  const changeId = `change-${generation}`;
+  const body = JSON.stringify({generation, changeId, groups: []});
+  const res = await fetch(url, {method: 'PUT', headers: condition, body});
+  if (!res.ok) throw new Error(`not accepted: ${res.status}`);
+  const tag = Number(res.headers.get('etag')?.replace(/"/g, ''));
+  return {version: tag, at: performance.now()};
+}
+
+interface FaultCase {
+  readonly name: string;
+  readonly faults: Partial<PlatformFaults>;
+  /** What happens to the half of the daemons that use the gate. */
+  readonly gate: GateMode;
+}
+
+const NO_FAULT = {slowMs: 0, silentWatches: false, staleReads: 0} as const;
+
+const FAULTS: readonly FaultCase[] = [
+  {name: 'none', faults: {}, gate: 'pass'},
+  {name: 'down for half', faults: {}, gate: 'refuse'},
+  {name: 'frozen for half', faults: {}, gate: 'freeze'},
+  {name: 'slow, 500 ms', faults: {slowMs: 500}, gate: 'pass'},
+  {name: 'slow, 1500 ms', faults: {slowMs: 1500}, gate: 'pass'},
+  {name: 'watches silent', faults: {silentWatches: true}, gate: 'pass'},
+  {name: 'reads stale', faults: {staleReads: 1}, gate: 'pass'},
+  {
+    name: 'watches silent, frozen for half',
+    faults: {silentWatches: true},
+    gate: 'freeze',
+  },
+  {
+    name: 'watches silent, reads 500 ms',
+    faults: {silentWatches: true, slowMs: 500},
+    gate: 'pass',
+  },
+];
+
+const DAEMONS = 8;
+const LIMIT_MS = 20_000;
+
+/** Time from accepted to in force on all daemons, for each fault. */
+async function measureInForce(rounds: number): Promise<void> {
+  const server = await platformServer(0);
+  const gate = await openGate(server.port);
+  let generation = 1;
+  let {version} = await accept(server, generation, undefined);
+  const daemons = await Promise.all(
+    Array.from({length: DAEMONS}, (_, i) =>
+      startDaemon(i, i % 2 === 0 ? server.port : gate.port),
+    ),
+  );
+  server.instances = listed(daemons.map(daemon => daemon.peer));
+  try {
+    await joined(daemons, DAEMONS);
+    for (const {name, faults, gate: mode} of FAULTS) {
+      const times: number[] = [];
+      for (let round = 0; round < rounds; round++) {
+        Object.assign(server.faults, NO_FAULT, faults);
+        gate.mode = mode;
+        await sleep(700);
+        const accepted = await accept(server, ++generation, version);
+        version = accepted.version;
+        times.push(await inForce(daemons, generation, accepted.at));
+      }
+      times.sort((a, b) => a - b);
+      const median = times[Math.floor(times.length / 2)];
+      print({fault: name, rounds, medianMs: median, maxMs: times.at(-1)});
+    }
+  } finally {
+    for (const {child} of daemons) child.kill('SIGKILL');
+    gate.dispose();
+    server.close();
+  }
+}
+
+/** Waits until every daemon has `generation`; milliseconds since `from`. */
+async function inForce(
+  daemons: readonly DaemonProcess[],
+  generation: number,
+  from: number,
+): Promise<number> {
+  while (performance.now() - from < LIMIT_MS) {
+    const states = await Promise.all(daemons.map(stateOf));
+    const late = states.filter(state => state.generation < generation);
+    if (late.length === 0) return Math.round(performance.now() - from);
+    await sleep(5);
+  }
+  return Infinity;
+}
+
+/** Waits until every daemon holds `count` members for alive. */
+async function joined(
+  daemons: readonly DaemonProcess[],
+  count: number,
+): Promise<void> {
+  for (;;) {
+    const states = await Promise.all(daemons.map(stateOf));
+    const knows = (state: DaemonState) =>
+      state.members.filter(({status}) => status === 'alive').length === count;
+    if (states.every(knows)) return;
+    await sleep(100);
+  }
+}
+
+/** A platform that gives in-process members a list and nothing else. */
+class ListOnly extends PlatformClient {
+  constructor(private readonly server: PlatformServer) {
+    super();
+  }
+
+  async get(): Promise<StoredObject | undefined> {
+    return undefined;
+  }
+
+  async put(): Promise<number> {
+    throw new Error('not offered');
+  }
+
+  async watch(): Promise<StoredObject | undefined> {
+    return undefined;
+  }
+
+  async instances(): Promise<readonly ListedInstance[]> {
+    return this.server.instances as ListedInstance[];
+  }
+}
+
+/** Members in this process, beside the daemons. */
+async function startMembers(
+  server: PlatformServer,
+  count: number,
+): Promise<Disposable & {readonly addresses: readonly string[]}> {
+  const members: FleetHandle[] = [];
+  const systems: ActorSystemRef[] = [];
+  for (let i = 0; i < count; i++) {
+    // One actor system each, since their actors have fixed names.
+    const system = start();
+    systems.push(system);
+    members.push(
+      await joinFleet({
+        system,
+        platform: new ListOnly(server),
+        clock: systemClock(),
+        log: createLog('member', 'fatal'),
+        instance: `member-${i}`,
+        dataCentre: 'natal',
+        host: HOST,
+        port: 0,
+        admin: `${HOST}:1`,
+        peers: [],
+        seed: i + 1,
+        incarnation: 1,
+        inForce: () => undefined,
+        onConfig: () => {},
+        onMembers: () => {},
+        onReports: () => {},
+        onLoan: () => {},
+      }),
+    );
+  }
+  return {
+    addresses: members.map(member => member.address),
+    dispose() {
+      for (const member of members) member.dispose();
+      for (const system of systems) stop(system);
+    },
+  };
+}
+
+interface Cost {
+  readonly bytesPerS: number;
+  readonly cpuPercent: number;
+  readonly memoryMb: number;
+  readonly links: number;
+}
+
+/** Control cost of one daemon over `forMs`. */
+async function costOf(daemon: DaemonProcess, forMs: number): Promise<Cost> {
+  const sample = async () => {
+    const {control} = await stateOf(daemon);
+    const metrics = await metricsOf(daemon);
+    const bytes = control.sentBytes + control.receivedBytes;
+    const cpuS = metrics.get('process_cpu_seconds_total')!;
+    const memory = metrics.get('process_resident_memory_bytes')!;
+    return {at: performance.now(), bytes, cpuS, memory, links: control.links};
+  };
+  const before = await sample();
+  await sleep(forMs);
+  const after = await sample();
+  const s = (after.at - before.at) / 1000;
+  return {
+    bytesPerS: (after.bytes - before.bytes) / s,
+    cpuPercent: (100 * (after.cpuS - before.cpuS)) / s,
+    memoryMb: after.memory / 1024 / 1024,
+    links: after.links,
+  };
+}
+
+/** Control cost per node for each size of the fleet. */
+async function measureCost(sizes: readonly number[], forMs: number) {
+  for (const size of sizes) {
+    const server = await platformServer(0);
+    await accept(server, 1, undefined);
+    const daemons = await Promise.all(
+      Array.from({length: DAEMONS}, (_, i) => startDaemon(i, server.port)),
+    );
+    const members = await startMembers(server, size - DAEMONS);
+    const peers = daemons.map(daemon => daemon.peer);
+    server.instances = listed([...peers, ...members.addresses]);
+    try {
+      const startedAt = performance.now();
+      await joined(daemons, size);
+      const joinedMs = Math.round(performance.now() - startedAt);
+      await sleep(12_000);
+      const calls = server.calls;
+      const costs = await Promise.all(
+        daemons.map(daemon => costOf(daemon, forMs)),
+      );
+      const platformCallsPerS = (server.calls - calls) / (forMs / 1000);
+      const mean = (read: (cost: Cost) => number) =>
+        costs.reduce((sum, cost) => sum + read(cost), 0) / costs.length;
+      print({
+        size,
+        joinedMs,
+        bytesPerS: Math.round(mean(cost => cost.bytesPerS)),
+        cpuPercent: Number(mean(cost => cost.cpuPercent).toFixed(2)),
+        memoryMb: Math.round(mean(cost => cost.memoryMb)),
+        links: Number(mean(cost => cost.links).toFixed(1)),
+        platformCallsPerS: Number(platformCallsPerS.toFixed(1)),
+      });
+    } finally {
+      for (const {child} of daemons) child.kill('SIGKILL');
+      members.dispose();
+      server.close();
+    }
+  }
+}
+
+const app = command({
+  name: 'fleet-trial',
+  args: {
+    rounds: option({type: number, long: 'rounds', defaultValue: () => 0}),
+    costMs: option({type: number, long: 'cost-ms', defaultValue: () => 0}),
+  },
+  handler: async ({rounds, costMs}) => {
+    if (rounds > 0) await measureInForce(rounds);
+    if (costMs > 0) await measureCost([8, 16, 32, 64], costMs);
+    // Members in this process keep reading their list until it ends.
+    process.exit(0);
+  },
+});
+
+await run(app, process.argv.slice(2));
--- a/packages/ctl/test/test-run-command.ts
+++ b/packages/ctl/test/test-run-command.ts
@@ -1,5 +1,5 @@
 import assert from 'node:assert/strict';
-import {test} from 'node:test';
+import {type TestContext, test} from 'node:test';
 import {systemClock} from '@quetzalreel/common';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {platformServer} from '@quetzalreel/standin';
@@ -58,8 +58,9 @@
   };
 }
 
-async function trial(late: () => number = () => 9) {
+async function trial(t: TestContext, late: () => number = () => 9) {
   const server = await platformServer(0);
+  t.after(() => server.close());
   const out: string[] = [];
   const progress: string[] = [];
   let changes = 0;
@@ -98,55 +99,50 @@
 ];
 
 for (const [text, wanted] of SHOWN) {
-  test(`${text}`, async () => {
-    const {server, run, rows} = await trial();
+  test(`${text}`, async t => {
+    const {run, rows} = await trial(t);
     await run(text);
     const first = rows()[0]!;
     for (const [column, value] of Object.entries(wanted)) {
       assert.equal(first[column], value, column);
     }
-    server.close();
   });
 }
 
-test('a dry run shows the difference and changes nothing', async () => {
-  const {server, run, rows} = await trial();
+test('a dry run shows the difference and changes nothing', async t => {
+  const {run, rows} = await trial(t);
   await run('set kind k access=read maxAgeMs=700', {dryRun: true});
   const lines = rows().map(row => row['change']);
   assert.ok(lines.includes('kinds/k/maxAgeMs: none -> 700'));
   await run('show kinds');
   assert.deepEqual(rows(), []);
-  server.close();
 });
 
-test('waiting tells progress until every live instance has it', async () => {
+test('waiting tells progress until every live instance has it', async t => {
   let asked = 0;
-  const {server, run, progress} = await trial(() => (++asked < 3 ? 0 : 1));
+  const {run, progress} = await trial(t, () => (++asked < 3 ? 0 : 1));
   await run('set kind k access=read', {wait: true});
   assert.match(progress[0]!, /in force on 1 of 2/);
   assert.match(progress.at(-1)!, /in force on 2 of 2/);
-  server.close();
 });
 
-test('who is late is named when the wait is over', async () => {
-  const {server, run} = await trial(() => 0);
+test('who is late is named when the wait is over', async t => {
+  const {run} = await trial(t, () => 0);
   const waiting = run('set kind k access=read', {wait: true, timeoutMs: 1});
   await assert.rejects(waiting, {kind: 'NotInForceError', message: /i2/});
-  server.close();
 });
 
-test('an accepted change that is not in force everywhere is pending', async () => {
-  const {server, run, rows} = await trial(() => 0);
+test('an accepted change that is not in force everywhere is pending', async t => {
+  const {run, rows} = await trial(t, () => 0);
   await run('set kind k access=read');
   await run('show changes');
   assert.equal(rows()[0]!['missing'], 'i2');
   await run('history');
   assert.equal(rows()[0]!['order'], 'set kind k access=read');
-  server.close();
 });
 
-test('with the store down state is shown, and a change refused', async () => {
-  const {server, run, progress, rows} = await trial();
+test('with the store down state is shown, and a change refused', async t => {
+  const {server, run, progress, rows} = await trial(t);
   server.faults.down = true;
   await run('show generation');
   assert.equal(rows()[0]!['stored'], '-');
@@ -155,12 +151,10 @@
     kind: 'StoreDownError',
     message: /nothing was changed/,
   });
-  server.close();
 });
 
-test('a table has a column for each field', async () => {
-  const {server, run, out} = await trial();
+test('a table has a column for each field', async t => {
+  const {run, out} = await trial(t);
   await run('show sessions', {output: 'table'});
   assert.match(out[0]!, /instance.*callers/);
-  server.close();
 });
--- a/packages/ctl/test/test-submit.ts
+++ b/packages/ctl/test/test-submit.ts
@@ -127,8 +127,9 @@
 ];
 
 for (const {name, faults, error, generation} of CASES) {
-  test(`a change while ${name}`, async () => {
+  test(`a change while ${name}`, async t => {
     const server = await platformServer(0);
+    t.after(() => server.close());
     const ana = operator(server, 'ana');
     await ana.order('apply file', 'first');
     Object.assign(server.faults, faults);
@@ -139,12 +140,12 @@
     const {cfg} = await ana.read();
     assert.equal(cfg.generation, generation);
     assert.equal(cfg.groups[0]!.endpoints[2]!.leaving, generation === 2);
-    server.close();
   });
 }
 
-test('of two operators one wins, and the other is told by whom', async () => {
+test('of two operators one wins, and the other is told by whom', async t => {
   const server = await platformServer(0);
+  t.after(() => server.close());
   const ana = operator(server, 'ana');
   const rui = operator(server, 'rui');
   await ana.order('apply file', 'first');
@@ -160,11 +161,11 @@
     difference: ['groups/g/endpoints/e1/leaving: false -> true'],
     message: /change a-1 by ana/,
   });
-  server.close();
 });
 
-test('a lost race is told as one although reads are stale', async () => {
+test('a lost race is told as one although reads are stale', async t => {
   const server = await platformServer(0);
+  t.after(() => server.close());
   const ana = operator(server, 'ana');
   await ana.order('apply file', 'first');
   const base = await ana.read();
@@ -172,11 +173,11 @@
   server.faults.staleReads = 1;
   const rui = operator(server, 'rui').order('drain endpoint e2', 'r-1');
   await assert.rejects(rui, {kind: 'RaceLostError', winner: 'a-1'});
-  server.close();
 });
 
-test('a lost answer is resolved although another change followed', async () => {
+test('a lost answer is resolved although another change followed', async t => {
   const server = await platformServer(0);
+  t.after(() => server.close());
   const ana = operator(server, 'ana');
   await ana.order('apply file', 'first');
   const base = await ana.read();
@@ -187,11 +188,11 @@
   // The same update again, as after an answer that was lost.
   await ana.submit(base, mine);
   assert.equal((await ana.read()).cfg.generation, 3);
-  server.close();
 });
 
-test('an unanswered change is told as unknown, with its id', async () => {
+test('an unanswered change is told as unknown, with its id', async t => {
   const server = await platformServer(0);
+  t.after(() => server.close());
   const ana = operator(server, 'ana');
   await ana.order('apply file', 'first');
   const base = await ana.read();
@@ -201,7 +202,6 @@
     kind: 'ChangeUnknownError',
     message: /a-1/,
   });
-  server.close();
 });
 
 test('orders that do not fit are refused, and secrets do not show', () => {
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -23,7 +23,7 @@
   readSilenceMs: 1000,
   platformCallMs: 2000,
   config: {watchMs: 2000, rereadMs: 1000, retryMs: 200},
-  fleetTickMs: 50,
+  fleetTickMs: 100,
   /** Time between two reads of the platform's list of instances. */
   instanceListMs: 2000,
   /** Wait before one peer is asked for the same document again. */
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -27,6 +27,7 @@
 }
 
 const MS_PER_S = 1000;
+const US_PER_S = 1_000_000;
 const GAP_BUCKETS_S = [0.1, 0.25, 0.5, 1, 2, 5, 7, 10, 30];
 
 /** Starts measuring. */
@@ -60,6 +61,26 @@
   value('peer_links', 'Open links to other instances.', () => {
     return context.fleet()?.traffic.links ?? 0;
   });
+  // The library's default metrics sample the event loop all the time; these
+  // two are read when asked for.
+  new Counter({
+    name: 'process_cpu_seconds_total',
+    help: 'Processor time of the process.',
+    registers,
+    collect() {
+      const {user, system} = process.cpuUsage();
+      this.reset();
+      this.inc((user + system) / US_PER_S);
+    },
+  });
+  new Gauge({
+    name: 'process_resident_memory_bytes',
+    help: 'Resident memory of the process.',
+    registers,
+    collect() {
+      this.set(process.memoryUsage.rss());
+    },
+  });
   value('replica_share_ratio', 'Reads on replicas, 0 to 1.', replicaShare);
 
   function replicaShare(): number {
--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -3,7 +3,7 @@
 import os from 'node:os';
 import path from 'node:path';
 import {Writable} from 'node:stream';
-import {test} from 'node:test';
+import {type TestContext, test} from 'node:test';
 import tls from 'node:tls';
 import {manualClock, systemClock} from '@quetzalreel/common';
 import {hashSecret, parseConfiguration} from '@quetzalreel/config';
@@ -184,7 +184,7 @@
   for (const item of [a, b, stranger]) item.dispose();
 });
 
-async function adminWith(token: string) {
+async function adminWith(t: TestContext, token: string) {
   const metrics = startMetrics({
     clock: manualClock(),
     groups: () => [],
@@ -210,11 +210,11 @@
     const res = await fetch(base + url, {method, headers});
     return {status: res.status, text: await res.text()};
   };
-  const end = () => {
+  t.after(() => {
     admin.dispose();
     metrics.dispose();
-  };
-  return {ask, end};
+  });
+  return {ask};
 }
 
 const ASKED: ReadonlyArray<[string, string, string | undefined, number]> = [
@@ -230,22 +230,20 @@
 ];
 
 for (const [method, url, sent, status] of ASKED) {
-  test(`${method} ${url} with token ${sent}: ${status}`, async () => {
-    const {ask, end} = await adminWith('right');
+  test(`${method} ${url} with token ${sent}: ${status}`, async t => {
+    const {ask} = await adminWith(t, 'right');
     const res = await ask(url, sent, method);
     assert.equal(res.status, status);
     assert.doesNotMatch(res.text, /right|wrong/);
-    end();
   });
 }
 
-test('metrics have their names and values', async () => {
-  const {ask, end} = await adminWith('');
+test('metrics have their names and values', async t => {
+  const {ask} = await adminWith(t, '');
   const {text} = await ask('/metrics');
   assert.match(text, /^quetzalreel_configuration_generation 7$/m);
   assert.match(text, /^quetzalreel_caller_connections 2$/m);
   assert.match(text, /^# TYPE quetzalreel_failover_gap_seconds histogram$/m);
-  end();
 });
 
 const GOOD: Settings = {
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -5,6 +5,7 @@
  * socket or log is used here; random choices come from the state.
  */
 import {takeChanges} from './changes.js';
+import type {MemberRecord} from './member.js';
 import type {ConfigMark, PeerMessage, Purpose} from './messages.js';
 import {merge, mergeMember, withReport} from './merge.js';
 import {drawSome} from './random.js';
@@ -168,11 +169,7 @@
     case 'relay':
       return relay(state, message.target, to, message.seq, now);
     case 'roster':
-      return merge(
-        state,
-        message.members.map(member => ({kind: 'member', member})),
-        now,
-      );
+      return takeRoster(state, message.members, now);
     case 'news':
       return {state, effects: []};
     default:
@@ -192,6 +189,20 @@
   return result;
 }
 
+/** Takes in what others know already: it is not passed on. */
+function takeRoster(
+  state: MembershipState,
+  members: readonly MemberRecord[],
+  now: number,
+): MembershipResult {
+  const changes = members.map(member => ({kind: 'member', member}) as const);
+  const result = merge(state, changes, now);
+  const own = result.state.self.incarnation !== state.self.incarnation;
+  // A refutation is news for everyone.
+  const queue = own ? result.state.queue : state.queue;
+  return {...result, state: {...result.state, queue}};
+}
+
 function acked(state: MembershipState, seq: number): MembershipResult {
   if (state.probe?.seq === seq) {
     return {state: {...state, probe: undefined}, effects: []};
--- a/packages/membership/test/test-membership.ts
+++ b/packages/membership/test/test-membership.ts
@@ -119,13 +119,55 @@
 test('a woken instance declares nobody dead', () => {
   const fleet = coreFleet(ALL.length);
   fleet.run(1000);
+  fleet.path = (a, b) => (a === 'i1' || b === 'i1' ? 'drop' : 'pass');
+  fleet.run(250);
+  const stands = () =>
+    [...fleet.states.get('i1')!.members.values()].map(
+      known => known.record.status,
+    );
+  assert.ok(stands().includes('suspect'));
   fleet.paused.add('i1');
+  fleet.path = () => 'pass';
   fleet.run(5000);
   fleet.paused.delete('i1');
   fleet.run(50);
+  assert.ok(!stands().includes('dead'));
+  fleet.run(1000);
   assert.deepEqual(fleet.aliveIn('i1'), ALL);
 });
 
+test('two halves that were apart find each other by the list', () => {
+  const fleet = coreFleet(ALL.length);
+  fleet.run(1000);
+  const isLeft = (id: string) => id === 'i0' || id === 'i1';
+  fleet.path = (a, b) => (isLeft(a) === isLeft(b) ? 'pass' : 'drop');
+  fleet.run(3000);
+  assert.deepEqual(fleet.aliveIn('i0'), ['i0', 'i1']);
+  assert.deepEqual(fleet.aliveIn('i4'), ['i2', 'i3', 'i4']);
+  fleet.path = () => 'pass';
+  fleet.run(3000);
+  for (const id of ALL) assert.deepEqual(fleet.aliveIn(id), ALL, id);
+});
+
+test('a newcomer does not pass on what it was told at its start', () => {
+  const fleet = coreFleet(1);
+  const record = (i: number): MemberRecord => ({
+    id: `x${i}`,
+    address: `x${i}`,
+    admin: `x${i}`,
+    dataCentre: 'natal',
+    incarnation: 1,
+    status: 'alive',
+  });
+  const members = Array.from({length: 20}, (_, i) => record(i));
+  const config = {generation: 0, digest: ''};
+  const envelope = {from: record(0), config, changes: []};
+  const message = {...envelope, type: 'roster', members} as const;
+  fleet.give('i0', {type: 'received', message});
+  const {members: known, queue} = fleet.states.get('i0')!;
+  assert.deepEqual([known.size, queue.length], [20, 1]);
+});
+
 test('a report of suspected primaries reaches everyone at once', () => {
   const fleet = coreFleet(ALL.length);
   fleet.run(1000);
--- a/packages/peer/test/test-tcp-transport.ts
+++ b/packages/peer/test/test-tcp-transport.ts
@@ -52,7 +52,7 @@
   b.made.dispose();
 });
 
-test('a silent link is closed, and the next message takes a new one', async () => {
+test('a silent link is closed, and the next message takes a new one', async t => {
   let accepted = 0;
   const deaf = net.createServer(socket => {
     accepted++;
@@ -63,6 +63,10 @@
   const address = `127.0.0.1:${(deaf.address() as net.AddressInfo).port}`;
   const clock = manualClock();
   const {made, errors} = await transport(clock);
+  t.after(() => {
+    made.dispose();
+    deaf.close();
+  });
   made.send(address, {text: 'one'});
   await until(() => accepted === 1);
   clock.advance(LIMITS.silentMs);
@@ -72,8 +76,6 @@
   assert.deepEqual(errors, ['silent']);
   made.send(address, {text: 'three'});
   await until(() => accepted === 2);
-  made.dispose();
-  deaf.close();
 });
 
 const BAD: ReadonlyArray<[string, Buffer[], RegExp]> = [
