--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -76,6 +76,8 @@
   const random = xoroshiro128plus(options.seed);
   const pick = (size: number) => uniformInt(random, 0, size - 1);
   const client = roamingClient(options, pick);
+  /** What a caller does that wants to read its own and has nothing yet. */
+  const firstWrite = options.mix.find(part => !isRead(part))!;
   const total = options.mix.reduce((sum, part) => sum + part.weight, 0);
   /** Rows that this caller may change, with their acknowledged versions. */
   const owned = new Map<string, number>();
@@ -180,7 +182,7 @@
       case Operation.AmendWithHistory:
         return write(part, [amended(), fresh()]);
       case Operation.ReadOwn:
-        if (ownKeys.length === 0) return write(part, [fresh()]);
+        if (ownKeys.length === 0) return write(firstWrite, [fresh()]);
         return read(part, ownKeys.at(-1 - pick(Math.min(3, ownKeys.length)))!);
       case Operation.Browse:
         if (board.keys.length === 0) return;
@@ -198,6 +200,10 @@
   return {writes, reads, forcedReads};
 }
 
+function isRead({operation}: MixPart): boolean {
+  return operation === Operation.ReadOwn || operation === Operation.Browse;
+}
+
 /** Own rows that a caller remembers. */
 const OWN_KEYS = 50;
 
--- a/packages/membership/src/membership.ts
+++ b/packages/membership/src/membership.ts
@@ -5,7 +5,8 @@
  * socket or log is used here; random choices come from the state.
  */
 import {takeChanges} from './changes.js';
-import type {ConfigMark, PeerMessage, Purpose} from './messages.js';
+import type {MemberRecord} from './member.js';
+import type {Change, ConfigMark, PeerMessage, Purpose} from './messages.js';
 import {merge, mergeMember, withReport} from './merge.js';
 import {drawSome} from './random.js';
 import {
@@ -168,11 +169,7 @@
     case 'relay':
       return relay(state, message.target, to, message.seq, now);
     case 'roster':
-      return merge(
-        state,
-        message.members.map(member => ({kind: 'member', member})),
-        now,
-      );
+      return takeRoster(state, message.members, now);
     case 'news':
       return {state, effects: []};
     default:
@@ -192,6 +189,20 @@
   return result;
 }
 
+/** Takes in what others know already: it is not passed on. */
+function takeRoster(
+  state: MembershipState,
+  members: readonly MemberRecord[],
+  now: number,
+): MembershipResult {
+  const changes = members.map(member => ({kind: 'member', member}) as const);
+  const result = merge(state, changes, now);
+  const own = result.state.self.incarnation !== state.self.incarnation;
+  // A refutation is news for everyone.
+  const queue = own ? result.state.queue : state.queue;
+  return {...result, state: {...result.state, queue}};
+}
+
 function acked(state: MembershipState, seq: number): MembershipResult {
   if (state.probe?.seq === seq) {
     return {state: {...state, probe: undefined}, effects: []};
@@ -230,7 +241,8 @@
 
 /**
  * After a pause nothing that fell due meanwhile says anything about others:
- * their answers may have come and waited.
+ * their answers may have come and waited. Suspicions from before are dropped
+ * and not passed on; those that still hold come back from others or probes.
  */
 function wake(
   state: MembershipState,
@@ -239,14 +251,21 @@
 ): MembershipResult {
   const members = new Map(state.members);
   for (const [id, {record}] of members) {
-    if (record.status === 'suspect') members.set(id, {record, since: now});
+    if (record.status !== 'suspect') continue;
+    const alive = {...record, status: 'alive'} as const;
+    members.set(id, {record: alive, since: now});
   }
+  const queue = state.queue.filter(({change}) => !isSuspicion(change));
   return {
-    state: {...state, members, probe: undefined, relayed: []},
+    state: {...state, members, queue, probe: undefined, relayed: []},
     effects: [{type: 'woke', pausedMs}],
   };
 }
 
+function isSuspicion(change: Change): boolean {
+  return change.kind === 'member' && change.member.status === 'suspect';
+}
+
 /** Declares overdue suspects dead and forgets those long gone. */
 function expire(state: MembershipState, now: number): MembershipResult {
   const {suspicionMs, forgetMs, probeTimeoutMs} = state.limits;
--- a/packages/model/src/spec.ts
+++ b/packages/model/src/spec.ts
@@ -5,15 +5,17 @@
  * answer is lost are steps of their own. Where the protocol decides, the
  * functions of the product are called.
  */
+import type {EndpointConfig} from '@quetzalreel/config';
 import {Role, type EndpointStatus} from '@quetzalreel/endpoint';
 import {
   type FailoverState,
   type GroupView,
-  Reach,
   floorAfter,
   initialFailover,
   isOnMajority,
   promised,
+  viewOf,
+  withStatus,
 } from '@quetzalreel/group';
 import {
   ORIGIN,
@@ -163,18 +165,17 @@
 
 /** The product's view of a group, built from reports. */
 function groupView(reports: ReadonlyArray<Report | null>): GroupView {
-  const endpoints = reports.map((report, i) => {
-    const cfg = {
-      ...{name: `e${i}`, host: 'h', port: 1, dataCentre: 'd'},
-      ...{slots: 1, connections: 2, leaving: false},
-    };
-    const status: EndpointStatus | undefined = report
-      ? statusOf(report)
-      : undefined;
-    const known = {status, askedAt: 1, reach: Reach.Up, busy: 0, capacity: 1};
-    return [cfg.name, {cfg, failingSince: undefined, ...known}] as const;
-  });
-  return {name: 'g', endpoints: new Map(endpoints), samples: []} as GroupView;
+  const names = reports.map((_, i) => `e${i}`);
+  let view = viewOf({name: 'g', endpoints: names.map(endpointConfig)});
+  for (const [i, report] of reports.entries()) {
+    if (report) view = withStatus(view, names[i]!, statusOf(report), 1);
+  }
+  return view;
+}
+
+function endpointConfig(name: string): EndpointConfig {
+  const place = {host: 'h', port: 1, dataCentre: 'd'};
+  return {name, ...place, slots: 1, connections: 2, leaving: false};
 }
 
 function statusOf(report: Report): EndpointStatus {
