--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -258,6 +258,7 @@
   peers: '10.0.0.1:6434, 10.0.0.2:6434',
   platformUrl: 'http://127.0.0.1:1',
   endpointUser: 'u',
+  sessionKey: '',
   endpointPassword: PASSWORD,
   instances: 8,
   operatorToken: '',
