--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -86,9 +86,12 @@
   let forcedReads = 0;
   let lastWriteAt = -Infinity;
 
+  const postPart =
+    options.mix.find(part => part.operation === Operation.Post) ??
+    options.mix[0]!;
+
   function nextPart(): MixPart {
-    const wave = options.mix.find(part => part.operation === Operation.Post);
-    if (board.places > 0 && wave) return wave;
+    if (board.places > 0) return postPart;
     let at = pick(total);
     for (const part of options.mix) {
       if (at < part.weight) return part;
@@ -180,7 +183,7 @@
       case Operation.AmendWithHistory:
         return write(part, [amended(), fresh()]);
       case Operation.ReadOwn:
-        if (ownKeys.length === 0) return write(part, [fresh()]);
+        if (ownKeys.length === 0) return write(postPart, [fresh()]);
         return read(part, ownKeys.at(-1 - pick(Math.min(3, ownKeys.length)))!);
       case Operation.Browse:
         if (board.keys.length === 0) return;
--- a/packages/model/src/spec.ts
+++ b/packages/model/src/spec.ts
@@ -14,6 +14,7 @@
   initialFailover,
   isOnMajority,
   promised,
+  viewOf,
 } from '@quetzalreel/group';
 import {
   ORIGIN,
@@ -161,20 +162,23 @@
   return {...state, endpoints: replaced(state.endpoints, index, endpoint)};
 }
 
+const UNSEEN: GroupView = viewOf({
+  name: 'g',
+  endpoints: INDEXES.map(i => ({
+    ...{name: `e${i}`, host: 'h', port: 1, dataCentre: 'd'},
+    ...{slots: 1, connections: 2, leaving: false},
+  })),
+});
+
 /** The product's view of a group, built from reports. */
 function groupView(reports: ReadonlyArray<Report | null>): GroupView {
-  const endpoints = reports.map((report, i) => {
-    const cfg = {
-      ...{name: `e${i}`, host: 'h', port: 1, dataCentre: 'd'},
-      ...{slots: 1, connections: 2, leaving: false},
-    };
-    const status: EndpointStatus | undefined = report
-      ? statusOf(report)
-      : undefined;
-    const known = {status, askedAt: 1, reach: Reach.Up, busy: 0, capacity: 1};
-    return [cfg.name, {cfg, failingSince: undefined, ...known}] as const;
+  const endpoints = new Map(UNSEEN.endpoints);
+  reports.forEach((report, i) => {
+    const known = endpoints.get(`e${i}`)!;
+    const status = report ? statusOf(report) : undefined;
+    endpoints.set(`e${i}`, {...known, status, askedAt: 1, reach: Reach.Up});
   });
-  return {name: 'g', endpoints: new Map(endpoints), samples: []} as GroupView;
+  return {...UNSEEN, endpoints};
 }
 
 function statusOf(report: Report): EndpointStatus {
