--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -76,8 +76,6 @@
   const random = xoroshiro128plus(options.seed);
   const pick = (size: number) => uniformInt(random, 0, size - 1);
   const client = roamingClient(options, pick);
-  /** What a caller does that wants to read its own and has nothing yet. */
-  const firstWrite = options.mix.find(part => !isRead(part))!;
   const total = options.mix.reduce((sum, part) => sum + part.weight, 0);
   /** Rows that this caller may change, with their acknowledged versions. */
   const owned = new Map<string, number>();
@@ -88,9 +86,12 @@
   let forcedReads = 0;
   let lastWriteAt = -Infinity;
 
+  const postPart =
+    options.mix.find(part => part.operation === Operation.Post) ??
+    options.mix[0]!;
+
   function nextPart(): MixPart {
-    const wave = options.mix.find(part => part.operation === Operation.Post);
-    if (board.places > 0 && wave) return wave;
+    if (board.places > 0) return postPart;
     let at = pick(total);
     for (const part of options.mix) {
       if (at < part.weight) return part;
@@ -182,7 +183,7 @@
       case Operation.AmendWithHistory:
         return write(part, [amended(), fresh()]);
       case Operation.ReadOwn:
-        if (ownKeys.length === 0) return write(firstWrite, [fresh()]);
+        if (ownKeys.length === 0) return write(postPart, [fresh()]);
         return read(part, ownKeys.at(-1 - pick(Math.min(3, ownKeys.length)))!);
       case Operation.Browse:
         if (board.keys.length === 0) return;
@@ -200,10 +201,6 @@
   return {writes, reads, forcedReads};
 }
 
-function isRead({operation}: MixPart): boolean {
-  return operation === Operation.ReadOwn || operation === Operation.Browse;
-}
-
 /** Own rows that a caller remembers. */
 const OWN_KEYS = 50;
 
--- a/packages/model/src/spec.ts
+++ b/packages/model/src/spec.ts
@@ -5,17 +5,16 @@
  * answer is lost are steps of their own. Where the protocol decides, the
  * functions of the product are called.
  */
-import type {EndpointConfig} from '@quetzalreel/config';
 import {Role, type EndpointStatus} from '@quetzalreel/endpoint';
 import {
   type FailoverState,
   type GroupView,
+  Reach,
   floorAfter,
   initialFailover,
   isOnMajority,
   promised,
   viewOf,
-  withStatus,
 } from '@quetzalreel/group';
 import {
   ORIGIN,
@@ -163,19 +162,23 @@
   return {...state, endpoints: replaced(state.endpoints, index, endpoint)};
 }
 
+const UNSEEN: GroupView = viewOf({
+  name: 'g',
+  endpoints: INDEXES.map(i => ({
+    ...{name: `e${i}`, host: 'h', port: 1, dataCentre: 'd'},
+    ...{slots: 1, connections: 2, leaving: false},
+  })),
+});
+
 /** The product's view of a group, built from reports. */
 function groupView(reports: ReadonlyArray<Report | null>): GroupView {
-  const names = reports.map((_, i) => `e${i}`);
-  let view = viewOf({name: 'g', endpoints: names.map(endpointConfig)});
-  for (const [i, report] of reports.entries()) {
-    if (report) view = withStatus(view, names[i]!, statusOf(report), 1);
-  }
-  return view;
-}
-
-function endpointConfig(name: string): EndpointConfig {
-  const place = {host: 'h', port: 1, dataCentre: 'd'};
-  return {name, ...place, slots: 1, connections: 2, leaving: false};
+  const endpoints = new Map(UNSEEN.endpoints);
+  reports.forEach((report, i) => {
+    const known = endpoints.get(`e${i}`)!;
+    const status = report ? statusOf(report) : undefined;
+    endpoints.set(`e${i}`, {...known, status, askedAt: 1, reach: Reach.Up});
+  });
+  return {...UNSEEN, endpoints};
 }
 
 function statusOf(report: Report): EndpointStatus {
