--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -7,6 +7,7 @@
 } from '@quetzalreel/common';
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
+import {hashOf, rankOf} from '@quetzalreel/group';
 import {httpPlatformClient} from '@quetzalreel/platform';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
@@ -14,7 +15,8 @@
 import {type CallerListener, startListener} from './caller-listener.js';
 import {type ConfigFollower, followConfiguration} from './config-actor.js';
 import {credentialChecker} from './credentials.js';
-import {GROUP_LIMITS, TIMES} from './defaults.js';
+import {DRAIN_TIMES, GROUP_LIMITS, TIMES} from './defaults.js';
+import type {DrainReport} from './drain.js';
 import {type FleetHandle, joinFleet} from './fleet-actor.js';
 import {type GroupHandle, startGroup} from './group-actor.js';
 import {keyFiles} from './key-files.js';
@@ -22,16 +24,19 @@
 import {startMetrics} from './metrics.js';
 import {operatorState} from './operator-state.js';
 import {type Settings, peerAddresses} from './settings.js';
+import {suspicions} from './suspicions.js';
 import {type ShareHandle, startShares} from './share-actor.js';
 
 /** A running daemon. */
 export interface Daemon extends Disposable {
   readonly port: number;
   readonly adminPort: number;
-  /** Address that other instances reach this one by. */
-  readonly peerAddress: string;
   /** Requests and transactions that hold a place in a group now. */
   busy(group: string): number;
+  /** Address that other instances reach this one by. */
+  readonly peerAddress: string;
+  /** Finishes what is under way, then releases everything. */
+  stop(): Promise<DrainReport>;
 }
 
 /** Seeds of random choices are below this. */
@@ -45,6 +50,7 @@
   const system = start();
   owned.add({dispose: () => stop(system)});
   const groups = new Map<string, GroupHandle>();
+  let stopping = false;
   owned.add({dispose: () => groups.forEach(group => group.dispose())});
 
   let follower: ConfigFollower | undefined = undefined;
@@ -97,11 +103,22 @@
       },
       {callTimeoutMs: TIMES.controlCallMs},
     );
+  let members: readonly string[] = [];
+  const exchange = suspicions({
+    clock,
+    instance: settings.instance,
+    holdMs: GROUP_LIMITS.stepMs,
+    groupOf: name => groups.get(name),
+    tell: suspected => fleet?.suspect(suspected),
+  });
   const context = {
     system,
     clock,
     log,
     instance: settings.instance,
+    rankIn: (group: string) => turnIn(group, settings, members),
+    suspects: (group: string, term: number) => exchange.suspects(group, term),
+    dataCentre: settings.dataCentre,
     limits: GROUP_LIMITS,
     times: TIMES.poll,
     tickMs: TIMES.tickMs,
@@ -127,6 +144,7 @@
   /** Whether the platform's balancer may send callers here. */
   const ready = () =>
     !owned.disposed &&
+    !stopping &&
     listener !== undefined &&
     follower?.current !== undefined;
   const metrics = owned.add(
@@ -180,8 +198,12 @@
       ...tlsBetweenInstances(settings, log),
       inForce: () => follower?.inForce,
       onConfig: event => follower?.offer(event),
-      onMembers: members => shares.setMembers(members),
-      onReports: () => {},
+      onMembers: live => {
+        members = live.map(({id}) => id);
+        shares.setMembers(live);
+        for (const group of groups.values()) group.rank();
+      },
+      onReports: reports => exchange.heard(reports),
       onLoan: message => shares.onLoan(message),
     }),
   );
@@ -210,12 +232,28 @@
   return {
     port: listener.port,
     adminPort: admin.port,
-    peerAddress: fleet.address,
     busy: name => busyPlaces(groups.get(name)),
+    peerAddress: fleet.address,
+    async stop() {
+      stopping = true;
+      log.info('stopping');
+      const report = await listener.drain(DRAIN_TIMES);
+      log.info(report, 'stopped');
+      owned.dispose();
+      return report;
+    },
     dispose: () => owned.dispose(),
   };
 }
 
+function busyPlaces(group: GroupHandle | undefined): number {
+  let busy = 0;
+  for (const item of group?.state.view.endpoints.values() ?? []) {
+    busy += item.busy;
+  }
+  return busy;
+}
+
 /** Keys for callers' TLS, when settings name them. */
 function tlsForCallers(settings: Settings, log: Log) {
   const {tlsCert: cert, tlsKey: key} = settings;
@@ -228,10 +266,23 @@
   return cert === '' ? {} : {tls: keyFiles({cert, key, ca}, log)};
 }
 
-function busyPlaces(group: GroupHandle | undefined): number {
-  let busy = 0;
-  for (const item of group?.state.view.endpoints.values() ?? []) {
-    busy += item.busy;
+/**
+ * This instance's turn in a group, and how many instances watch it. Until the
+ * members are known a hash spreads the turns.
+ */
+function turnIn(
+  group: string,
+  settings: Settings,
+  members: readonly string[],
+): {rank: number; watchers: number} {
+  if (members.length > 1) {
+    const rank = rankOf(settings.instance, members, group);
+    return {rank, watchers: members.length};
   }
-  return busy;
+  const hash = hashOf(`${group}/${settings.instance}`);
+  const rank = (hash / HASHES) * settings.instances;
+  return {rank, watchers: settings.instances};
 }
+
+/** Number of values that `hashOf` can have. */
+const HASHES = 2 ** 32;
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -2,12 +2,12 @@
 
 /** Bounds of a group in one instance. */
 export const GROUP_LIMITS = {
-  suspectAfterMs: 250,
+  suspectAfterMs: 150,
   replicaSilenceMs: 150,
   stepMs: 1000,
   retryMs: 100,
   unfinishedAfterMs: 100,
-  startDelayMs: 0,
+  startDelayMs: 30,
   maxWaiting: 5000,
   maxWaitingBytes: 32 * 1024 * 1024,
 } as const;
@@ -68,3 +68,10 @@
   maxRetryMs: 1000,
   tickMs: 20,
 } as const;
+
+/** Bounds of a planned stop. */
+export const DRAIN_TIMES = {
+  transactionMs: 5000,
+  totalMs: 15_000,
+  stepMs: 10,
+} as const;
--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -2,6 +2,7 @@
  * The actor of one group: feeds events to the pure decisions of the `group`
  * package and carries out their effects.
  */
+import {randomUUID} from 'node:crypto';
 import {
   type Clock,
   type Disposable,
@@ -25,7 +26,9 @@
   type GroupLimits,
   type GroupState,
   type RefusalReason,
+  Reach,
   initialGroup,
+  primaryOf,
   stepGroup,
 } from '@quetzalreel/group';
 import {type ConnectionPool, connectionPool} from '@quetzalreel/pool';
@@ -62,7 +65,7 @@
   /** Asks for a place; resolves when there is one or it is refused. */
   request(input: RequestInput): Promise<Placement>;
   /** Gives a place back. */
-  release(endpoint: string): void;
+  release(endpoint: string, elapsedMs?: number): void;
   /** Resolves when the write at `position` is safe, or at `deadline`. */
   written(id: number, position: Position, deadline: number): Promise<AckResult>;
   /**
@@ -79,9 +82,23 @@
   suspect(endpoint: string): void;
   /** Sets this instance's share of the endpoint's connections. */
   resize(endpoint: string, share: number): void;
+  /** Calls `listener` when work on `endpoint` is to end, until disposed. */
+  onVacate(endpoint: string, listener: () => void): Disposable;
   configure(cfg: GroupConfig): void;
   /** Sets how many requests may be on an endpoint at a time. */
   setCapacity(endpoint: string, capacity: number): void;
+  /** Asks again for the rank of this instance, as members have changed. */
+  rank(): void;
+  /** Another instance has lost the primary of `term`. */
+  suspected(instance: string, term: number): void;
+  /** Closes a silent connection once a later term than `term` is served. */
+  guard(term: number, connection: EndpointConnection): Disposable;
+  /** Asks an endpoint for its status now. Throws EndpointDownError. */
+  statusOf(endpoint: string): Promise<EndpointStatus>;
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  readOnly(endpoint: string, at: number): void;
+  /** An endpoint answered a statement. */
+  heard(endpoint: string): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -98,6 +115,12 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly instance: string;
+  /** Data centre of this instance. */
+  readonly dataCentre: string;
+  /** Rank of this instance in a group, and how many instances watch it. */
+  readonly rankIn?: (group: string) => {rank: number; watchers: number};
+  /** Tells other instances that this one has lost the primary of a term. */
+  readonly suspects?: (group: string, term: number) => void;
   readonly limits: GroupLimits;
   readonly times: PollTimes;
   /** Time between two looks at deadlines, in milliseconds. */
@@ -113,6 +136,12 @@
   readonly pool: ConnectionPool;
 }
 
+/** Who is told when work on an endpoint is to end. */
+interface EndpointUser {
+  readonly endpoint: string;
+  readonly listener: () => void;
+}
+
 /** Starts the actor of a group. */
 export function startGroup(
   cfg: GroupConfig,
@@ -122,10 +151,18 @@
   const parts = new Map<string, EndpointParts>();
   const owned = disposableStore();
   const placements = new Map<number, (placement: Placement) => void>();
+  const users = new Set<EndpointUser>();
   const acks = new Map<number, (result: AckResult) => void>();
-  let state = initialGroup(cfg, context.instance, context.limits);
+  // An attempt of this process must not be taken for one of an earlier
+  // process of the same instance.
+  const holder = `${context.instance}.${randomUUID()}`;
+  let state = initialGroup(cfg, holder, context.limits, context.dataCentre);
   const reads = {primary: 0, replica: 0};
   const refused = new Map<RefusalReason, number>();
+  const guards = new Set<{
+    readonly term: number;
+    readonly connection: EndpointConnection;
+  }>();
   let lastId = 0;
 
   const actor = spawn(
@@ -134,6 +171,7 @@
       const result = stepGroup(current, event, clock.now());
       state = result.state;
       for (const effect of result.effects) perform(effect);
+      closeOvertaken();
       return state;
     },
     `group-${cfg.name}`,
@@ -141,6 +179,21 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  /**
+   * Ends what waits on a primary that has been replaced and is silent. One
+   * that still answers may prove that a write did not run.
+   */
+  function closeOvertaken(): void {
+    if (guards.size === 0) return;
+    const term = primaryOf(state.view)?.status?.term ?? 0;
+    for (const guarded of [...guards]) {
+      if (guarded.term >= term) continue;
+      const {endpoint} = guarded.connection;
+      const view = state.view.endpoints.get(endpoint);
+      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+    }
+  }
+
   function perform(effect: GroupEffect): void {
     switch (effect.type) {
       case 'grant':
@@ -163,9 +216,18 @@
         log.warn({group: cfg.name, req: effect.id, why: effect.why}, 'unknown');
         settleAck(effect.id, 'unknown');
         return;
+      case 'vacate':
+        log.info({group: cfg.name, endpoint: effect.endpoint}, 'vacated');
+        for (const open of [...users]) {
+          if (open.endpoint === effect.endpoint) open.listener();
+        }
+        return;
       case 'poll':
         for (const {poller} of parts.values()) poller.wake();
         return;
+      case 'suspect':
+        context.suspects?.(cfg.name, effect.term);
+        return;
       case 'failoverStep': {
         const {from, to, term, why} = effect;
         log.warn({group: cfg.name, from, to, term, why}, 'change of primary');
@@ -218,7 +280,8 @@
     } catch (err) {
       const why = messageOf(err);
       log.info({group: cfg.name, endpoint, call: effect.type, why}, 'control');
-      if (err instanceof FencedError) send({type: 'refused', attempt});
+      const type = err instanceof FencedError ? 'refused' : 'unanswered';
+      send({type, call: effect.type, endpoint, attempt});
     }
   }
 
@@ -243,7 +306,7 @@
         send({type: 'status', endpoint: name, status, askedAt}),
       failed: (reach, askedAt) =>
         send({type: 'failed', endpoint: name, reach, askedAt}),
-      isAwaited: () => state.held.length > 0 || state.waiting.length > 0,
+      isAwaited: () => isAwaited(state),
     });
     parts.set(name, {
       address: `${endpoint.host}:${endpoint.port}`,
@@ -261,7 +324,13 @@
     part?.pool.dispose();
   }
 
+  function rank(): void {
+    const ranked = context.rankIn?.(cfg.name);
+    if (ranked) send({type: 'ranked', ...ranked});
+  }
+
   function configure(next: GroupConfig): void {
+    rank();
     send({type: 'configured', cfg: next});
     const wanted = new Map(next.endpoints.map(item => [item.name, item]));
     for (const [name, part] of parts) {
@@ -300,7 +369,8 @@
         send({type: 'requested', req});
       });
     },
-    release: endpoint => send({type: 'released', endpoint}),
+    release: (endpoint, elapsedMs) =>
+      send({type: 'released', endpoint, elapsedMs}),
     written(id, position, deadline) {
       return new Promise(resolve => {
         acks.set(id, resolve);
@@ -322,14 +392,39 @@
       if (part) part.pool.give(connection, reusable);
       else connection.dispose();
     },
+    onVacate(endpoint, listener) {
+      const user = {endpoint, listener};
+      users.add(user);
+      return {dispose: () => users.delete(user)};
+    },
     configure,
     setCapacity: (endpoint, capacity) =>
       send({type: 'capacity', endpoint, capacity}),
+    rank,
+    guard(term, connection) {
+      const guarded = {term, connection};
+      guards.add(guarded);
+      return {dispose: () => guards.delete(guarded)};
+    },
+    async statusOf(endpoint) {
+      const part = parts.get(endpoint);
+      if (!part) throw new EndpointDownError(endpoint, 'not in this group');
+      return part.control.status();
+    },
+    suspected: (instance, term) => send({type: 'suspected', instance, term}),
+    readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
+    heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
 }
 
+/** Whether something waits for news of the endpoints. */
+function isAwaited(state: GroupState): boolean {
+  if (state.held.length > 0 || state.waiting.length > 0) return true;
+  return state.failover.step !== 'steady';
+}
+
 /** The event that reports the answer to each control call. */
 const EVENT_AFTER = {
   fence: 'promised',
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -7,20 +7,25 @@
 import type {Position} from '@quetzalreel/position';
 import {type HeldAck, settleAcks} from './acks.js';
 import {
-  type FailoverContext,
-  type FailoverEffect,
-  type FailoverLimits,
-  type FailoverResult,
-  type FailoverState,
+  type AttemptCall,
   advance,
-  initialFailover,
   orderChange,
+  peerSuspects,
   promoted,
   promised,
   refused,
   strays,
+  unanswered,
 } from './failover.js';
-import {floorAfter, floorOf} from './floor.js';
+import {
+  type FailoverContext,
+  type FailoverEffect,
+  type FailoverLimits,
+  type FailoverResult,
+  type FailoverState,
+  initialFailover,
+} from './failover-state.js';
+import {floorOf} from './floor.js';
 import {
   type QueueLimits,
   type RequestQueue,
@@ -29,8 +34,18 @@
   emptyQueue,
   enqueue,
 } from './queue.js';
+import {
+  type LeavingState,
+  isShut,
+  noneLeaving,
+  noteLeaving,
+  successorOf,
+  vacate,
+} from './leaving.js';
+import {isHopeless} from './prospects.js';
 import {type Grant, type GroupRequest, RefusalReason} from './request.js';
 import {choose} from './routing.js';
+import {boundsFor, shareOf} from './shedding.js';
 import {
   type GroupView,
   Reach,
@@ -39,8 +54,8 @@
   viewOf,
   withEndpoint,
   withFailure,
+  withLatency,
   withStatus,
-  writablePrimary,
 } from './view.js';
 
 /** Bounds of a group in one instance. */
@@ -49,12 +64,15 @@
 /** All that one instance decides on for a group. */
 export interface GroupState {
   readonly instance: string;
+  /** Data centre of this instance; empty when it is not known. */
+  readonly dataCentre: string;
   readonly limits: GroupLimits;
   readonly view: GroupView;
   readonly failover: FailoverState;
   /** Requests without a place. */
   readonly waiting: RequestQueue;
   readonly held: readonly HeldAck[];
+  readonly leaving: LeavingState;
 }
 
 /** What can happen to a group. */
@@ -62,7 +80,12 @@
   | {readonly type: 'configured'; readonly cfg: GroupConfig}
   | {readonly type: 'requested'; readonly req: GroupRequest}
   | {readonly type: 'cancelled'; readonly id: number}
-  | {readonly type: 'released'; readonly endpoint: string}
+  | {
+      readonly type: 'released';
+      readonly endpoint: string;
+      /** Time that the statement took; undefined when it tells nothing. */
+      readonly elapsedMs?: number | undefined;
+    }
   | {
       readonly type: 'capacity';
       readonly endpoint: string;
@@ -94,7 +117,24 @@
       readonly status: EndpointStatus;
       readonly askedAt: number;
     }
-  | {readonly type: 'refused'; readonly attempt: Attempt}
+  /** An endpoint refused a call of an attempt, or gave no answer to it. */
+  | (AttemptCall & {readonly type: 'refused' | 'unanswered'})
+  /** A statement was answered by an endpoint, as a sign of its life. */
+  | {readonly type: 'heard'; readonly endpoint: string; readonly at: number}
+  /** An endpoint refused a write that was sent at `at` as read-only. */
+  | {readonly type: 'readOnly'; readonly endpoint: string; readonly at: number}
+  /** Another instance has lost the primary of a term. */
+  | {
+      readonly type: 'suspected';
+      readonly instance: string;
+      readonly term: number;
+    }
+  /** The rank of this instance, and how many watch the group. */
+  | {
+      readonly type: 'ranked';
+      readonly rank: number;
+      readonly watchers: number;
+    }
   | {readonly type: 'ordered'; readonly target: string}
   | {readonly type: 'tick'};
 
@@ -110,7 +150,9 @@
   | {readonly type: 'acknowledge'; readonly id: number}
   | {readonly type: 'unknown'; readonly id: number; readonly why: string}
   /** Ask every endpoint for its status now. */
-  | {readonly type: 'poll'};
+  | {readonly type: 'poll'}
+  /** End the transactions that are still open on a leaving endpoint. */
+  | {readonly type: 'vacate'; readonly endpoint: string};
 
 /** A state and what is to be done on the way to it. */
 export interface GroupResult {
@@ -123,14 +165,17 @@
   cfg: GroupConfig,
   instance: string,
   limits: GroupLimits,
+  dataCentre = '',
 ): GroupState {
   return {
     instance,
+    dataCentre,
     limits,
     view: viewOf(cfg),
     failover: initialFailover(),
     waiting: emptyQueue(),
     held: [],
+    leaving: noneLeaving(),
   };
 }
 
@@ -142,7 +187,7 @@
 ): GroupResult {
   switch (event.type) {
     case 'configured':
-      return settle({...state, view: viewOf(event.cfg, state.view)}, now);
+      return configured(state, event.cfg, now);
     case 'requested':
       return accept(state, event.req, now);
     case 'cancelled':
@@ -151,7 +196,7 @@
         effects: [],
       };
     case 'released':
-      return placeWaiting(released(state, event.endpoint), now);
+      return placeWaiting(released(state, event, now), now);
     case 'capacity': {
       const {endpoint, capacity} = event;
       const view = withEndpoint(state.view, endpoint, {capacity});
@@ -169,6 +214,25 @@
       const view = withFailure(state.view, endpoint, reach, askedAt);
       return settle({...state, view}, now);
     }
+    case 'heard': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        heardAt: event.at,
+      });
+      return {state: {...state, view}, effects: []};
+    }
+    case 'readOnly': {
+      const view = withEndpoint(state.view, event.endpoint, {
+        readOnlyAt: event.at,
+      });
+      return {state: {...state, view}, effects: [{type: 'poll'}]};
+    }
+    case 'ranked': {
+      const {rank, watchers} = event;
+      return {
+        state: {...state, failover: {...state.failover, rank, watchers}},
+        effects: [],
+      };
+    }
     case 'tick':
       return settle(state, now);
     default:
@@ -176,9 +240,27 @@
   }
 }
 
+function configured(
+  state: GroupState,
+  cfg: GroupConfig,
+  now: number,
+): GroupResult {
+  const view = viewOf(cfg, state.view);
+  const leaving = noteLeaving(state.leaving, cfg, now);
+  return settle({...state, view, leaving}, now);
+}
+
 type FailoverEvent = Extract<
   GroupEvent,
-  {type: 'promised' | 'promoted' | 'refused' | 'ordered'}
+  {
+    type:
+      | 'promised'
+      | 'promoted'
+      | 'refused'
+      | 'unanswered'
+      | 'suspected'
+      | 'ordered';
+  }
 >;
 
 function stepFailover(
@@ -212,7 +294,11 @@
     case 'promoted':
       return promoted(state, event.endpoint, event.attempt, context);
     case 'refused':
-      return refused(state, event.attempt, context);
+      return refused(state, event, context);
+    case 'unanswered':
+      return unanswered(state, event, context);
+    case 'suspected':
+      return peerSuspects(state, event.instance, event.term, context);
     case 'ordered':
       return orderChange(state, event.target, context);
   }
@@ -231,16 +317,26 @@
 ): GroupResult {
   const placed = place(state, req, now);
   if (placed) return placed;
-  const waiting = enqueue(state.waiting, req, state.limits);
+  const waiting = enqueue(state.waiting, req, boundsFor(req, state.limits));
   if (!waiting) {
-    const reason = RefusalReason.QueueFull;
+    const isShed = shareOf(req) < 1;
+    const reason = isShed ? RefusalReason.Shed : RefusalReason.QueueFull;
     return {state, effects: [{type: 'refuse', id: req.id, reason}]};
   }
-  const isProved = req.floor && !req.unproved;
-  const effects: GroupEffect[] = isProved ? [] : [{type: 'poll'}];
+  const effects: GroupEffect[] = awaitsStatus(state, req)
+    ? [{type: 'poll'}]
+    : [];
   return {state: {...state, waiting}, effects};
 }
 
+/** Whether a request waits for news of the endpoints, not for a free place. */
+function awaitsStatus(state: GroupState, req: GroupRequest): boolean {
+  if (!req.floor || req.unproved) return true;
+  if (req.needsPrimary) return false;
+  const primary = primaryOf(state.view);
+  return primary !== undefined && primary.busy < primary.capacity;
+}
+
 /** Gives a request a place; undefined when there is none now. */
 function place(
   state: GroupState,
@@ -255,10 +351,11 @@
   }
   const {floor} = found;
   if (req.needsPrimary && state.failover.step === 'draining') return undefined;
-  const choice = choose(state.view, {...req, floor}, now);
+  const choice = choose(state.view, {...req, floor}, now, state.dataCentre);
   if (!choice) return undefined;
   const {endpoint, reason} = choice;
   const name = endpoint.cfg.name;
+  if (isShut(state.leaving, name, now)) return undefined;
   const view = withEndpoint(state.view, name, {busy: endpoint.busy + 1});
   const grant: Grant = {
     endpoint: name,
@@ -274,10 +371,16 @@
   };
 }
 
-function released(state: GroupState, name: string): GroupState {
+function released(
+  state: GroupState,
+  event: Extract<GroupEvent, {type: 'released'}>,
+  now: number,
+): GroupState {
+  const {endpoint: name, elapsedMs} = event;
   const busy = state.view.endpoints.get(name)?.busy ?? 0;
   const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
-  return {...state, view};
+  if (elapsedMs === undefined) return {...state, view};
+  return {...state, view: withLatency(view, name, elapsedMs, now)};
 }
 
 /** Gives places to waiting requests, the first of each need first. */
@@ -285,7 +388,8 @@
   if (state.waiting.length === 0) return {state, effects: []};
   const effects: GroupEffect[] = [];
   const drained = drain(state.waiting, state, now, (current, req) => {
-    if (isHopeless(current, req)) return 'stop';
+    const {view, failover} = current;
+    if (isHopeless(view, failover.step, req)) return 'stop';
     const placed = place(current, req, now);
     if (!placed) return 'pass';
     effects.push(...placed.effects);
@@ -297,25 +401,6 @@
   return {state: {...drained.state, waiting: drained.queue}, effects};
 }
 
-/** Whether neither this request nor a later one of its lane has a place. */
-function isHopeless(state: GroupState, req: GroupRequest): boolean {
-  const {view, failover} = state;
-  if (!hasAnyRoom(view)) return true;
-  // A majority that reported after a later arrival did so after this one.
-  if (!req.floor && !floorAfter(view, req.arrivedAt)) return true;
-  if (!req.floor || !req.needsPrimary) return false;
-  const primary = writablePrimary(view);
-  if (!primary || failover.step === 'draining') return true;
-  return primary.busy >= primary.capacity;
-}
-
-function hasAnyRoom(view: GroupView): boolean {
-  for (const {reach, busy, capacity} of view.endpoints.values()) {
-    if (reach === Reach.Up && busy < capacity) return true;
-  }
-  return false;
-}
-
 /** Holds a committed write until a majority has it. */
 function hold(
   state: GroupState,
@@ -345,22 +430,50 @@
 function settle(state: GroupState, now: number): GroupResult {
   const acks = settleHeld(state, now);
   const change = advance(acks.state.failover, failoverContext(acks.state, now));
-  const changed = {...acks.state, failover: change.state};
+  const advanced = {...acks.state, failover: change.state};
+  const left = leave(advanced, now);
+  const changed = left.state;
   const placed = placeWaiting(changed, now);
+  const follows = followStrays(placed.state, now);
+  const failover =
+    follows.length > 0
+      ? {...placed.state.failover, followedAt: now}
+      : placed.state.failover;
   return {
-    state: placed.state,
+    state: {...placed.state, failover},
     effects: [
       ...acks.effects,
       ...change.effects,
-      ...followStrays(changed),
+      ...left.effects,
+      ...follows,
       ...placed.effects,
     ],
   };
 }
 
+/** Changes a primary that is leaving, and ends what is open at the bound. */
+function leave(state: GroupState, now: number): GroupResult {
+  if (state.leaving.since.size === 0) return {state, effects: []};
+  const {view, failover, instance} = state;
+  const done = vacate(state.leaving, now);
+  const effects: GroupEffect[] = [];
+  for (const endpoint of done.endpoints) {
+    effects.push({type: 'vacate', endpoint});
+  }
+  const vacated = {...state, leaving: done.state};
+  const mayOrder = failover.step === 'steady' && now >= failover.notBefore;
+  const target = mayOrder && successorOf(done.state, view, instance, now);
+  if (!target) return {state: vacated, effects};
+  const change = orderChange(failover, target, failoverContext(vacated, now));
+  effects.push(...change.effects);
+  return {state: {...vacated, failover: change.state}, effects};
+}
+
 /** Tells endpoints that missed a change to follow the primary. */
-function followStrays(state: GroupState): GroupEffect[] {
-  if (state.failover.step !== 'steady') return [];
+function followStrays(state: GroupState, now: number): GroupEffect[] {
+  const {failover, limits} = state;
+  if (failover.step !== 'steady') return [];
+  if (now - failover.followedAt < limits.retryMs) return [];
   const primary = primaryOf(state.view);
   const attempt = primary && attemptOf(primary);
   if (!attempt || primary.reach !== Reach.Up) return [];
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -8,13 +8,18 @@
   type FailoverResult,
   type FailoverState,
   type FailoverStep,
-  advance,
   initialFailover,
+} from './failover-state.js';
+export {
+  type AttemptCall,
+  advance,
   orderChange,
+  peerSuspects,
   promised,
   promoted,
   refused,
   strays,
+  unanswered,
 } from './failover.js';
 export {floorAfter} from './floor.js';
 export {
@@ -26,6 +31,15 @@
   initialGroup,
   stepGroup,
 } from './group.js';
+export {
+  LEAVING_TIMES,
+  type LeavingState,
+  isShut,
+  noneLeaving,
+  noteLeaving,
+  successorOf,
+  vacate,
+} from './leaving.js';
 export {
   type DrainOutcome,
   Need,
@@ -45,12 +59,14 @@
   Reason,
   RefusalReason,
 } from './request.js';
+export {hashOf, rankOf} from './rank.js';
 export {type Choice, type FlooredRequest, choose} from './routing.js';
+export {type PeerSuspicion} from './suspicion.js';
 export {
   type EndpointView,
   type GroupView,
   Reach,
-  ageOf,
+  currentAsOf,
   highestTerm,
   primaryOf,
   viewOf,
--- a/packages/login/src/login.ts
+++ b/packages/login/src/login.ts
@@ -61,6 +61,7 @@
       finish(undefined);
     };
     const count = (chunk: Buffer) => {
+      if (authenticated) return;
       received += chunk.length;
       if (received > MAX_LOGIN_BYTES) refuse();
     };
