Tell the others of leaving before the process ends

Cause: a stopping daemon told of its leaving and exited in the same turn, so the news could be lost with links that were still opening, and others held it for suspect for 2 s and kept its share of connections. Change: leaving is told after the drain, and 100 ms pass before the end. Ruled out: telling before the drain; its connections are still in use then. Conclusion: shares move as soon as an instance has drained.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -239,6 +239,8 @@
       log.info('stopping');
       const report = await listener.drain(DRAIN_TIMES);
       log.info(report, 'stopped');
+      fleet!.leave();
+      await clock.sleep(TIMES.leaveMs);
       owned.dispose();
       return report;
     },
--- a/packages/daemon/src/defaults.ts
+++ b/packages/daemon/src/defaults.ts
@@ -24,6 +24,8 @@
   platformCallMs: 2000,
   config: {watchMs: 2000, rereadMs: 1000, retryMs: 200},
   fleetTickMs: 100,
+  /** Time for the news of leaving to reach others before the end. */
+  leaveMs: 100,
   /** Time between two reads of the platform's list of instances. */
   instanceListMs: 2000,
   /** Wait before one peer is asked for the same document again. */
--- a/packages/daemon/test/test-config-actor.ts
+++ b/packages/daemon/test/test-config-actor.ts
@@ -173,3 +173,20 @@
   a.stop();
   empty.close();
 });
+
+test('leaving reaches the others over their links', async () => {
+  const server = await platformServer(0);
+  await put(server, 1);
+  const a = await instance(server.port, []);
+  const b = await instance(server.port, [a.fleet.address]);
+  await until(() => a.fleet.members.length === 2);
+  b.fleet.leave();
+  await until(() => a.fleet.members.length === 1);
+  const stands = [...a.fleet.state.members.values()];
+  assert.deepEqual(
+    stands.map(known => known.record.status),
+    ['left'],
+  );
+  for (const item of [a, b]) item.stop();
+  server.close();
+});
