--- a/packages/bench/src/caller.ts
+++ b/packages/bench/src/caller.ts
@@ -79,14 +79,19 @@
   const total = options.mix.reduce((sum, part) => sum + part.weight, 0);
   /** Rows that this caller may change, with their acknowledged versions. */
   const owned = new Map<string, number>();
+  /** Highest version tried of each row: none is used for two writes. */
+  const tried = new Map<string, number>();
   let ownKeys: string[] = [];
   let count = 0;
   let forcedReads = 0;
   let lastWriteAt = -Infinity;
 
+  const postPart =
+    options.mix.find(part => part.operation === Operation.Post) ??
+    options.mix[0]!;
+
   function nextPart(): MixPart {
-    const wave = options.mix.find(part => part.operation === Operation.Post);
-    if (board.places > 0 && wave) return wave;
+    if (board.places > 0) return postPart;
     let at = pick(total);
     for (const part of options.mix) {
       if (at < part.weight) return part;
@@ -100,7 +105,9 @@
   function amended(): Change {
     if (ownKeys.length === 0) return fresh();
     const key = ownKeys[pick(ownKeys.length)]!;
-    return {key, version: owned.get(key)! + 1};
+    const version = (tried.get(key) ?? 1) + 1;
+    tried.set(key, version);
+    return {key, version};
   }
 
   async function write(
@@ -176,7 +183,7 @@
       case Operation.AmendWithHistory:
         return write(part, [amended(), fresh()]);
       case Operation.ReadOwn:
-        if (ownKeys.length === 0) return write(part, [fresh()]);
+        if (ownKeys.length === 0) return write(postPart, [fresh()]);
         return read(part, ownKeys.at(-1 - pick(Math.min(3, ownKeys.length)))!);
       case Operation.Browse:
         if (board.keys.length === 0) return;
--- a/packages/membership/src/shares.ts
+++ b/packages/membership/src/shares.ts
@@ -149,6 +149,20 @@
   return part + (ahead < remainder ? 1 : 0);
 }
 
+/**
+ * The share by what is known now. An instance that knows no other may be cut
+ * off, so it keeps to the size of the fleet by settings.
+ */
+function targetOf(
+  state: ShareState,
+  endpoint: SharedEndpoint,
+  hash: TextHash,
+): number {
+  const {members, self, expected} = state;
+  if (members.length > 1) return shareOf(endpoint, members, self, hash);
+  return Math.max(1, Math.floor(endpoint.connections / expected));
+}
+
 /** Connections that this instance may have open on an endpoint now. */
 export function allowed(state: ShareState, endpoint: string): number {
   const held = state.shares.get(endpoint)?.held ?? 0;
@@ -205,7 +219,7 @@
 ): ShareState {
   const shares = new Map<string, EndpointShare>();
   for (const endpoint of list) {
-    const target = shareOf(endpoint, state.members, state.self, hash);
+    const target = targetOf(state, endpoint, hash);
     const known = state.shares.get(endpoint.name);
     const size = Math.max(state.expected, state.members.length);
     const atStart = Math.floor(endpoint.connections / size);
@@ -226,7 +240,7 @@
 function retarget(state: ShareState, now: number, hash: TextHash): ShareState {
   const shares = new Map<string, EndpointShare>();
   for (const [name, share] of state.shares) {
-    const target = shareOf(share.endpoint, state.members, state.self, hash);
+    const target = targetOf(state, share.endpoint, hash);
     const held = Math.min(share.held, target);
     // The wait begins anew with each change: others may know less than this.
     const isSame = target === share.target && share.largerSince !== undefined;
