--- a/packages/membership/test/test-shares.ts
+++ b/packages/membership/test/test-shares.ts
@@ -94,6 +94,14 @@
   }
 });
 
+test('an instance that knows no other keeps to the size by settings', () => {
+  let state = initialShares('a', 8, LIMITS);
+  const endpoints = {type: 'endpoints', list: [ENDPOINT]} as const;
+  state = stepShares(state, endpoints, 0, hash).state;
+  state = stepShares(state, {type: 'tick'}, 60_000, hash).state;
+  assert.equal(allowed(state, 'e1'), 2);
+});
+
 /** Two instances that share four connections. */
 function two(): {a: ShareState; b: ShareState} {
   const make = (id: string) => {
