--- a/packages/model/src/spec.ts
+++ b/packages/model/src/spec.ts
@@ -162,20 +162,23 @@
   return {...state, endpoints: replaced(state.endpoints, index, endpoint)};
 }
 
-/** The product's view of a group, built from reports. */
-function groupView(reports: ReadonlyArray<Report | null>): GroupView {
-  const endpoints = reports.map((_, i) => ({
+const UNSEEN: GroupView = viewOf({
+  name: 'g',
+  endpoints: INDEXES.map(i => ({
     ...{name: `e${i}`, host: 'h', port: 1, dataCentre: 'd'},
     ...{slots: 1, connections: 2, leaving: false},
-  }));
-  const empty = viewOf({name: 'g', endpoints});
-  const reported = reports.map((report, i) => {
+  })),
+});
+
+/** The product's view of a group, built from reports. */
+function groupView(reports: ReadonlyArray<Report | null>): GroupView {
+  const endpoints = new Map(UNSEEN.endpoints);
+  reports.forEach((report, i) => {
+    const known = endpoints.get(`e${i}`)!;
     const status = report ? statusOf(report) : undefined;
-    const known = empty.endpoints.get(`e${i}`)!;
-    const view = {...known, status, askedAt: 1, reach: Reach.Up};
-    return [`e${i}`, view] as const;
+    endpoints.set(`e${i}`, {...known, status, askedAt: 1, reach: Reach.Up});
   });
-  return {...empty, endpoints: new Map(reported)};
+  return {...UNSEEN, endpoints};
 }
 
 function statusOf(report: Report): EndpointStatus {
