--- a/packages/daemon/src/group-actor.ts
+++ b/packages/daemon/src/group-actor.ts
@@ -20,6 +20,7 @@
   FencedError,
 } from '@quetzalreel/endpoint';
 import {
+  type EndpointView,
   type Grant,
   type GroupEffect,
   type GroupEvent,
@@ -97,8 +98,6 @@
   statusOf(endpoint: string): Promise<EndpointStatus>;
   /** An endpoint refused a write that was sent at `at` as read-only. */
   readOnly(endpoint: string, at: number): void;
-  /** An endpoint answered a statement. */
-  heard(endpoint: string): void;
   /** Asks for a planned change of primary. */
   order(target: string): void;
   /** Reads placed so far, by the role of the endpoint. */
@@ -179,6 +178,14 @@
   );
   const send = (event: GroupEvent) => dispatch(actor, event);
 
+  function isSilent(view: EndpointView): boolean {
+    const heardAt = Math.max(view.askedAt, view.heardAt);
+    const silenceMs = clock.now() - heardAt;
+    return (
+      view.reach !== Reach.Up || silenceMs >= context.limits.suspectAfterMs
+    );
+  }
+
   /**
    * Ends what waits on a primary that has been replaced and is silent. One
    * that still answers may prove that a write did not run.
@@ -190,7 +197,7 @@
       if (guarded.term >= term) continue;
       const {endpoint} = guarded.connection;
       const view = state.view.endpoints.get(endpoint);
-      if (view?.reach !== Reach.Up) guarded.connection.dispose();
+      if (!view || isSilent(view)) guarded.connection.dispose();
     }
   }
 
@@ -413,7 +420,6 @@
     },
     suspected: (instance, term) => send({type: 'suspected', instance, term}),
     readOnly: (endpoint, at) => send({type: 'readOnly', endpoint, at}),
-    heard: endpoint => send({type: 'heard', endpoint, at: clock.now()}),
     order: target => send({type: 'ordered', target}),
     dispose: () => owned.dispose(),
   };
--- a/packages/daemon/src/write-request.ts
+++ b/packages/daemon/src/write-request.ts
@@ -68,7 +68,7 @@
       return {placed, status: answer.status, answer: answer.bytes};
     }
     const {committed} = connection;
-    giveBack(context, placed, true);
+    giveBack(context, placed, true, clock.now() - sentAt);
     if (answer.error?.code === SqlState.ReadOnly && !committed) {
       group.readOnly(grant.endpoint, sentAt);
       continue;
--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -119,8 +119,6 @@
     }
   /** An endpoint refused a call of an attempt, or gave no answer to it. */
   | (AttemptCall & {readonly type: 'refused' | 'unanswered'})
-  /** A statement was answered by an endpoint, as a sign of its life. */
-  | {readonly type: 'heard'; readonly endpoint: string; readonly at: number}
   /** An endpoint refused a write that was sent at `at` as read-only. */
   | {readonly type: 'readOnly'; readonly endpoint: string; readonly at: number}
   /** Another instance has lost the primary of a term. */
@@ -214,12 +212,6 @@
       const view = withFailure(state.view, endpoint, reach, askedAt);
       return settle({...state, view}, now);
     }
-    case 'heard': {
-      const view = withEndpoint(state.view, event.endpoint, {
-        heardAt: event.at,
-      });
-      return {state: {...state, view}, effects: []};
-    }
     case 'readOnly': {
       const view = withEndpoint(state.view, event.endpoint, {
         readOnlyAt: event.at,
@@ -380,7 +372,9 @@
   const busy = state.view.endpoints.get(name)?.busy ?? 0;
   const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
   if (elapsedMs === undefined) return {...state, view};
-  return {...state, view: withLatency(view, name, elapsedMs, now)};
+  // An answered statement is a sign of life, however slow it was.
+  const heard = withEndpoint(view, name, {heardAt: now});
+  return {...state, view: withLatency(heard, name, elapsedMs, now)};
 }
 
 /** Gives places to waiting requests, the first of each need first. */
