Split a group's decisions into events, places and steps

No change of behaviour.

Ruled out: moving the steps of the change of primary too; they need settle and would import each other.

Before and after: the tests of the package pass on both.

Conclusion: each file has one job again.

--- a/packages/group/src/group.ts
+++ b/packages/group/src/group.ts
@@ -3,11 +3,8 @@
  * next state and what is to be done. No clock, socket or log is used here.
  */
 import type {GroupConfig} from '@quetzalreel/config';
-import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
-import type {Position} from '@quetzalreel/position';
-import {type HeldAck, settleAcks} from './acks.js';
+import {settleAcks} from './acks.js';
 import {
-  type AttemptCall,
   advance,
   orderChange,
   peerSuspects,
@@ -19,145 +16,30 @@
 } from './failover.js';
 import {
   type FailoverContext,
-  type FailoverEffect,
-  type FailoverLimits,
   type FailoverResult,
   type FailoverState,
   initialFailover,
 } from './failover-state.js';
-import {floorOf} from './floor.js';
-import {
-  type QueueLimits,
-  type RequestQueue,
-  dequeue,
-  drain,
-  emptyQueue,
-  enqueue,
-} from './queue.js';
-import {
-  type LeavingState,
-  isShut,
-  noneLeaving,
-  noteLeaving,
-  successorOf,
-  vacate,
-} from './leaving.js';
-import {isHopeless} from './prospects.js';
-import {type Grant, type GroupRequest, RefusalReason} from './request.js';
-import {choose} from './routing.js';
-import {boundsFor, shareOf} from './shedding.js';
+import type {
+  GroupEffect,
+  GroupEvent,
+  GroupLimits,
+  GroupResult,
+  GroupState,
+} from './group-events.js';
+import {noneLeaving, noteLeaving, successorOf, vacate} from './leaving.js';
+import {accept, placeWaiting, released} from './place.js';
+import {dequeue, emptyQueue} from './queue.js';
 import {
-  type GroupView,
   Reach,
   attemptOf,
   primaryOf,
   viewOf,
   withEndpoint,
   withFailure,
-  withLatency,
   withStatus,
 } from './view.js';
 
-/** Bounds of a group in one instance. */
-export interface GroupLimits extends FailoverLimits, QueueLimits {}
-
-/** All that one instance decides on for a group. */
-export interface GroupState {
-  readonly instance: string;
-  /** Data centre of this instance; empty when it is not known. */
-  readonly dataCentre: string;
-  readonly limits: GroupLimits;
-  readonly view: GroupView;
-  readonly failover: FailoverState;
-  /** Requests without a place. */
-  readonly waiting: RequestQueue;
-  readonly held: readonly HeldAck[];
-  readonly leaving: LeavingState;
-}
-
-/** What can happen to a group. */
-export type GroupEvent =
-  | {readonly type: 'configured'; readonly cfg: GroupConfig}
-  | {readonly type: 'requested'; readonly req: GroupRequest}
-  | {readonly type: 'cancelled'; readonly id: number}
-  | {
-      readonly type: 'released';
-      readonly endpoint: string;
-      /** Time that the statement took; undefined when it tells nothing. */
-      readonly elapsedMs?: number | undefined;
-    }
-  | {
-      readonly type: 'capacity';
-      readonly endpoint: string;
-      readonly capacity: number;
-    }
-  | {
-      readonly type: 'written';
-      readonly id: number;
-      readonly position: Position;
-      readonly deadline: number;
-    }
-  | {
-      readonly type: 'status';
-      readonly endpoint: string;
-      readonly status: EndpointStatus;
-      readonly askedAt: number;
-    }
-  | {
-      readonly type: 'failed';
-      readonly endpoint: string;
-      readonly reach: 'silent' | 'down';
-      /** When the call that failed was sent. */
-      readonly askedAt: number;
-    }
-  | {
-      readonly type: 'promised' | 'promoted';
-      readonly endpoint: string;
-      readonly attempt: Attempt;
-      readonly status: EndpointStatus;
-      readonly askedAt: number;
-    }
-  /** An endpoint refused a call of an attempt, or gave no answer to it. */
-  | (AttemptCall & {readonly type: 'refused' | 'unanswered'})
-  /** An endpoint refused a write that was sent at `at` as read-only. */
-  | {readonly type: 'readOnly'; readonly endpoint: string; readonly at: number}
-  /** Another instance has lost the primary of a term. */
-  | {
-      readonly type: 'suspected';
-      readonly instance: string;
-      readonly term: number;
-    }
-  /** The rank of this instance, and how many watch the group. */
-  | {
-      readonly type: 'ranked';
-      readonly rank: number;
-      readonly watchers: number;
-    }
-  | {readonly type: 'ordered'; readonly target: string}
-  | {readonly type: 'tick'};
-
-/** What is to be done after an event. */
-export type GroupEffect =
-  | FailoverEffect
-  | {readonly type: 'grant'; readonly id: number; readonly grant: Grant}
-  | {
-      readonly type: 'refuse';
-      readonly id: number;
-      readonly reason: RefusalReason;
-    }
-  | {readonly type: 'acknowledge'; readonly id: number}
-  | {readonly type: 'unknown'; readonly id: number; readonly why: string}
-  /** Ask every endpoint for its status now. */
-  | {readonly type: 'poll'}
-  /** End the transactions that are still open on a leaving endpoint. */
-  | {readonly type: 'vacate'; readonly endpoint: string};
-
-/** A state and what is to be done on the way to it. */
-export interface GroupResult {
-  readonly state: GroupState;
-  readonly effects: readonly GroupEffect[];
-}
-
 /** A group that nothing is known of. */
 export function initialGroup(
   cfg: GroupConfig,
@@ -301,100 +183,6 @@
   return {view, limits, instance, now};
 }
 
-/** Takes in a request: gives it a place, lets it wait, or refuses it. */
-function accept(
-  state: GroupState,
-  req: GroupRequest,
-  now: number,
-): GroupResult {
-  const placed = place(state, req, now);
-  if (placed) return placed;
-  const waiting = enqueue(state.waiting, req, boundsFor(req, state.limits));
-  if (!waiting) {
-    const isShed = shareOf(req) < 1;
-    const reason = isShed ? RefusalReason.Shed : RefusalReason.QueueFull;
-    return {state, effects: [{type: 'refuse', id: req.id, reason}]};
-  }
-  const effects: GroupEffect[] = awaitsStatus(state, req)
-    ? [{type: 'poll'}]
-    : [];
-  return {state: {...state, waiting}, effects};
-}
-
-/** Whether a request waits for news of the endpoints, not for a free place. */
-function awaitsStatus(state: GroupState, req: GroupRequest): boolean {
-  if (!req.floor || req.unproved) return true;
-  if (req.needsPrimary) return false;
-  const primary = primaryOf(state.view);
-  return primary !== undefined && primary.busy < primary.capacity;
-}
-
-/** Gives a request a place; undefined when there is none now. */
-function place(
-  state: GroupState,
-  req: GroupRequest,
-  now: number,
-): GroupResult | undefined {
-  const found = floorOf(state.view, req);
-  if ('pending' in found) return undefined;
-  if ('ahead' in found) {
-    const reason = RefusalReason.TokenAhead;
-    return {state, effects: [{type: 'refuse', id: req.id, reason}]};
-  }
-  const {floor} = found;
-  if (req.needsPrimary && state.failover.step === 'draining') return undefined;
-  const choice = choose(state.view, {...req, floor}, now, state.dataCentre);
-  if (!choice) return undefined;
-  const {endpoint, reason} = choice;
-  const name = endpoint.cfg.name;
-  if (isShut(state.leaving, name, now)) return undefined;
-  const view = withEndpoint(state.view, name, {busy: endpoint.busy + 1});
-  const grant: Grant = {
-    endpoint: name,
-    role: endpoint.status!.role,
-    term: primaryOf(state.view)?.status?.term ?? endpoint.status!.term,
-    floor,
-    position: endpoint.status!.last,
-    reason,
-  };
-  return {
-    state: {...state, view},
-    effects: [{type: 'grant', id: req.id, grant}],
-  };
-}
-
-function released(
-  state: GroupState,
-  event: Extract<GroupEvent, {type: 'released'}>,
-  now: number,
-): GroupState {
-  const {endpoint: name, elapsedMs} = event;
-  const busy = state.view.endpoints.get(name)?.busy ?? 0;
-  const view = withEndpoint(state.view, name, {busy: Math.max(0, busy - 1)});
-  if (elapsedMs === undefined) return {...state, view};
-  // An answered statement is a sign of life, however slow it was.
-  const heard = withEndpoint(view, name, {heardAt: now});
-  return {...state, view: withLatency(heard, name, elapsedMs, now)};
-}
-
-/** Gives places to waiting requests, the first of each need first. */
-function placeWaiting(state: GroupState, now: number): GroupResult {
-  if (state.waiting.length === 0) return {state, effects: []};
-  const effects: GroupEffect[] = [];
-  const drained = drain(state.waiting, state, now, (current, req) => {
-    const {view, failover} = current;
-    if (isHopeless(view, failover.step, req)) return 'stop';
-    const placed = place(current, req, now);
-    if (!placed) return 'pass';
-    effects.push(...placed.effects);
-    return {placed: placed.state};
-  });
-  for (const {id} of drained.expired) {
-    effects.push({type: 'refuse', id, reason: RefusalReason.Deadline});
-  }
-  return {state: {...drained.state, waiting: drained.queue}, effects};
-}
-
 /** Holds a committed write until a majority has it. */
 function hold(
   state: GroupState,
--- a/packages/group/src/index.ts
+++ b/packages/group/src/index.ts
@@ -22,15 +22,14 @@
   unanswered,
 } from './failover.js';
 export {floorAfter} from './floor.js';
-export {
-  type GroupEffect,
-  type GroupEvent,
-  type GroupLimits,
-  type GroupResult,
-  type GroupState,
-  initialGroup,
-  stepGroup,
-} from './group.js';
+export {initialGroup, stepGroup} from './group.js';
+export type {
+  GroupEffect,
+  GroupEvent,
+  GroupLimits,
+  GroupResult,
+  GroupState,
+} from './group-events.js';
 export {
   LEAVING_TIMES,
   type LeavingState,
