Keep what sessions see of a group apart from its actor

Change: group-handle.ts holds the handle and its types. The rule that nothing is called "not run" once a write may have run moves to the session's context, where any write can use it.

Ruled out: splitting the actor's function itself; its parts share its state.

--- a/packages/daemon/src/admin.ts
+++ b/packages/daemon/src/admin.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import type net from 'node:net';
 import {type Disposable, messageOf} from '@quetzalreel/common';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 import type {Metrics} from './metrics.js';
 
 /** What the interface tells about. */
--- a/packages/daemon/src/caller-listener.ts
+++ b/packages/daemon/src/caller-listener.ts
@@ -18,7 +18,7 @@
   type DrainableCaller,
   drainCallers,
 } from './drain.js';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 import type {Log} from './log.js';
 import {requestFlow} from './request-flow.js';
 import {type CallerRequest, requestReader} from './request-reader.js';
--- a/packages/daemon/src/metrics.ts
+++ b/packages/daemon/src/metrics.ts
@@ -3,7 +3,7 @@
 import {Reach, primaryOf, writablePrimary} from '@quetzalreel/group';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {FleetHandle} from './fleet-actor.js';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 import type {ShareHandle} from './share-actor.js';
 
 /** What the metrics are taken from. */
--- a/packages/daemon/src/operator-state.ts
+++ b/packages/daemon/src/operator-state.ts
@@ -2,7 +2,7 @@
 import type {InForce} from '@quetzalreel/config';
 import {formatPosition} from '@quetzalreel/position';
 import type {FleetHandle} from './fleet-actor.js';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 import type {ShareHandle} from './share-actor.js';
 
 /** Parts of a daemon that its state is read from. */
--- a/packages/daemon/src/session-context.ts
+++ b/packages/daemon/src/session-context.ts
@@ -10,12 +10,13 @@
   reaches,
 } from '@quetzalreel/position';
 import {
+  SqlState,
   type TransactionStatus,
   errorResponse,
   frameSplitter,
   readyForQuery,
 } from '@quetzalreel/wire';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 import type {Log} from './log.js';
 
 /** What a session works with. */
@@ -130,3 +131,20 @@
   const end = last?.type === 'Z' ? last.bytes.length : 0;
   return {shown: bytes.subarray(0, bytes.length - end), failed};
 }
+
+/** Once a write may have run, nothing may be called "not run" any more. */
+export function inDoubt(context: RequestContext): RequestContext {
+  return {
+    ...context,
+    reply: {
+      ...context.reply,
+      fail(code, message) {
+        const unknown = code === SqlState.NotRun;
+        context.reply.fail(
+          unknown ? SqlState.OutcomeUnknown : code,
+          unknown ? `outcome unknown, then ${message}` : message,
+        );
+      },
+    },
+  };
+}
--- a/packages/daemon/src/suspicions.ts
+++ b/packages/daemon/src/suspicions.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@quetzalreel/common';
 import {primaryOf} from '@quetzalreel/group';
 import type {SuspectedPrimary, SuspicionReport} from '@quetzalreel/membership';
-import type {GroupHandle} from './group-actor.js';
+import type {GroupHandle} from './group-handle.js';
 
 /** What the exchange of suspicions works with. */
 export interface SuspicionContext {
--- a/packages/daemon/test/fixture.ts
+++ b/packages/daemon/test/fixture.ts
@@ -37,7 +37,8 @@
 import pg from 'pg';
 import {type CallerListener, startListener} from '../src/caller-listener.js';
 import {GROUP_LIMITS, TIMES} from '../src/defaults.js';
-import {type GroupHandle, startGroup} from '../src/group-actor.js';
+import {startGroup} from '../src/group-actor.js';
+import type {GroupHandle} from '../src/group-handle.js';
 import {createLog} from '../src/log.js';
 
 /** A database of the group, reached without a socket. */
@@ -95,6 +96,7 @@
     {name: 'list', access: 'read', maxAgeMs: 60_000, deadlineMs: 10_000},
     {name: 'brief', access: 'read', maxAgeMs: 60_000, deadlineMs: 400},
     {name: 'pay', access: 'write', deadlineMs: 400},
+    {name: 'note', access: 'write', ack: 'primary', deadlineMs: 400},
   ],
 });
 
--- a/packages/daemon/test/test-security.ts
+++ b/packages/daemon/test/test-security.ts
@@ -15,7 +15,7 @@
 import {startAdmin} from '../src/admin.js';
 import {startListener} from '../src/caller-listener.js';
 import {credentialChecker} from '../src/credentials.js';
-import type {GroupHandle} from '../src/group-actor.js';
+import type {GroupHandle} from '../src/group-handle.js';
 import {keyFiles} from '../src/key-files.js';
 import {createLog} from '../src/log.js';
 import {startMetrics} from '../src/metrics.js';
