Let a kind's ack rule and its idempotence take effect

Cause: kinds could declare ack: primary and idempotent: true, and neither did anything: every write waited for a majority, and every write whose answer was lost was told as unknown.

Change: a write that stands alone is answered at the primary's commit when its kind says so; a write of an idempotent kind is sent again when its answer is lost, and is never called "not run" after that. A transaction always waits for a majority.

Ruled out: taking the fields out of the format; operators need both.

Conclusion: what the configuration accepts is in force.

--- a/packages/daemon/src/keyed-write.ts
+++ b/packages/daemon/src/keyed-write.ts
@@ -15,8 +15,8 @@
 import {type Answer, ask} from './answer.js';
 import {type Placed, findPlace, giveBack} from './placement.js';
 import type {CallerRequest} from './request-reader.js';
-import type {RequestContext} from './session-context.js';
-import {acknowledgeBytes} from './write-request.js';
+import {type RequestContext, inDoubt} from './session-context.js';
+import {acknowledge} from './write-request.js';
 
 /** Table of the callers' schema with the columns `key`, unique, and `value`. */
 export const REQUEST_TABLE = 'quetzalreel_request';
@@ -68,30 +68,14 @@
         ? committed
         : await positionOf(current, placed.grant.endpoint);
       const {answer} = outcome;
-      await acknowledgeBytes(current, placed.id, answer, position, deadline);
+      const terms = {id: placed.id, rule: kind.ack, deadline};
+      await acknowledge(current, terms, answer, position);
     }
     return;
   }
   current.reply.fail(SqlState.NotRun, 'not run: no endpoint took it in time');
 }
 
-/** While a COMMIT is in doubt, nothing may be called "not run". */
-function inDoubt(context: RequestContext): RequestContext {
-  return {
-    ...context,
-    reply: {
-      ...context.reply,
-      fail(code, message) {
-        const unknown = code === SqlState.NotRun;
-        context.reply.fail(
-          unknown ? SqlState.OutcomeUnknown : code,
-          unknown ? `outcome unknown, then ${message}` : message,
-        );
-      },
-    },
-  };
-}
-
 /** A position that covers all that the endpoint holds now. */
 async function positionOf(context: RequestContext, endpoint: string) {
   try {
--- a/packages/daemon/src/read-request.ts
+++ b/packages/daemon/src/read-request.ts
@@ -60,7 +60,8 @@
     if (answer.error?.code === SqlState.ReadOnly) {
       return serveWrite(context, request, kind);
     }
-    await acknowledge(context, placed.id, answer, committed, deadline);
+    const terms = {id: placed.id, rule: kind.ack, deadline};
+    await acknowledge(context, terms, answer.bytes, committed);
     return undefined;
   }
   context.reply.fail(SqlState.NotRun, 'not run: no endpoint answered the read');
--- a/packages/daemon/src/transaction.ts
+++ b/packages/daemon/src/transaction.ts
@@ -1,6 +1,6 @@
 /** Serves the requests of an open transaction, all on one connection. */
 import {type Disposable, messageOf} from '@quetzalreel/common';
-import {DEFAULT_WRITE} from '@quetzalreel/config';
+import {AckRule, DEFAULT_WRITE} from '@quetzalreel/config';
 import {StatementClass} from '@quetzalreel/statement';
 import {
   SqlState,
@@ -160,7 +160,8 @@
       return;
     }
     const deadline = clock.now() + DEFAULT_WRITE.deadlineMs;
-    await acknowledge(context, placed.id, answer, committed, deadline);
+    const terms = {id: placed.id, rule: AckRule.Majority, deadline};
+    await acknowledge(context, terms, answer.bytes, committed);
   }
 
   async function send(request: CallerRequest): Promise<void> {
--- a/packages/daemon/src/write-request.ts
+++ b/packages/daemon/src/write-request.ts
@@ -1,6 +1,6 @@
 /** Serves a write that stands alone, or the start of a transaction. */
 import {messageOf} from '@quetzalreel/common';
-import type {KindConfig} from '@quetzalreel/config';
+import {AckRule, type KindConfig} from '@quetzalreel/config';
 import type {Position} from '@quetzalreel/position';
 import {StatementClass} from '@quetzalreel/statement';
 import {SqlState, TransactionStatus} from '@quetzalreel/wire';
@@ -8,7 +8,7 @@
 import {serveKeyedWrite} from './keyed-write.js';
 import {type Placed, findPlace, giveBack} from './placement.js';
 import type {CallerRequest} from './request-reader.js';
-import type {RequestContext} from './session-context.js';
+import {type RequestContext, inDoubt} from './session-context.js';
 
 /** A transaction that a request has opened. */
 export interface OpenedTransaction {
@@ -19,8 +19,8 @@
 }
 
 /**
- * Serves a write. It is sent once; only a proof that it did not run allows
- * another try. Returns the transaction that it opened, if it did.
+ * Serves a write. It is sent once; only a proof that it did not run, or a kind
+ * that is idempotent, allows another try. Returns the transaction that it opened, if it did.
  */
 export async function serveWrite(
   context: RequestContext,
@@ -35,9 +35,10 @@
   }
   const deadline = clock.now() + kind.deadlineMs;
   const bytes = request.bytes.length;
+  let current = context;
   do {
     const wanted = {needsPrimary: true, kind, deadline, bytes, avoid: []};
-    const placed = await findPlace(context, wanted);
+    const placed = await findPlace(current, wanted);
     if (!placed) return undefined;
     const {connection, grant} = placed;
     if (!connection.open) {
@@ -58,6 +59,10 @@
       );
     } catch (err) {
       giveBack(context, placed, false);
+      if (kind.idempotent) {
+        current = inDoubt(context);
+        continue;
+      }
       const why = `outcome unknown: ${messageOf(err)}`;
       reply.fail(SqlState.OutcomeUnknown, why);
       return undefined;
@@ -73,49 +78,55 @@
       group.readOnly(grant.endpoint, sentAt);
       continue;
     }
-    await acknowledge(context, placed.id, answer, committed, deadline);
+    const terms = {id: placed.id, rule: kind.ack, deadline};
+    await acknowledge(current, terms, answer.bytes, committed);
     return undefined;
   } while (clock.now() < deadline);
-  reply.fail(SqlState.NotRun, 'not run: no endpoint takes writes');
+  current.reply.fail(SqlState.NotRun, 'not run: no endpoint takes writes');
   return undefined;
 }
 
-/** Sends an answer once the commit that it reports is safe. */
-export async function acknowledge(
-  context: RequestContext,
-  id: number,
-  answer: Answer,
-  committed: Position | undefined,
-  deadline: number,
-): Promise<void> {
-  const {bytes} = answer;
-  await acknowledgeBytes(context, id, bytes, committed, deadline);
+/** How a committed write is acknowledged. */
+export interface AckTerms {
+  /** Identity of the request in its group. */
+  readonly id: number;
+  readonly rule: AckRule;
+  /** When waiting for a majority is given up, monotonic milliseconds. */
+  readonly deadline: number;
 }
 
 /**
- * Sends `answer` once a majority holds `position`; at once when there is none,
- * and "outcome unknown" when the position itself is unknown.
+ * Sends `answer` once the commit at `position` is as safe as the terms ask; at
+ * once when there is none, and "outcome unknown" when the position itself is
+ * unknown.
  */
-export async function acknowledgeBytes(
+export async function acknowledge(
   context: RequestContext,
-  id: number,
+  terms: AckTerms,
   answer: Buffer,
   position: Position | 'unknown' | undefined,
-  deadline: number,
 ): Promise<void> {
-  const {group, floor, reply} = context;
-  if (!position) {
+  const {reply} = context;
+  const isSafe = !position || (await isHeld(context, terms, position));
+  if (isSafe) {
     reply.answer(answer);
     return;
   }
-  if (position !== 'unknown') {
-    const result = await group.written(id, position, deadline);
-    floor.raise(position);
-    if (result === 'acknowledged') {
-      reply.answer(answer);
-      return;
-    }
-  }
   const why = 'outcome unknown: no majority held it in time';
   reply.fail(SqlState.OutcomeUnknown, why);
 }
+
+async function isHeld(
+  {group, floor}: RequestContext,
+  {id, rule, deadline}: AckTerms,
+  position: Position | 'unknown',
+): Promise<boolean> {
+  if (position === 'unknown') return false;
+  if (rule === AckRule.Primary) {
+    floor.raise(position);
+    return true;
+  }
+  const result = await group.written(id, position, deadline);
+  floor.raise(position);
+  return result === 'acknowledged';
+}
--- a/packages/daemon/test/small-fleet.ts
+++ b/packages/daemon/test/small-fleet.ts
@@ -68,7 +68,9 @@
       connections: sizes.connections,
       leaving: leaving.includes(nameOf(i)),
     }));
-    const body = {generation, groups: [{name: 'entries', endpoints}]};
+    const groups = [{name: 'entries', endpoints}];
+    const kinds = [{name: 'renew', access: 'write', idempotent: true}];
+    const body = {generation, groups, kinds};
     const url = `http://${HOST}:${platform.port}/objects/configuration`;
     const known = (await fetch(url)).headers.get('etag');
     const res = await fetch(url, {
--- a/packages/daemon/test/test-session.ts
+++ b/packages/daemon/test/test-session.ts
@@ -86,6 +86,19 @@
   await expectSeen(client);
 });
 
+withFixture('a kind says where a write must be to be answered', async all => {
+  const client = await (await all.instance('a')).client();
+  await write(client, 'before');
+  for (const endpoint of all.endpoints) endpoint.follows = false;
+  const insert = (kind: string) =>
+    client.query(
+      `/*kind='${kind}'*/ INSERT INTO entries (key, value) VALUES ('k', 'v')`,
+    );
+  assert.equal(await codeOf(insert('pay')), 'QR002');
+  assert.equal(await codeOf(insert('note')), 'done');
+  assert.equal(await codeOf(insert('pay')), 'QR002');
+});
+
 withFixture('the primary serves when the only replica lags', async all => {
   const a = await all.instance('a');
   const client = await writeWithLag(all, a);
--- a/packages/daemon/test/test-writes.ts
+++ b/packages/daemon/test/test-writes.ts
@@ -75,6 +75,15 @@
     code: 'QR002',
     rows: 1,
   },
+  {
+    name: 'the answer of an idempotent kind is lost, so it runs again',
+    sql: key => `/*kind='renew'*/ ${insert(key)}`,
+    before: () => {
+      fleet.primary().faults.loseAnswers = 1;
+    },
+    code: undefined,
+    rows: 2,
+  },
   {
     name: 'the primary became read-only',
     sql: insert,
