Send a lone BEGIN again when its connection breaks

Change: a simple query that is one BEGIN is sent again until its deadline.

Before: the new case of test-writes fails with QR002.

Conclusion: one answer less that a caller can't act on.

--- a/packages/daemon/src/write-request.ts
+++ b/packages/daemon/src/write-request.ts
@@ -2,7 +2,7 @@
 import {messageOf} from '@quetzalreel/common';
 import {AckRule, type KindConfig} from '@quetzalreel/config';
 import type {Position} from '@quetzalreel/position';
-import {StatementClass} from '@quetzalreel/statement';
+import {StatementClass, splitStatements} from '@quetzalreel/statement';
 import {SqlState, TransactionStatus} from '@quetzalreel/wire';
 import {type Answer, ask} from './answer.js';
 import {serveKeyedWrite} from './keyed-write.js';
@@ -19,8 +19,8 @@
 }
 
 /**
- * Serves a write. It is sent once; only a proof that it did not run, or a kind
- * that is idempotent, allows another try. Returns the transaction that it opened, if it did.
+ * Serves a write. It is sent once; only a proof that it changed nothing, or a
+ * kind that is idempotent, allows another try. Returns the transaction that it opened, if it did.
  */
 export async function serveWrite(
   context: RequestContext,
@@ -59,6 +59,7 @@
       );
     } catch (err) {
       giveBack(context, placed, false);
+      if (onlyOpens(request)) continue;
       if (kind.idempotent) {
         current = inDoubt(context);
         continue;
@@ -86,6 +87,14 @@
   return undefined;
 }
 
+/** Whether a request opens a transaction and does nothing in it. */
+function onlyOpens({sql, statement}: CallerRequest): boolean {
+  if (sql === undefined || statement.class !== StatementClass.Begin) {
+    return false;
+  }
+  return splitStatements(sql).length === 1;
+}
+
 /** How a committed write is acknowledged. */
 export interface AckTerms {
   /** Identity of the request in its group. */
--- a/packages/daemon/test/test-writes.ts
+++ b/packages/daemon/test/test-writes.ts
@@ -75,6 +75,19 @@
     code: 'QR002',
     rows: 1,
   },
+  {
+    name: 'the connection breaks under a BEGIN, which runs nothing',
+    sql: () => 'BEGIN',
+    before: () => {
+      fleet.primary().faults.serviceMs = 100;
+    },
+    during: async () => {
+      await breakConnections();
+      fleet.primary().faults.serviceMs = 0;
+    },
+    code: undefined,
+    rows: 0,
+  },
   {
     name: 'the answer of an idempotent kind is lost, so it runs again',
     sql: key => `/*kind='renew'*/ ${insert(key)}`,
