Rank instances by the platform's own hash

Change: ranks use SHA-1 of node:crypto, which needs no start-up as the shares' hash does.

Ruled out: the library of the shares, whose start is asynchronous; a rank is asked for by a pure function.

Instances rank in another order than before; nothing stores a rank. The failover gap was not measured again.

Conclusion: no hand-made hash is left.

--- a/packages/group/src/rank.ts
+++ b/packages/group/src/rank.ts
@@ -2,19 +2,11 @@
  * Who tries first: each instance has a rank in each group, by rendezvous hash,
  * so that the first tries spread over instances and few try at a time.
  */
+import {createHash} from 'node:crypto';
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-
-/** A 32-bit hash of `text`: FNV-1a, then mixed so that all bits count. */
+/** A hash of `text`, a whole number below 2 to the power of 32. */
 export function hashOf(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let i = 0; i < text.length; i++) {
-    hash = Math.imul(hash ^ text.charCodeAt(i), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return (hash ^ (hash >>> 16)) >>> 0;
+  return createHash('sha1').update(text).digest().readUInt32BE(0);
 }
 
 /**
