--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,12 +1,12 @@
 import gts from 'gts';
 
 export default [
-  {ignores: ['**/dist/**', '**/node_modules/**', 'eslint.config.js']},
+  {ignores: ['**/dist/**', 'target/**', 'journal/**', '**/node_modules/**', 'eslint.config.js']},
   ...gts,
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     languageOptions: {
-      parserOptions: {project: './packages/*/tsconfig.json'},
+      parserOptions: {project: ['./packages/*/tsconfig.json', './platform/tsconfig.json']},
     },
     rules: {
       // The compiler resolves imports; the rule below does not read "exports".
--- a/packages/bench/src/fleet-trial.ts
+++ b/packages/bench/src/fleet-trial.ts
@@ -13,7 +13,7 @@
   type ListedInstance,
   PlatformClient,
   type StoredObject,
-} from '@quetzalreel/platform';
+} from '@quetzalreel/object-store';
 import {
   type PlatformFaults,
   type PlatformServer,
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -4,7 +4,7 @@
 import {userInfo} from 'node:os';
 import {messageOf, systemClock} from '@quetzalreel/common';
 import {ConfigurationError, hashSecret} from '@quetzalreel/config';
-import {httpPlatformClient} from '@quetzalreel/platform';
+import {httpPlatformClient} from '@quetzalreel/object-store';
 import {
   boolean,
   command,
--- a/packages/ctl/src/run-command.ts
+++ b/packages/ctl/src/run-command.ts
@@ -2,7 +2,7 @@
 import {readFile} from 'node:fs/promises';
 import type {Clock} from '@quetzalreel/common';
 import {configurationWarnings, formatProblem} from '@quetzalreel/config';
-import type {PlatformClient} from '@quetzalreel/platform';
+import type {PlatformClient} from '@quetzalreel/object-store';
 import {type Command, type Edit, formatEdit} from './command.js';
 import {difference} from './difference.js';
 import {nextConfiguration} from './edit.js';
--- a/packages/ctl/src/submit.ts
+++ b/packages/ctl/src/submit.ts
@@ -9,7 +9,7 @@
   ConflictError,
   type PlatformClient,
   type StoredObject,
-} from '@quetzalreel/platform';
+} from '@quetzalreel/object-store';
 import {difference} from './difference.js';
 import {NOTHING} from './edit.js';
 import {ChangeUnknownError, RaceLostError, StoreDownError} from './errors.js';
--- a/packages/ctl/test/test-run-command.ts
+++ b/packages/ctl/test/test-run-command.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import {type TestContext, test} from 'node:test';
 import {systemClock} from '@quetzalreel/common';
-import {httpPlatformClient} from '@quetzalreel/platform';
+import {httpPlatformClient} from '@quetzalreel/object-store';
 import {platformServer} from '@quetzalreel/standin';
 import {
   type InstanceState,
--- a/packages/daemon/src/config-actor.ts
+++ b/packages/daemon/src/config-actor.ts
@@ -16,7 +16,7 @@
   pacing,
   stepFollower,
 } from '@quetzalreel/config';
-import type {PlatformClient, StoredObject} from '@quetzalreel/platform';
+import type {PlatformClient, StoredObject} from '@quetzalreel/object-store';
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
 import type {Log} from './log.js';
 import {keepRunning} from './supervision.js';
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -8,7 +8,7 @@
 import type {Configuration, EndpointConfig} from '@quetzalreel/config';
 import {pgDriver} from '@quetzalreel/endpoint';
 import {hashOf, rankOf} from '@quetzalreel/group';
-import {httpPlatformClient} from '@quetzalreel/platform';
+import {httpPlatformClient} from '@quetzalreel/object-store';
 import {tokenCodec} from '@quetzalreel/position';
 import {start, stop} from 'nact';
 import {startAdmin} from './admin.js';
--- a/packages/daemon/src/fleet-actor.ts
+++ b/packages/daemon/src/fleet-actor.ts
@@ -30,7 +30,7 @@
   type PeerTransport,
   tcpTransport,
 } from '@quetzalreel/peer';
-import type {PlatformClient} from '@quetzalreel/platform';
+import type {PlatformClient} from '@quetzalreel/object-store';
 import {type ActorSystemRef, dispatch, spawn, stop} from 'nact';
 import type {ConfigPeers} from './config-actor.js';
 import {LINK_LIMITS, MEMBERSHIP_LIMITS, TIMES} from './defaults.js';
--- a/packages/daemon/test/test-config-actor.ts
+++ b/packages/daemon/test/test-config-actor.ts
@@ -2,7 +2,7 @@
 import {test} from 'node:test';
 import {disposableStore, systemClock} from '@quetzalreel/common';
 import {digestOf} from '@quetzalreel/config';
-import {httpPlatformClient} from '@quetzalreel/platform';
+import {httpPlatformClient} from '@quetzalreel/object-store';
 import {
   type PlatformFaults,
   type PlatformServer,
--- /dev/null
+++ b/packages/exchange/src/index.ts
@@ -0,0 +1,31 @@
+/** Public exports of `@quetzalreel/exchange`. */
+export {
+  type Answer,
+  type AnswerError,
+  ErrorCode,
+  SessionState,
+  didNotRun,
+  ownAnswer,
+  ownError,
+} from './answer.js';
+export {
+  type AcceptCaller,
+  CallerConnection,
+  type CallerHandler,
+  CallerListener,
+} from './caller.js';
+export {
+  ConnectionLostError,
+  ConnectionRefusedError,
+  type EndpointAddress,
+  EndpointConnection,
+  EndpointDriver,
+  type EndpointRequest,
+  type EndpointStatus,
+} from './endpoint.js';
+export {
+  Access,
+  type CallerRequest,
+  type SessionStart,
+  type Statement,
+} from './request.js';
--- /dev/null
+++ b/packages/freshness/src/sleep-guard.ts
@@ -0,0 +1,31 @@
+/**
+ * Notices that this process was suspended. The monotonic clock does not count
+ * the time of a suspension, the time of day does; a step of the time of day
+ * looks the same. Ages can't be trusted across either, so both count.
+ */
+
+/** Difference between the clocks that is put down to their drift and to the
+ * time between two readings, in milliseconds. */
+const TOLERANCE_MS = 30;
+
+/** Compares the two clocks. */
+export interface SleepGuard {
+  /** True when the clocks moved apart since the last call that said so. */
+  slept(): boolean;
+}
+
+/** A guard over a monotonic clock and the time of day, in milliseconds. */
+export function sleepGuard(
+  now: () => number,
+  timeOfDay: () => number,
+): SleepGuard {
+  let offset = timeOfDay() - now();
+  return {
+    slept() {
+      const current = timeOfDay() - now();
+      if (Math.abs(current - offset) <= TOLERANCE_MS) return false;
+      offset = current;
+      return true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/defaults.ts
@@ -0,0 +1,82 @@
+/** Times and limits of the proxy, with where each comes from. */
+
+/** Times in milliseconds. */
+export const TIMES = {
+  /** Between two looks at what is known; a tenth of the shortest objective. */
+  tickMs: 50,
+  /** Longest wait for a new connection: a full endpoint takes some 30 ms. */
+  connectMs: 600,
+  /** Before the next try after a connection that failed. */
+  connectRetryMs: 60,
+  /** Before the next try at an endpoint that takes no more connections. */
+  connectionLimitRetryMs: 400,
+  /** After which an unused connection beyond the least is closed. */
+  idleConnectionMs: 6000,
+  /** Time of a statement on an endpoint that none was sent to yet. */
+  firstAnswerMs: 15,
+  /** Silence of an endpoint after which it is asked for a sign of life. */
+  probeEveryMs: 300,
+  /** Age of the newest sample of the primary at which one is taken. */
+  sampleEveryMs: 400,
+  /** Longest wait for the answer to a probe, which takes no slot. */
+  probeAnswerMs: 350,
+  /** Silence with statements under way after which a probe is sent. */
+  suspectMs: 200,
+  /** Extra time of an endpoint in another data centre, for placing. */
+  distanceMs: 3,
+  /** Longest time for one try of a read; a third of the statement's. */
+  readTryShare: 0.4,
+  /** Age of a replica's position beyond which it is tried anyway. */
+  positionAgeMs: 150,
+  /** How long one watch of the configuration waits; with the wait for an
+   * answer it is within the bound for configurations to be in force. */
+  watchConfigurationMs: 2500,
+  /** How long one watch of endpoints' entries waits. */
+  watchEndpointsMs: 3000,
+  /** After a stop was asked for, the balancer still sends callers here. */
+  balancerMs: 2500,
+  /** After its start an instance offers to hold the lease for changes. */
+  claimLeaseMs: 2000,
+  /** Instances begin a change at different moments within this. */
+  changeSpreadMs: 150,
+  /** Longest wait for the answer to a status call, which needs a slot. */
+  statusMs: 300,
+  /** Longest wait for an ordered change to be seen. */
+  takeOverMs: 3000,
+  /** Part of the grace that open transactions have to end. */
+  transactionGraceShare: 0.45,
+} as const;
+
+/** Counts. */
+export const LIMITS = {
+  /** Connections being opened to one endpoint at a time. */
+  openingAtOnce: 2,
+  /** Connections kept open to each endpoint. */
+  leastConnections: 1,
+  /** Part of an endpoint's connections that one instance may use. */
+  connectionShare: 0.6,
+  /** Statements under way to one endpoint for each of its slots. */
+  runningPerSlot: 2,
+  /** Tries of one statement. */
+  tries: 5,
+  /** Requests looked at in one lane before the others wait for a change. */
+  lookAhead: 8,
+} as const;
+
+/** Evidence that a primary is down, in milliseconds. */
+export const PATIENCE = {
+  /** Connections refused: the process is gone, or something cuts it off. */
+  refusingMs: 250,
+  /** Silence: longer than a slow answer and a lost packet. */
+  silentMs: 800,
+  /** No endpoint takes writes: longer than a change takes. */
+  missingMs: 2500,
+} as const;
+
+/** How a change of primary is carried out. */
+export const CHANGE_LIMITS = {
+  /** Some times the platform's time for a change of primary. */
+  standBackMs: 3000,
+  orderTries: 4,
+  retryMs: 100,
+} as const;
--- /dev/null
+++ b/packages/proxy/src/group.ts
@@ -0,0 +1,329 @@
+/**
+ * One group at work: its endpoints, which of them is the primary, the samples
+ * of its log, and the statements that wait for a place.
+ */
+import type {Clock, Disposable} from '@quetzalreel/common';
+import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
+import {
+  type Samples,
+  type SleepGuard,
+  ageOfNewest,
+  noSamples,
+  requiredPosition,
+  withSample,
+} from '@quetzalreel/freshness';
+import type {Position} from '@quetzalreel/position';
+import {LIMITS, TIMES} from './defaults.js';
+import {
+  type EndpointLink,
+  endpointLink,
+  noteAnswerTime,
+} from './endpoint-link.js';
+import {leaderOf} from './leadership.js';
+import type {Log} from './log.js';
+import {type Need, type Place, choosePlace} from './placing.js';
+import type {PooledConnection} from './pooled.js';
+import {probe} from './probe.js';
+import type {GroupPolicy, ListedEndpoint} from './routes.js';
+import {waitingLine} from './waiting.js';
+
+/** A connection that a session may use until it gives it back. */
+export interface Lease {
+  readonly link: EndpointLink;
+  readonly pooled: PooledConnection;
+  /** Ends the use; a connection that is not reusable is closed. */
+  giveBack(reusable: boolean): void;
+}
+
+/** A request for a place. */
+export interface PlaceRequest extends Need {
+  readonly priority: number;
+  /** Key of the session's settings. */
+  readonly settingsKey: string;
+  /** When waiting is given up, monotonic milliseconds. */
+  readonly until: number;
+}
+
+interface Waiter extends PlaceRequest {
+  resolve(lease: Lease | undefined): void;
+  done: boolean;
+}
+
+/** What a group works with. */
+export interface GroupContext {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly driver: EndpointDriver;
+  readonly guard: SleepGuard;
+}
+
+/** A group at work. */
+export interface GroupRuntime extends Disposable {
+  readonly name: string;
+  policy: GroupPolicy;
+  readonly links: ReadonlyMap<string, EndpointLink>;
+  readonly primary: EndpointLink | undefined;
+  /** Since when there has been no primary; undefined while there is one. */
+  readonly missingSince: number | undefined;
+  /** Waits for a place; undefined when there was none in time. */
+  place(req: PlaceRequest): Promise<Lease | undefined>;
+  /** What a log must hold; undefined when no sample tells. */
+  required(
+    maxStalenessMs: number,
+    floor: Position | undefined,
+  ): Position | undefined;
+  /** Notes an answer of a statement that was sent at `sentAt`. */
+  answered(link: EndpointLink, answer: Answer, sentAt: number): void;
+  /** Notes an answer that only a primary gives. */
+  confirmed(link: EndpointLink, answer: Answer, sentAt: number): void;
+  /** Notes that an endpoint said that it is not the primary. */
+  denied(link: EndpointLink, sentAt: number): void;
+  listed(endpoints: readonly ListedEndpoint[]): void;
+  /** Looks at time: probes, connections, requests that waited too long. */
+  tick(): void;
+}
+
+/** A group of which nothing is known yet. */
+export function groupRuntime(
+  policy: GroupPolicy,
+  context: GroupContext,
+): GroupRuntime {
+  const {clock, log, dataCentre} = context;
+  const links = new Map<string, EndpointLink>();
+  /** When each endpoint's entry last changed what it says of its role. */
+  const saidAt = new Map<string, number>();
+  const line = waitingLine<Waiter>();
+  const probing = new Set<string>();
+  let samples: Samples = noSamples();
+  let primaryId: string | undefined;
+  let missingSince: number | undefined = clock.now();
+
+  /** Samples whose age can be trusted. */
+  function soundSamples(): Samples {
+    if (context.guard.slept()) {
+      log.warn({event: 'clocksApart', group: group.name});
+      samples = noSamples();
+    }
+    return samples;
+  }
+
+  function findPrimary(): void {
+    const evidence = [...links.values()].map(({listed, facts}) => ({
+      id: listed.id,
+      term: facts.position?.term ?? 0,
+      saysPrimary: listed.saysPrimary,
+      saidAt: saidAt.get(listed.id) ?? -Infinity,
+      ledAt: facts.ledAt,
+      deniedAt: facts.deniedAt,
+    }));
+    const found = leaderOf(evidence);
+    if (found === primaryId) return;
+    log.info({
+      event: 'primaryChanged',
+      group: group.name,
+      from: primaryId,
+      to: found,
+      evidence,
+    });
+    primaryId = found;
+    missingSince = found ? undefined : clock.now();
+    serveWaiting();
+  }
+
+  function mostConnections(): number {
+    const {maxConnections} = group.policy;
+    return Math.max(
+      LIMITS.leastConnections + 1,
+      Math.floor(maxConnections * LIMITS.connectionShare),
+    );
+  }
+
+  function placeOf(link: EndpointLink): Place {
+    const {facts, listed} = link;
+    const now = clock.now();
+    const isPrimary = listed.id === primaryId;
+    const limit = listed.slots * LIMITS.runningPerSlot;
+    return {
+      id: listed.id,
+      isPrimary,
+      usable: facts.askedAt === undefined && (!listed.leaving || isPrimary),
+      position: facts.position,
+      positionAgeMs: now - facts.heardAt,
+      answerMs: facts.answerMs,
+      running: facts.running,
+      slots: listed.slots,
+      distanceMs: listed.dataCentre === dataCentre ? 0 : TIMES.distanceMs,
+      hasRoom: link.idle > 0 && facts.running < limit,
+    };
+  }
+
+  function lend(link: EndpointLink, settingsKey: string): Lease | undefined {
+    const pooled = link.take(settingsKey);
+    if (!pooled) return undefined;
+    let returned = false;
+    return {
+      link,
+      pooled,
+      giveBack(reusable) {
+        if (returned) return;
+        returned = true;
+        link.give(pooled, reusable);
+      },
+    };
+  }
+
+  function tryPlace(req: PlaceRequest): Lease | undefined {
+    const places = [...links.values()].map(placeOf);
+    const place = choosePlace(places, req);
+    if (place) return lend(links.get(place.id)!, req.settingsKey);
+    openFor(places, req);
+    return undefined;
+  }
+
+  /** Opens a connection where one more would serve the request. */
+  function openFor(places: readonly Place[], req: PlaceRequest): void {
+    const roomy = places.map(place => ({...place, hasRoom: true}));
+    const wanted = choosePlace(roomy, req);
+    if (wanted) links.get(wanted.id)!.open(mostConnections());
+  }
+
+  function serveWaiting(): void {
+    if (line.size === 0) return;
+    line.offer(waiter => {
+      const lease = tryPlace(waiter);
+      if (!lease) return false;
+      settle(waiter, lease);
+      return true;
+    }, LIMITS.lookAhead);
+  }
+
+  function settle(waiter: Waiter, lease: Lease | undefined): void {
+    if (waiter.done) {
+      lease?.giveBack(true);
+      return;
+    }
+    waiter.done = true;
+    waiter.resolve(lease);
+  }
+
+  function wait(req: PlaceRequest): Promise<Lease | undefined> {
+    return new Promise(resolve => {
+      const waiter: Waiter = {...req, resolve, done: false};
+      line.add(waiter);
+      clock.after(Math.max(0, req.until - clock.now()), () => {
+        if (waiter.done) return;
+        line.remove(waiter);
+        settle(waiter, undefined);
+      });
+    });
+  }
+
+  function needsProbe(link: EndpointLink, now: number): boolean {
+    const {facts, listed} = link;
+    if (now - facts.heardAt > TIMES.probeEveryMs) return true;
+    if (!primaryId) return true;
+    if (listed.id !== primaryId) return false;
+    return ageOfNewest(samples, now) > TIMES.sampleEveryMs;
+  }
+
+  function probeEndpoint(link: EndpointLink): void {
+    const {id} = link.listed;
+    if (probing.has(id)) return;
+    const lease = lend(link, '');
+    if (!lease) {
+      if (link.connections === 0) link.open(mostConnections());
+      return;
+    }
+    probing.add(id);
+    void probe(lease, {clock, group, timeoutMs: TIMES.probeAnswerMs}).finally(
+      () => probing.delete(id),
+    );
+  }
+
+  const group: GroupRuntime = {
+    name: context.name,
+    policy,
+    links,
+    get primary() {
+      return primaryId === undefined ? undefined : links.get(primaryId);
+    },
+    get missingSince() {
+      return missingSince;
+    },
+    async place(req) {
+      return tryPlace(req) ?? wait(req);
+    },
+    required: (maxStalenessMs, floor) =>
+      requiredPosition(soundSamples(), maxStalenessMs, floor, clock.now()),
+    answered(link, answer, sentAt) {
+      link.heard(answer, sentAt);
+      if (!answer.error) noteAnswerTime(link.facts, clock.now() - sentAt);
+    },
+    confirmed(link, {position}, sentAt) {
+      link.facts.ledAt = Math.max(link.facts.ledAt, sentAt);
+      if (link.listed.id !== primaryId) findPrimary();
+      if (!position || link.listed.id !== primaryId) return;
+      soundSamples();
+      samples = withSample(samples, {sentAt, position});
+    },
+    denied(link, sentAt) {
+      link.facts.deniedAt = Math.max(link.facts.deniedAt, sentAt);
+      if (link.listed.id === primaryId) findPrimary();
+    },
+    listed(endpoints) {
+      const listedIds = new Set(endpoints.map(({id}) => id));
+      for (const [id, link] of links) {
+        if (listedIds.has(id)) continue;
+        log.info({event: 'endpointGone', group: group.name, endpoint: id});
+        link.dispose();
+        links.delete(id);
+        saidAt.delete(id);
+      }
+      for (const endpoint of endpoints) take(endpoint);
+      findPrimary();
+    },
+    tick() {
+      const now = clock.now();
+      for (const link of links.values()) {
+        if (link.connections < LIMITS.leastConnections) {
+          link.open(mostConnections());
+        }
+        link.trim(LIMITS.leastConnections);
+        if (needsProbe(link, now)) probeEndpoint(link);
+      }
+      serveWaiting();
+    },
+    dispose() {
+      for (const link of links.values()) link.dispose();
+    },
+  };
+
+  function take(endpoint: ListedEndpoint): void {
+    const {id} = endpoint;
+    const known = links.get(id);
+    const isSame =
+      known?.listed.startedAt === endpoint.startedAt &&
+      known.listed.host === endpoint.host &&
+      known.listed.port === endpoint.port;
+    if (known?.listed.saysPrimary !== endpoint.saysPrimary || !isSame) {
+      saidAt.set(id, clock.now());
+    }
+    if (known && isSame) {
+      if (known.listed.leaving !== endpoint.leaving) noteListed(endpoint);
+      known.listed = endpoint;
+      return;
+    }
+    known?.dispose();
+    noteListed(endpoint);
+    const onIdle = () => serveWaiting();
+    links.set(id, endpointLink(endpoint, {...context, onIdle}));
+  }
+
+  function noteListed(endpoint: ListedEndpoint): void {
+    log.info({event: 'endpointListed', ...endpoint});
+  }
+
+  return group;
+}
--- /dev/null
+++ b/packages/proxy/src/placing.ts
@@ -0,0 +1,79 @@
+/**
+ * Where a statement goes. Answers the load of many short reads beside a
+ * primary that only it can serve writes: reads spread by the time that
+ * statements take, the own data centre first when it is no slower.
+ */
+import {type Position, reaches} from '@quetzalreel/position';
+
+/** What a statement needs. */
+export interface Need {
+  /** Only the primary can serve it. */
+  readonly primaryOnly: boolean;
+  /** What the log must hold; undefined when the primary is needed or when
+   * nothing is asked. */
+  readonly atLeast: Position | undefined;
+  /** Endpoints that have failed this statement already. */
+  readonly avoid: ReadonlySet<string>;
+}
+
+/** An endpoint as placing sees it. */
+export interface Place {
+  readonly id: string;
+  readonly isPrimary: boolean;
+  /** Answers, as far as is known, and takes new work. */
+  readonly usable: boolean;
+  readonly position: Position | undefined;
+  /** Age of `position`, in milliseconds. */
+  readonly positionAgeMs: number;
+  /** Smoothed time of a statement, in milliseconds. */
+  readonly answerMs: number;
+  readonly running: number;
+  readonly slots: number;
+  /** Extra time for its distance, in milliseconds. */
+  readonly distanceMs: number;
+  /** Whether a statement can be sent to it at once. */
+  readonly hasRoom: boolean;
+}
+
+/** Age of a position beyond which a replica may have caught up, in
+ * milliseconds; a typical lag and its spread. */
+const CATCH_UP_MS = 150;
+
+/** Whether `place` can serve `need`, now or when it has room. */
+export function canServe(place: Place, need: Need): boolean {
+  if (!place.usable || need.avoid.has(place.id)) return false;
+  if (need.primaryOnly) return place.isPrimary;
+  if (!need.atLeast || place.isPrimary) return true;
+  if (!place.position) return false;
+  return (
+    reaches(place.position, need.atLeast) || place.positionAgeMs > CATCH_UP_MS
+  );
+}
+
+/** Expected time of one more statement, in milliseconds. */
+export function costOf(place: Place): number {
+  const queued = Math.max(0, place.running + 1 - place.slots);
+  const waitMs = (queued / place.slots) * place.answerMs;
+  return place.answerMs + waitMs + place.distanceMs;
+}
+
+/**
+ * The place for a statement: the cheapest one with room, unless one without
+ * is so much cheaper that waiting pays. Undefined: wait, or give up when no
+ * place can serve it.
+ */
+export function choosePlace(
+  places: readonly Place[],
+  need: Need,
+): Place | undefined {
+  let best: Place | undefined;
+  let bestCost = Infinity;
+  for (const place of places) {
+    if (!place.hasRoom || !canServe(place, need)) continue;
+    const cost = costOf(place);
+    if (cost >= bestCost) continue;
+    best = place;
+    bestCost = cost;
+  }
+  return best;
+}
--- /dev/null
+++ b/packages/proxy/src/primary-watch.ts
@@ -0,0 +1,147 @@
+/** Watches a group's primary and has it changed when it is down or leaves. */
+import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
+import type {Answer, EndpointStatus} from '@quetzalreel/exchange';
+import {
+  type Candidate,
+  ChangeOutcome,
+  type PrimaryChanger,
+  type PrimaryView,
+  mostAdvanced,
+  reasonToChange,
+} from '@quetzalreel/takeover';
+import {PATIENCE, TIMES} from './defaults.js';
+import type {EndpointLink} from './endpoint-link.js';
+import type {GroupRuntime} from './group.js';
+import type {Log} from './log.js';
+import {sendWithin} from './probe.js';
+
+/** What a watch works with. */
+export interface PrimaryWatchContext {
+  readonly instance: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly changer: PrimaryChanger;
+  readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
+}
+
+/** A number between 0 and 1 that differs between instances. */
+function spread(text: string): number {
+  let sum = 0;
+  for (const char of text) sum = (sum * 31 + char.charCodeAt(0)) % 9973;
+  return sum / 9973;
+}
+
+function viewOf(group: GroupRuntime): PrimaryView {
+  const {primary} = group;
+  return {
+    primary: primary?.listed.id,
+    leaving: primary?.listed.leaving ?? false,
+    refusingSince: primary?.facts.refusingSince,
+    silentSince: primary?.facts.askedAt,
+    missingSince: group.missingSince,
+  };
+}
+
+/** Watches until disposed. */
+export function watchPrimary(
+  group: GroupRuntime,
+  context: PrimaryWatchContext,
+): Disposable {
+  const {clock, log, changer, instance} = context;
+  /** Instances don't all try at the same moment. */
+  const delayMs = spread(instance + group.name) * TIMES.changeSpreadMs;
+  let disposed = false;
+
+  async function ask(link: EndpointLink): Promise<Candidate | undefined> {
+    const lease = await group.place({
+      primaryOnly: false,
+      atLeast: undefined,
+      avoid: new Set(
+        [...group.links.keys()].filter(id => id !== link.listed.id),
+      ),
+      priority: 0,
+      settingsKey: '',
+      until: clock.now() + TIMES.statusMs,
+    });
+    if (!lease) return undefined;
+    const bound = {clock, timeoutMs: TIMES.statusMs};
+    try {
+      const answer = await sendWithin(lease, {type: 'status'}, bound);
+      lease.giveBack(true);
+      const status = context.readStatus(answer);
+      const received = status?.received ?? link.facts.position;
+      return received && {endpoint: link.listed.id, received};
+    } catch (err) {
+      lease.giveBack(false);
+      const endpoint = link.listed.id;
+      log.info({event: 'statusLost', endpoint, why: messageOf(err)});
+      return undefined;
+    }
+  }
+
+  async function candidates(from: string | undefined): Promise<Candidate[]> {
+    const asked: Array<Promise<Candidate | undefined>> = [];
+    for (const link of group.links.values()) {
+      if (link.listed.id === from || link.listed.leaving) continue;
+      asked.push(ask(link));
+    }
+    const found: Candidate[] = [];
+    for (const candidate of await Promise.all(asked)) {
+      if (candidate) found.push(candidate);
+    }
+    return found;
+  }
+
+  async function changeFor(reason: string): Promise<void> {
+    const from = group.primary?.listed.id;
+    const found = await candidates(from);
+    const best = mostAdvanced(found);
+    log.warn({
+      event: 'primaryToChange',
+      group: group.name,
+      from,
+      reason,
+      found,
+    });
+    if (!best) return;
+    const planned = {group: group.name, from: from ?? '', to: best.endpoint};
+    const outcome = await changer.change(planned);
+    log.info({event: 'changeEnded', group: group.name, outcome});
+    if (outcome === ChangeOutcome.Ordered) await waitForLeader(from);
+  }
+
+  async function waitForLeader(from: string | undefined): Promise<void> {
+    const until = clock.now() + TIMES.takeOverMs;
+    while (!disposed && clock.now() < until) {
+      const now = group.primary?.listed.id;
+      if (now !== undefined && now !== from) return;
+      await clock.sleep(TIMES.tickMs);
+    }
+  }
+
+  async function run(): Promise<void> {
+    while (!disposed) {
+      await clock.sleep(TIMES.tickMs);
+      const reason = reasonToChange(viewOf(group), PATIENCE, clock.now());
+      if (!reason) continue;
+      await clock.sleep(delayMs);
+      if (!reasonToChange(viewOf(group), PATIENCE, clock.now())) continue;
+      try {
+        await changeFor(reason);
+      } catch (err) {
+        log.error({
+          event: 'changeFailed',
+          group: group.name,
+          why: messageOf(err),
+        });
+      }
+    }
+  }
+
+  void run();
+  return {
+    dispose() {
+      disposed = true;
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,293 @@
+/** The whole proxy: what it follows, its groups, its sessions, its stop. */
+import {
+  type Clock,
+  type Disposable,
+  disposableStore,
+  messageOf,
+} from '@quetzalreel/common';
+import {
+  type AcceptCaller,
+  type Answer,
+  type EndpointDriver,
+  type EndpointStatus,
+  ErrorCode,
+  SessionState,
+  ownError,
+} from '@quetzalreel/exchange';
+import {sleepGuard} from '@quetzalreel/freshness';
+import type {KindObject, KindStore} from '@quetzalreel/object-store';
+import {
+  type PromotionOrders,
+  leaseStore,
+  primaryChanger,
+} from '@quetzalreel/takeover';
+import {CHANGE_LIMITS, TIMES} from './defaults.js';
+import {
+  type Directory,
+  type DirectoryEvent,
+  emptyDirectory,
+  stepDirectory,
+} from './directory.js';
+import {followKind} from './follow.js';
+import {type GroupRuntime, groupRuntime} from './group.js';
+import type {Log} from './log.js';
+import {watchPrimary} from './primary-watch.js';
+import type {Catalog, ListedEndpoint, RoutingTable} from './routes.js';
+import {type CallerSession, callerSession} from './session.js';
+
+/** What the proxy works with; each part that varies is an abstract class. */
+export interface ProxyOptions {
+  readonly instance: string;
+  readonly dataCentre: string;
+  /** Between the request to stop and the kill, in milliseconds. */
+  readonly graceMs: number;
+  /** How long a leaving endpoint goes on serving, in milliseconds. */
+  readonly leavingMs: number;
+  readonly clock: Clock;
+  /** The time of day, Unix milliseconds; only compared with the clock. */
+  readonly timeOfDay: () => number;
+  readonly log: Log;
+  readonly store: KindStore;
+  readonly catalog: Catalog;
+  readonly driver: EndpointDriver;
+  readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
+  readonly orders: PromotionOrders;
+}
+
+/** A running proxy. */
+export interface Proxy {
+  /** Takes a caller's session. */
+  readonly accept: AcceptCaller;
+  /** Whether callers may be sent here. */
+  readonly ready: boolean;
+  /** Ends all sessions within the grace, none in the middle of its work. */
+  stop(): Promise<void>;
+}
+
+/** Starts the proxy. */
+export function startProxy(options: ProxyOptions): Proxy {
+  const {clock, log, store, catalog, instance} = options;
+  const owned = disposableStore();
+  const sessions = new Set<CallerSession>();
+  const groups = new Map<string, GroupRuntime>();
+  const watches = new Map<string, Disposable>();
+  const guard = sleepGuard(() => clock.now(), options.timeOfDay);
+  let table: RoutingTable | undefined;
+  let directory: Directory = emptyDirectory(clock.now());
+  let stopping = false;
+
+  const changer = primaryChanger({
+    instance,
+    clock,
+    lease: leaseStore(store),
+    orders: options.orders,
+    limits: CHANGE_LIMITS,
+    onEvent: event => log.info(event),
+  });
+
+  function apply(next: RoutingTable): void {
+    if (table && next.generation <= table.generation) return;
+    log.info({
+      event: 'configured',
+      generation: next.generation,
+      routes: next.routes.size,
+    });
+    table = next;
+    for (const policy of next.groups.values()) {
+      const known = groups.get(policy.name);
+      if (known) {
+        known.policy = policy;
+        continue;
+      }
+      const group = groupRuntime(policy, {
+        ...options,
+        name: policy.name,
+        guard,
+      });
+      groups.set(policy.name, group);
+      watches.set(policy.name, watchPrimary(group, {...options, changer}));
+    }
+    tellGroups();
+    for (const session of sessions) {
+      if (!next.routes.has(databases.get(session)!)) session.dismiss();
+    }
+  }
+
+  const databases = new WeakMap<CallerSession, string>();
+
+  function applyObject(object: KindObject): void {
+    if (object.name !== catalog.configuration.name) return;
+    try {
+      apply(catalog.readConfiguration(object.value));
+    } catch (err) {
+      log.error({event: 'configurationUnreadable', why: messageOf(err)});
+    }
+  }
+
+  function step(event: DirectoryEvent): void {
+    directory = stepDirectory(directory, event, clock.now());
+  }
+
+  function tellGroups(): void {
+    const byGroup = new Map<string, ListedEndpoint[]>();
+    for (const {endpoint} of directory.entries.values()) {
+      const list = byGroup.get(endpoint.group) ?? [];
+      list.push(endpoint);
+      byGroup.set(endpoint.group, list);
+    }
+    for (const group of groups.values()) {
+      group.listed(byGroup.get(group.name) ?? []);
+    }
+  }
+
+  function readEntry(object: KindObject): ListedEndpoint | undefined {
+    try {
+      return catalog.readEndpoint(object.name, object.value);
+    } catch (err) {
+      log.warn({
+        event: 'entryUnreadable',
+        endpoint: object.name,
+        why: messageOf(err),
+      });
+      return undefined;
+    }
+  }
+
+  function readEntries(objects: readonly KindObject[]): ListedEndpoint[] {
+    const endpoints: ListedEndpoint[] = [];
+    for (const object of objects) {
+      const endpoint = readEntry(object);
+      if (endpoint) endpoints.push(endpoint);
+    }
+    return endpoints;
+  }
+
+  owned.add(
+    followKind({
+      store,
+      clock,
+      log,
+      kind: catalog.configuration.kind,
+      watchMs: TIMES.watchConfigurationMs,
+      onSnapshot: ({objects}) => objects.forEach(applyObject),
+      onEvents: events => {
+        for (const {object, deleted} of events) {
+          if (!deleted) applyObject(object);
+        }
+      },
+      onReach: () => {},
+    }),
+  );
+  owned.add(
+    followKind({
+      store,
+      clock,
+      log,
+      kind: catalog.endpointKind,
+      watchMs: TIMES.watchEndpointsMs,
+      onSnapshot: ({objects}) => {
+        step({type: 'listed', endpoints: readEntries(objects)});
+        tellGroups();
+      },
+      onEvents: events => {
+        for (const {object, deleted} of events) {
+          if (deleted) {
+            step({type: 'deleted', id: object.name});
+            continue;
+          }
+          const endpoint = readEntry(object);
+          if (endpoint) step({type: 'put', endpoint});
+        }
+        tellGroups();
+      },
+      onReach: reached => step({type: 'reach', reached}),
+    }),
+  );
+
+  function tick(): void {
+    const before = directory;
+    step({type: 'tick'});
+    if (directory !== before) tellGroups();
+    for (const group of groups.values()) group.tick();
+    for (const session of sessions) session.tick();
+    clock.after(TIMES.tickMs, tick);
+  }
+  tick();
+  void claimLater();
+
+  /** Somebody is to hold the lease before the store is away. */
+  async function claimLater(): Promise<void> {
+    await clock.sleep(TIMES.claimLeaseMs);
+    try {
+      await changer.claim();
+    } catch (err) {
+      log.warn({event: 'leaseNotClaimed', why: messageOf(err)});
+    }
+  }
+
+  const accept: AcceptCaller = ({database, caller}, connection) => {
+    if (!table?.routes.has(database)) {
+      const text = `no route is named ${database}`;
+      log.info({event: 'sessionRefused', database, caller});
+      return ownError(ErrorCode.NoDatabase, text, SessionState.Idle);
+    }
+    const session = callerSession({
+      clock,
+      log,
+      database,
+      connection,
+      route: () => table?.routes.get(database),
+      group: name => groups.get(name),
+      idleTransactionMs: () => table!.idleTransactionMs,
+      stopping: () => stopping && clock.now() >= dismissAt,
+      onEnd: () => sessions.delete(session),
+    });
+    databases.set(session, database);
+    sessions.add(session);
+    return session;
+  };
+
+  /** When sessions begin to be ended; later ones reach another instance. */
+  let dismissAt = Infinity;
+
+  async function drainSessions(): Promise<void> {
+    const start = clock.now();
+    dismissAt = start + TIMES.balancerMs;
+    await clock.sleep(TIMES.balancerMs);
+    const cutAt = start + options.graceMs * TIMES.transactionGraceShare;
+    const endAt = start + options.graceMs - TIMES.tickMs * 4;
+    let wasCut = false;
+    while (sessions.size > 0 && clock.now() < endAt) {
+      for (const session of sessions) session.dismiss();
+      if (clock.now() >= cutAt) {
+        for (const session of sessions) {
+          session.cutOff('this instance stops; nothing is kept');
+        }
+        if (!wasCut) log.info({event: 'transactionsCut', left: sessions.size});
+        wasCut = true;
+      }
+      await clock.sleep(TIMES.tickMs);
+    }
+  }
+
+  return {
+    accept,
+    get ready() {
+      if (stopping || !table) return false;
+      for (const {group} of table.routes.values()) {
+        const runtime = groups.get(group);
+        if (runtime?.primary) return true;
+      }
+      return false;
+    },
+    async stop() {
+      if (stopping) return;
+      stopping = true;
+      log.info({event: 'stopping', sessions: sessions.size});
+      await drainSessions();
+      owned.dispose();
+      for (const watch of watches.values()) watch.dispose();
+      for (const group of groups.values()) group.dispose();
+    },
+  };
+}
--- /dev/null
+++ b/packages/proxy/src/session-context.ts
@@ -0,0 +1,88 @@
+/** What the parts of a session share. */
+import type {Clock} from '@quetzalreel/common';
+import {
+  type Answer,
+  type CallerRequest,
+  type EndpointRequest,
+  ErrorCode,
+  SessionState,
+  ownError,
+} from '@quetzalreel/exchange';
+import type {Position} from '@quetzalreel/position';
+import type {GroupRuntime, Lease} from './group.js';
+import type {Log} from './log.js';
+import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
+import type {Route} from './routes.js';
+
+/** What a session remembers between its requests. */
+export interface SessionMemory {
+  settings: SessionSettings;
+  /** Prepared statements by the caller's names. */
+  readonly prepared: Map<string, Prepared>;
+  /** Position of the session's newest commit in each group. */
+  readonly floors: Map<string, Position>;
+}
+
+/** A session that has done nothing yet. */
+export function newMemory(): SessionMemory {
+  return {settings: NO_SETTINGS, prepared: new Map(), floors: new Map()};
+}
+
+/** What serving one request works with. */
+export interface ServeContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly route: Route;
+  readonly group: GroupRuntime;
+  readonly memory: SessionMemory;
+  /** When the request came, monotonic milliseconds. */
+  readonly arrivedAt: number;
+}
+
+/** When the request must have its answer. */
+export function limitOf({route, arrivedAt}: ServeContext): number {
+  return arrivedAt + route.statementTimeoutMs;
+}
+
+/** Makes the caller's statement a request to the endpoint of `lease`. */
+export function forwardOf(
+  {memory}: ServeContext,
+  lease: Lease,
+  req: CallerRequest,
+  atLeast?: Position,
+): EndpointRequest {
+  const {statement, id, text} = req;
+  if (statement.type !== 'execute') {
+    return {type: 'forward', id, text, atLeast};
+  }
+  const prepared = memory.prepared.get(statement.name)!;
+  const name = lease.pooled.nameOf(prepared);
+  return {type: 'execute', id, name, args: statement.args, atLeast};
+}
+
+/** Says that nothing was run because no endpoint could serve it. */
+export function noPlace(
+  context: ServeContext,
+  req: CallerRequest,
+  state: SessionState,
+  why: string,
+): Answer {
+  const {clock, group, log, arrivedAt} = context;
+  log.info({
+    event: 'refused',
+    id: req.id,
+    group: group.name,
+    why,
+    waitedMs: Math.round(clock.now() - arrivedAt),
+    primary: group.primary?.listed.id,
+  });
+  return ownError(ErrorCode.Busy, `not run: ${why}; try again`, state);
+}
+
+/** Raises the session's floor to a commit's position. */
+export function noteCommit(
+  {memory, group}: ServeContext,
+  answer: Answer,
+): void {
+  if (answer.position) memory.floors.set(group.name, answer.position);
+}
--- /dev/null
+++ b/packages/proxy/src/session.ts
@@ -0,0 +1,228 @@
+/** One caller's session: its requests in their order, one at a time. */
+import {type Clock, messageOf} from '@quetzalreel/common';
+import {
+  Access,
+  type Answer,
+  type CallerConnection,
+  type CallerHandler,
+  type CallerRequest,
+  ErrorCode,
+  SessionState,
+  type Statement,
+  ownAnswer,
+  ownError,
+} from '@quetzalreel/exchange';
+import type {GroupRuntime} from './group.js';
+import type {Log} from './log.js';
+import {withValue} from './pooled.js';
+import type {Route} from './routes.js';
+import {type ServeContext, newMemory} from './session-context.js';
+import {serveRead, serveWrite} from './single.js';
+import {type Transaction, callerTransaction} from './transaction.js';
+
+/** What a session works with. */
+export interface SessionContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly database: string;
+  readonly connection: CallerConnection;
+  /** The route in force; undefined once it was removed. */
+  readonly route: () => Route | undefined;
+  readonly group: (name: string) => GroupRuntime | undefined;
+  /** How long a transaction may rest, in milliseconds. */
+  readonly idleTransactionMs: () => number;
+  /** Whether this instance stops. */
+  readonly stopping: () => boolean;
+  readonly onEnd: () => void;
+}
+
+/** A session. */
+export interface CallerSession extends CallerHandler {
+  /** Requests without an answer. */
+  readonly pending: number;
+  readonly inTransaction: boolean;
+  /** Ends the session if nothing is under way. */
+  dismiss(): void;
+  /** Rolls back a transaction that rests, for `why`. */
+  cutOff(why: string): void;
+  /** Looks at time: a transaction that has rested for too long. */
+  tick(): void;
+}
+
+/** A session that was just accepted. */
+export function callerSession(context: SessionContext): CallerSession {
+  const {clock, log, connection} = context;
+  const memory = newMemory();
+  const queue: Array<{req: CallerRequest; arrivedAt: number}> = [];
+  let transaction: Transaction | undefined;
+  /** The route under which the open transaction began. */
+  let pinned: Route | undefined;
+  let serving = false;
+  let ended = false;
+
+  function end(): void {
+    if (ended) return;
+    ended = true;
+    transaction?.abandon();
+    transaction = undefined;
+    context.onEnd();
+  }
+
+  function stateNow(): SessionState {
+    return transaction?.state ?? SessionState.Idle;
+  }
+
+  /** Answers what needs no endpoint; undefined for what does. */
+  function answerHere(statement: Statement): Answer | undefined {
+    const state = stateNow();
+    if (state === SessionState.Failed) return undefined;
+    switch (statement.type) {
+      case 'set':
+        memory.settings = withValue(
+          memory.settings,
+          statement.name,
+          statement.value,
+        );
+        return ownAnswer(state);
+      case 'prepare': {
+        const {name, access, shape} = statement;
+        memory.prepared.set(name, {access, shape});
+        return ownAnswer(state);
+      }
+      case 'close':
+        memory.prepared.delete(statement.name);
+        return ownAnswer(state);
+      case 'execute':
+        if (memory.prepared.has(statement.name)) return undefined;
+        return ownError(
+          ErrorCode.NoStatement,
+          'nothing is prepared under this name; prepare it first',
+          state === SessionState.Open ? SessionState.Failed : state,
+        );
+      case 'invalid':
+        return ownError(ErrorCode.Malformed, statement.why, state);
+      default:
+        return undefined;
+    }
+  }
+
+  function serveContext(arrivedAt: number): ServeContext | Answer {
+    const route = pinned ?? context.route();
+    const group = route && context.group(route.group);
+    if (route && group) return {clock, log, route, group, memory, arrivedAt};
+    const text = `no route leads from ${context.database} to a group`;
+    return ownError(ErrorCode.NoDatabase, text, SessionState.Idle);
+  }
+
+  async function serve(req: CallerRequest, arrivedAt: number): Promise<Answer> {
+    const here = answerHere(req.statement);
+    if (here) {
+      if (here.state === SessionState.Failed) transaction?.cutOff('failed');
+      return here;
+    }
+    const serving = serveContext(arrivedAt);
+    if ('rows' in serving) return serving;
+    if (transaction) return serveInTransaction(transaction, serving, req);
+    return serveAlone(serving, req);
+  }
+
+  async function serveInTransaction(
+    current: Transaction,
+    serving: ServeContext,
+    req: CallerRequest,
+  ): Promise<Answer> {
+    if (req.statement.type === 'begin') {
+      const text = 'a transaction is open already';
+      return ownError(ErrorCode.Malformed, text, current.state);
+    }
+    const answer = await current.serve(serving, req);
+    if (current.state === SessionState.Idle) {
+      transaction = undefined;
+      pinned = undefined;
+    }
+    return answer;
+  }
+
+  async function serveAlone(
+    serving: ServeContext,
+    req: CallerRequest,
+  ): Promise<Answer> {
+    switch (req.statement.type) {
+      case 'begin':
+        transaction = callerTransaction(req.statement.readOnly, clock.now());
+        pinned = serving.route;
+        return ownAnswer(SessionState.Open);
+      case 'read':
+        return serveRead(serving, req);
+      case 'write':
+        return serveWrite(serving, req);
+      case 'execute': {
+        const {access} = memory.prepared.get(req.statement.name)!;
+        const run = access === Access.Read ? serveRead : serveWrite;
+        return run(serving, req);
+      }
+      default: {
+        const text = 'no transaction is open';
+        return ownError(ErrorCode.Malformed, text, SessionState.Idle);
+      }
+    }
+  }
+
+  async function serveAll(): Promise<void> {
+    serving = true;
+    while (queue.length > 0 && !ended) {
+      const {req, arrivedAt} = queue[0]!;
+      let answer: Answer;
+      try {
+        answer = await serve(req, arrivedAt);
+      } catch (err) {
+        log.error({event: 'requestFailed', id: req.id, why: messageOf(err)});
+        connection.end();
+        end();
+        break;
+      }
+      queue.shift();
+      if (ended) break;
+      connection.answer(answer);
+      if (answer.error?.code === ErrorCode.NoDatabase) dismissNow();
+    }
+    serving = false;
+    if (context.stopping()) session.dismiss();
+  }
+
+  function dismissNow(): void {
+    connection.end();
+    end();
+  }
+
+  const session: CallerSession = {
+    get pending() {
+      return queue.length;
+    },
+    get inTransaction() {
+      return transaction !== undefined;
+    },
+    request(req) {
+      if (ended) return;
+      queue.push({req, arrivedAt: clock.now()});
+      if (!serving) void serveAll();
+    },
+    left: end,
+    dismiss() {
+      if (ended || queue.length > 0 || transaction) return;
+      dismissNow();
+    },
+    cutOff(why) {
+      transaction?.cutOff(why);
+    },
+    tick() {
+      if (!transaction) return;
+      const restedMs = clock.now() - transaction.restsSince;
+      if (restedMs < context.idleTransactionMs()) return;
+      transaction.cutOff(
+        'the transaction rested for too long; nothing is kept',
+      );
+    },
+  };
+  return session;
+}
--- /dev/null
+++ b/packages/proxy/src/transaction.ts
@@ -0,0 +1,310 @@
+/**
+ * A caller's transaction on one connection. It is opened there with the first
+ * statement that needs an endpoint, so that it can be placed by what that
+ * statement needs.
+ */
+import {messageOf} from '@quetzalreel/common';
+import {
+  type Answer,
+  type CallerRequest,
+  ErrorCode,
+  SessionState,
+  didNotRun,
+  ownAnswer,
+  ownError,
+} from '@quetzalreel/exchange';
+import type {Position} from '@quetzalreel/position';
+import {LIMITS} from './defaults.js';
+import type {Lease} from './group.js';
+import {endTransaction} from './single.js';
+import {sendWithin} from './probe.js';
+import {ReadRule} from './routes.js';
+import {
+  type ServeContext,
+  forwardOf,
+  limitOf,
+  noPlace,
+  noteCommit,
+} from './session-context.js';
+
+/** A transaction of a caller. */
+export interface Transaction {
+  /** Open or failed; idle once it has ended. */
+  readonly state: SessionState;
+  /** When its last request was answered, monotonic milliseconds. */
+  readonly restsSince: number;
+  /** Serves a statement, COMMIT or ROLLBACK. */
+  serve(context: ServeContext, req: CallerRequest): Promise<Answer>;
+  /** Rolls it back; the caller is told at its next request. */
+  cutOff(why: string): void;
+  /** Rolls it back because the caller has left. */
+  abandon(): void;
+}
+
+/** A transaction that the caller has just opened. */
+export function callerTransaction(readOnly: boolean, now: number): Transaction {
+  let state: SessionState = SessionState.Open;
+  let lease: Lease | undefined;
+  let wrote = false;
+  let cutReason: string | undefined;
+  let restsSince = now;
+  let serving = false;
+  let abandoned = false;
+
+  function free(reusable: boolean): void {
+    lease?.giveBack(reusable);
+    lease = undefined;
+  }
+
+  function rollBack(): void {
+    if (lease) endTransaction(lease);
+    lease = undefined;
+  }
+
+  function failed(code: ErrorCode, text: string): Answer {
+    state = SessionState.Failed;
+    return ownError(code, text, state);
+  }
+
+  function ended(answer: Answer): Answer {
+    state = SessionState.Idle;
+    return {...answer, state};
+  }
+
+  /** What opening it needs of a log; undefined stands for the primary. */
+  function needOf({route, group, memory}: ServeContext): Position | undefined {
+    if (!readOnly || route.rule === ReadRule.Primary) return undefined;
+    const floor =
+      route.rule === ReadRule.OwnWrites
+        ? memory.floors.get(group.name)
+        : undefined;
+    return group.required(route.maxStalenessMs, floor);
+  }
+
+  /** Opens it at an endpoint; undefined when none took it in time. */
+  async function open(
+    context: ServeContext,
+    avoid: Set<string>,
+  ): Promise<Lease | undefined> {
+    const {clock, route, group, memory} = context;
+    const limit = limitOf(context);
+    for (let tries = 0; tries < LIMITS.tries; tries++) {
+      const atLeast = needOf(context);
+      const taken = await group.place({
+        primaryOnly: atLeast === undefined,
+        atLeast,
+        avoid: atLeast ? avoid : new Set(),
+        priority: route.priority,
+        settingsKey: memory.settings.key,
+        until: limit,
+      });
+      if (!taken) return undefined;
+      if (await begin(context, taken, atLeast, avoid)) return taken;
+      if (clock.now() >= limit) return undefined;
+    }
+    return undefined;
+  }
+
+  async function begin(
+    context: ServeContext,
+    taken: Lease,
+    atLeast: Position | undefined,
+    avoid: Set<string>,
+  ): Promise<boolean> {
+    const {clock, group, memory, log} = context;
+    const {link} = taken;
+    const endpoint = link.listed.id;
+    taken.pooled.align(memory.settings);
+    const sentAt = clock.now();
+    const timeoutMs = limitOf(context) - sentAt;
+    // Without a position to ask for, only a plain transaction proves that the
+    // endpoint is the primary.
+    const asRead = atLeast !== undefined;
+    try {
+      const answer = await sendWithin(
+        taken,
+        {type: 'begin', readOnly: asRead, atLeast},
+        {clock, timeoutMs},
+      );
+      link.heard(answer, sentAt);
+      if (!answer.error) {
+        if (!asRead) group.confirmed(link, answer, sentAt);
+        return true;
+      }
+      const {code} = answer.error;
+      if (code === ErrorCode.ReadOnly) group.denied(link, sentAt);
+      log.info({event: 'beginRefused', endpoint, code});
+      taken.giveBack(answer.state === SessionState.Idle);
+    } catch (err) {
+      log.info({event: 'beginLost', endpoint, why: messageOf(err)});
+      taken.giveBack(false);
+    }
+    avoid.add(endpoint);
+    return false;
+  }
+
+  /** Opens it and runs its first statement; elsewhere again if neither ran. */
+  async function first(
+    context: ServeContext,
+    req: CallerRequest,
+  ): Promise<Answer> {
+    const avoid = new Set<string>();
+    for (let tries = 0; tries < LIMITS.tries; tries++) {
+      lease = await open(context, avoid);
+      if (!lease) break;
+      const endpoint = lease.link.listed.id;
+      const answer = await run(context, req);
+      const code = answer.error?.code;
+      const mayGoAgain =
+        code !== undefined &&
+        didNotRun(code) &&
+        req.statement.type !== 'commit';
+      if (!mayGoAgain) return answer;
+      if (context.clock.now() >= limitOf(context)) return answer;
+      avoid.add(endpoint);
+      rollBack();
+      state = SessionState.Open;
+    }
+    return refuse(context, req);
+  }
+
+  function refuse(context: ServeContext, req: CallerRequest): Answer {
+    const isEnd = req.statement.type === 'commit';
+    state = isEnd ? SessionState.Idle : SessionState.Failed;
+    const why = 'no endpoint took the transaction';
+    return noPlace(context, req, state, why);
+  }
+
+  async function run(
+    context: ServeContext,
+    req: CallerRequest,
+  ): Promise<Answer> {
+    const {clock, group, memory} = context;
+    const {link, pooled} = lease!;
+    const isCommit = req.statement.type === 'commit';
+    pooled.align(memory.settings);
+    const forward = forwardOf(context, lease!, req);
+    const sentAt = clock.now();
+    const timeoutMs = Math.max(1, limitOf(context) - sentAt);
+    link.facts.running++;
+    try {
+      const answer = await sendWithin(lease!, forward, {clock, timeoutMs});
+      group.answered(link, answer, sentAt);
+      const code = answer.error?.code;
+      if (code === ErrorCode.ReadOnly) group.denied(link, sentAt);
+      if (!isCommit) {
+        if (isWrite(context, req)) wrote = true;
+        state = answer.state;
+        return answer;
+      }
+      free(answer.state === SessionState.Idle);
+      if (!answer.error && wrote) {
+        group.confirmed(link, answer, sentAt);
+        noteCommit(context, answer);
+      }
+      return ended(answer);
+    } catch (err) {
+      return lost(context, req, isCommit, messageOf(err));
+    } finally {
+      link.facts.running--;
+    }
+  }
+
+  function lost(
+    {log}: ServeContext,
+    req: CallerRequest,
+    isCommit: boolean,
+    why: string,
+  ): Answer {
+    const endpoint = lease?.link.listed.id;
+    free(false);
+    const inDoubt = isCommit && wrote;
+    log.warn({
+      event: inDoubt ? 'commitInDoubt' : 'transactionLost',
+      id: req.id,
+      endpoint,
+      why,
+    });
+    if (inDoubt) {
+      state = SessionState.Idle;
+      return ownError(
+        ErrorCode.Unknown,
+        'COMMIT was sent and has no answer; read back what it was to change',
+        state,
+      );
+    }
+    const text = 'the connection to the endpoint was lost; nothing is kept';
+    if (!isCommit) return failed(ErrorCode.Aborted, text);
+    state = SessionState.Idle;
+    return ownError(ErrorCode.Aborted, text, state);
+  }
+
+  /** A request to a transaction that has failed already. */
+  function afterFailure(req: CallerRequest): Answer {
+    const {type} = req.statement;
+    if (type === 'rollback') return ended(ownAnswer(SessionState.Idle));
+    if (type === 'commit') {
+      const text = 'the transaction had failed and was rolled back';
+      return ended(ownError(ErrorCode.Aborted, text, SessionState.Idle));
+    }
+    const text = 'the transaction has failed; send ROLLBACK';
+    return ownError(ErrorCode.Malformed, text, state);
+  }
+
+  async function serveNow(
+    context: ServeContext,
+    req: CallerRequest,
+  ): Promise<Answer> {
+    if (cutReason !== undefined && state === SessionState.Open) {
+      const answer = failed(ErrorCode.Aborted, cutReason);
+      const {type} = req.statement;
+      if (type === 'rollback') return afterFailure(req);
+      return type === 'commit' ? ended(answer) : answer;
+    }
+    if (state === SessionState.Failed) {
+      rollBack();
+      return afterFailure(req);
+    }
+    if (req.statement.type === 'rollback') {
+      rollBack();
+      return ended(ownAnswer(SessionState.Idle));
+    }
+    return lease ? run(context, req) : first(context, req);
+  }
+
+  return {
+    get state() {
+      return state;
+    },
+    get restsSince() {
+      return serving ? Infinity : restsSince;
+    },
+    async serve(context, req) {
+      serving = true;
+      try {
+        return await serveNow(context, req);
+      } finally {
+        serving = false;
+        restsSince = context.clock.now();
+        if (abandoned) rollBack();
+      }
+    },
+    cutOff(why) {
+      if (serving || state !== SessionState.Open) return;
+      cutReason = why;
+      rollBack();
+    },
+    abandon() {
+      abandoned = true;
+      // The close of the connection rolls back whatever is under way.
+      if (serving) free(false);
+      else rollBack();
+    },
+  };
+}
+
+function isWrite({memory}: ServeContext, {statement}: CallerRequest): boolean {
+  if (statement.type === 'write') return true;
+  if (statement.type !== 'execute') return false;
+  return memory.prepared.get(statement.name)?.access === 'write';
+}
