Ask other instances before a primary counts as down

Change: package witness: instances list themselves in the store and ask each other, only when one suspects a primary; one that reaches it stops the change, and a third of those asked must agree. The same link hands the configuration to an instance that the store turns away.

Ruled out: evidence of the replicas alone (they are cut off on the same side).

--- a/packages/checks/src/run-tests.ts
+++ b/packages/checks/src/run-tests.ts
@@ -9,6 +9,8 @@
 import {type KnownRed, parseKnownRed} from './known-red.js';
 
 const PACKAGES = 'packages';
+/** The adapter stands beside the packages. */
+const ADAPTER = 'platform';
 const KNOWN_RED = 'KNOWN-RED.txt';
 /** Test files at a time: fault tests start several sockets each. */
 const CONCURRENCY = 4;
@@ -17,17 +19,15 @@
 
 function testFiles(): string[] {
   const files: string[] = [];
-  for (const name of readdirSync(PACKAGES).sort()) {
-    const folder = path.join(PACKAGES, name, 'dist', 'test');
+  const roots = readdirSync(PACKAGES)
+    .sort()
+    .map(name => path.join(PACKAGES, name));
+  for (const root of [...roots, ADAPTER]) {
+    const folder = path.join(root, 'dist', 'test');
     if (!existsSync(folder)) continue;
     for (const file of readdirSync(folder).sort()) {
       const isTest = file.startsWith('test-') && file.endsWith('.js');
-      const source = path.join(
-        PACKAGES,
-        name,
-        'test',
-        file.replace(/js$/, 'ts'),
-      );
+      const source = path.join(root, 'test', file.replace(/js$/, 'ts'));
       if (isTest && existsSync(source)) files.push(path.join(folder, file));
     }
   }
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -41,6 +41,21 @@
   changeSpreadMs: 150,
   /** Longest wait for the answer to a status call, which needs a slot. */
   statusMs: 300,
+  /** An endpoint heard of within this counts as reached. */
+  justHeardMs: 60,
+  /** Between two looks while an endpoint is asked for another instance. */
+  reachStepMs: 20,
+  /** How long an endpoint is tried for another instance: longer than a
+   * connection takes to open on a busy endpoint. */
+  reachMs: 250,
+  /** Longest wait for the answers of other instances. */
+  witnessMs: 400,
+  /** Between two readings of the list of instances. */
+  rosterMs: 15_000,
+  /** After its start an instance reads the list of instances. */
+  firstRosterMs: 2500,
+  /** Between two questions to others while the store is away. */
+  askConfigurationMs: 500,
   /** Longest wait for an ordered change to be seen. */
   takeOverMs: 3000,
   /** Part of the grace that open transactions have to end. */
@@ -61,14 +76,16 @@
   tries: 5,
   /** Requests looked at in one lane before the others wait for a change. */
   lookAhead: 8,
+  /** Instances that are asked whether they reach an endpoint. */
+  witnesses: 9,
 } as const;
 
 /** Evidence that a primary is down, in milliseconds. */
 export const PATIENCE = {
   /** Connections refused: the process is gone, or something cuts it off. */
-  refusingMs: 250,
+  refusingMs: 100,
   /** Silence: longer than a slow answer and a lost packet. */
-  silentMs: 800,
+  silentMs: 500,
   /** No endpoint takes writes: longer than a change takes. */
   missingMs: 2500,
 } as const;
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -81,6 +81,8 @@
   /** Notes that an endpoint said that it is not the primary. */
   denied(link: EndpointLink, sentAt: number): void;
   listed(endpoints: readonly ListedEndpoint[]): void;
+  /** Whether an endpoint answers now; asks it if it was not heard of. */
+  reaches(endpoint: string, withinMs: number): Promise<boolean>;
   /** Looks at time: probes, connections, requests that waited too long. */
   tick(): void;
 }
@@ -272,6 +274,20 @@
       link.facts.deniedAt = Math.max(link.facts.deniedAt, sentAt);
       if (link.listed.id === primaryId) findPrimary();
     },
+    async reaches(endpoint, withinMs) {
+      const askedAt = clock.now();
+      const isHeard = () => {
+        const link = links.get(endpoint);
+        return link && link.facts.heardAt > askedAt - TIMES.justHeardMs;
+      };
+      while (!isHeard() && clock.now() - askedAt < withinMs) {
+        const link = links.get(endpoint);
+        if (!link) return false;
+        probeEndpoint(link);
+        await clock.sleep(TIMES.reachStepMs);
+      }
+      return isHeard() ?? false;
+    },
     listed(endpoints) {
       const listedIds = new Set(endpoints.map(({id}) => id));
       for (const [id, link] of links) {
--- a/packages/proxy/src/log.ts
+++ b/packages/proxy/src/log.ts
@@ -4,12 +4,19 @@
 /** What the daemon logs to. */
 export type Log = bunyan;
 
-/** A log of this instance. */
-export function createLog(instance: string): Log {
+/** Takes whole lines. */
+export interface LogTarget {
+  write(line: string): void;
+}
+
+/** A log of this instance to `target`. */
+export function createLog(
+  instance: string,
+  target: LogTarget = process.stdout,
+): Log {
   return bunyan.createLogger({
     name: 'quetzalreeld',
     instance,
-    level: 'info',
-    stream: process.stdout,
+    streams: [{level: 'info', stream: target as NodeJS.WritableStream}],
   });
 }
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -6,9 +6,11 @@
   ChangeOutcome,
   type PrimaryChanger,
   type PrimaryView,
+  Reason,
   mostAdvanced,
   reasonToChange,
 } from '@quetzalreel/takeover';
+import {Verdict, type Witnesses} from '@quetzalreel/witness';
 import {PATIENCE, TIMES} from './defaults.js';
 import type {EndpointLink} from './endpoint-link.js';
 import type {GroupRuntime} from './group.js';
@@ -21,6 +23,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly changer: PrimaryChanger;
+  readonly witnesses: () => Witnesses | undefined;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
 }
 
@@ -92,18 +95,30 @@
     return found;
   }
 
-  async function changeFor(reason: string): Promise<void> {
+  /** What others see of a primary that this instance does not reach. */
+  async function witnessed(from: string | undefined): Promise<Verdict> {
+    const others = context.witnesses();
+    if (from === undefined) return Verdict.Unreached;
+    return others ? others.ask(group.name, from) : Verdict.Unsure;
+  }
+
+  async function changeFor(reason: Reason): Promise<void> {
     const from = group.primary?.listed.id;
-    const found = await candidates(from);
+    const isPlanned = reason === Reason.Leaving;
+    const [found, verdict] = await Promise.all([
+      candidates(from),
+      isPlanned ? Verdict.Unreached : witnessed(from),
+    ]);
     const best = mostAdvanced(found);
     log.warn({
       event: 'primaryToChange',
       group: group.name,
       from,
       reason,
+      verdict,
       found,
     });
-    if (!best) return;
+    if (!best || verdict !== Verdict.Unreached) return;
     const planned = {group: group.name, from: from ?? '', to: best.endpoint};
     const outcome = await changer.change(planned);
     log.info({event: 'changeEnded', group: group.name, outcome});
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -33,12 +33,15 @@
 import type {Log} from './log.js';
 import {watchPrimary} from './primary-watch.js';
 import type {Catalog, ListedEndpoint, RoutingTable} from './routes.js';
+import {joinOthers} from './others.js';
 import {type CallerSession, callerSession} from './session.js';
 
 /** What the proxy works with; each part that varies is an abstract class. */
 export interface ProxyOptions {
   readonly instance: string;
   readonly dataCentre: string;
+  /** Where the other instances reach this one. */
+  readonly peers: {readonly host: string; readonly port: number};
   /** Between the request to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** How long a leaving endpoint goes on serving, in milliseconds. */
@@ -62,6 +65,8 @@
   readonly ready: boolean;
   /** Ends all sessions within the grace, none in the middle of its work. */
   stop(): Promise<void>;
+  /** Ends everything at once. */
+  dispose(): void;
 }
 
 /** Starts the proxy. */
@@ -75,6 +80,25 @@
   let table: RoutingTable | undefined;
   let directory: Directory = emptyDirectory(clock.now());
   let stopping = false;
+  /** The configuration in force as the store spells it. */
+  let inForce: unknown;
+  let configurationReached = false;
+
+  const others = joinOthers({
+    ...options,
+    isCutOff: () => !configurationReached,
+    generation: () => table?.generation ?? 0,
+    source: {
+      reaches: async (group, endpoint) => {
+        const known = groups.get(group);
+        return known ? known.reaches(endpoint, TIMES.reachMs) : false;
+      },
+      configuration: () =>
+        table && {generation: table.generation, value: inForce},
+    },
+    onConfiguration: applyValue,
+  });
+  owned.add(others);
 
   const changer = primaryChanger({
     instance,
@@ -105,7 +129,14 @@
         guard,
       });
       groups.set(policy.name, group);
-      watches.set(policy.name, watchPrimary(group, {...options, changer}));
+      watches.set(
+        policy.name,
+        watchPrimary(group, {
+          ...options,
+          changer,
+          witnesses: () => others.witnesses,
+        }),
+      );
     }
     tellGroups();
     for (const session of sessions) {
@@ -117,8 +148,14 @@
 
   function applyObject(object: KindObject): void {
     if (object.name !== catalog.configuration.name) return;
+    applyValue(object.value);
+  }
+
+  function applyValue(value: unknown): void {
     try {
-      apply(catalog.readConfiguration(object.value));
+      const next = catalog.readConfiguration(value);
+      if (!table || next.generation > table.generation) inForce = value;
+      apply(next);
     } catch (err) {
       log.error({event: 'configurationUnreadable', why: messageOf(err)});
     }
@@ -175,7 +212,9 @@
           if (!deleted) applyObject(object);
         }
       },
-      onReach: () => {},
+      onReach: reached => {
+        configurationReached = reached;
+      },
     }),
   );
   owned.add(
@@ -210,7 +249,7 @@
     if (directory !== before) tellGroups();
     for (const group of groups.values()) group.tick();
     for (const session of sessions) session.tick();
-    clock.after(TIMES.tickMs, tick);
+    if (!owned.disposed) clock.after(TIMES.tickMs, tick);
   }
   tick();
   void claimLater();
@@ -270,8 +309,15 @@
     }
   }
 
+  function dispose(): void {
+    owned.dispose();
+    for (const watch of watches.values()) watch.dispose();
+    for (const group of groups.values()) group.dispose();
+  }
+
   return {
     accept,
+    dispose,
     get ready() {
       if (stopping || !table) return false;
       for (const {group} of table.routes.values()) {
@@ -285,9 +331,7 @@
       stopping = true;
       log.info({event: 'stopping', sessions: sessions.size});
       await drainSessions();
-      owned.dispose();
-      for (const watch of watches.values()) watch.dispose();
-      for (const group of groups.values()) group.dispose();
+      dispose();
     },
   };
 }
--- /dev/null
+++ b/packages/witness/src/index.ts
@@ -0,0 +1,16 @@
+/** Public exports of `@quetzalreel/witness`. */
+export {type WitnessMessage, isWitnessMessage} from './messages.js';
+export {
+  INSTANCE_KIND,
+  type RosterEntry,
+  enrol,
+  readRoster,
+  readRosterEntry,
+} from './roster.js';
+export {type Answers, Verdict, verdictOf} from './verdict.js';
+export {
+  type WitnessContext,
+  type WitnessSource,
+  type Witnesses,
+  witnesses,
+} from './witnesses.js';
--- /dev/null
+++ b/packages/witness/src/messages.ts
@@ -0,0 +1,53 @@
+/** Messages between instances: questions, and answers to them. */
+
+/** What every message carries. */
+interface Envelope {
+  /** Address of the sender, `host:port`. */
+  readonly from: string;
+  /** Number of the question, in the asker's count. */
+  readonly seq: number;
+}
+
+/** A message between instances. */
+export type WitnessMessage = Envelope &
+  (
+    | {
+        readonly type: 'reaches';
+        readonly group: string;
+        readonly endpoint: string;
+      }
+    | {readonly type: 'reached'; readonly isReached: boolean}
+    /** Asks for the configuration if it is above `generation`. */
+    | {readonly type: 'configurationAbove'; readonly generation: number}
+    | {
+        readonly type: 'configuration';
+        readonly generation: number;
+        /** As the store spells it; undefined when there is no higher one. */
+        readonly value: unknown;
+      }
+  );
+
+type Checks = {
+  readonly [T in WitnessMessage['type']]: (
+    message: Readonly<Record<string, unknown>>,
+  ) => boolean;
+};
+
+const CHECKS: Checks = {
+  reaches: ({group, endpoint}) =>
+    typeof group === 'string' && typeof endpoint === 'string',
+  reached: ({isReached}) => typeof isReached === 'boolean',
+  configurationAbove: ({generation}) => typeof generation === 'number',
+  configuration: ({generation}) => typeof generation === 'number',
+};
+
+/** Whether a decoded value is a message. */
+export function isWitnessMessage(value: unknown): value is WitnessMessage {
+  if (typeof value !== 'object' || value === null) return false;
+  const message = value as Record<string, unknown>;
+  if (typeof message['from'] !== 'string') return false;
+  if (typeof message['seq'] !== 'number') return false;
+  const type = message['type'];
+  if (typeof type !== 'string' || !Object.hasOwn(CHECKS, type)) return false;
+  return CHECKS[type as WitnessMessage['type']](message);
+}
--- /dev/null
+++ b/packages/witness/src/witnesses.ts
@@ -0,0 +1,167 @@
+/** Asks other instances, and answers them. */
+import type {Clock, Disposable} from '@quetzalreel/common';
+import type {PeerTransport} from '@quetzalreel/peer';
+import type {WitnessMessage} from './messages.js';
+import {type Verdict, verdictOf} from './verdict.js';
+
+/** What this instance answers from. */
+export interface WitnessSource {
+  /** Whether this instance reaches an endpoint now; it may try first. */
+  reaches(group: string, endpoint: string): Promise<boolean>;
+  /** The configuration in force; undefined for none. */
+  configuration():
+    {readonly generation: number; readonly value: unknown} | undefined;
+}
+
+/** What witnesses work with. */
+export interface WitnessContext {
+  readonly transport: PeerTransport<WitnessMessage>;
+  readonly clock: Clock;
+  readonly source: WitnessSource;
+  /** Addresses of the other instances. */
+  readonly others: () => readonly string[];
+  /** Longest wait for answers, in milliseconds. */
+  readonly answerMs: number;
+  /** Instances that are asked at most, whatever the size of the fleet. */
+  readonly mostAsked: number;
+  readonly onConfiguration: (value: unknown) => void;
+}
+
+/** The other instances, as ones that can be asked. */
+export interface Witnesses {
+  /** Takes a message of another instance. */
+  receive(message: WitnessMessage): void;
+  /** Whether others reach an endpoint. */
+  ask(group: string, endpoint: string): Promise<Verdict>;
+  /** Asks a few for a configuration above `generation`. */
+  askConfiguration(generation: number): void;
+}
+
+interface Round extends Disposable {
+  asked: number;
+  reached: number;
+  unreached: number;
+  end(): void;
+}
+
+/** Those asked at once for a configuration. */
+const CONFIGURATION_ASKED = 2;
+
+/** Witnesses over a transport. */
+export function witnesses(context: WitnessContext): Witnesses {
+  const {transport, clock, source, answerMs, mostAsked} = context;
+  const rounds = new Map<number, Round>();
+  let lastSeq = 0;
+  let nextOther = 0;
+
+  /** Some of the others, in turn, so that a large fleet shares the work. */
+  function some(most: number): string[] {
+    const others = context.others();
+    const count = Math.min(most, others.length);
+    const chosen: string[] = [];
+    for (let i = 0; i < count; i++) {
+      chosen.push(others[(nextOther + i) % others.length]!);
+    }
+    nextOther += count;
+    return chosen;
+  }
+
+  async function answerReach(
+    message: Extract<WitnessMessage, {type: 'reaches'}>,
+  ): Promise<void> {
+    const {from, seq, group, endpoint} = message;
+    const isReached = await source.reaches(group, endpoint);
+    transport.send(from, {
+      type: 'reached',
+      from: transport.address,
+      seq,
+      isReached,
+    });
+  }
+
+  function answerConfiguration(
+    message: Extract<WitnessMessage, {type: 'configurationAbove'}>,
+  ): void {
+    const {from, seq, generation} = message;
+    const mine = source.configuration();
+    if (!mine || mine.generation <= generation) return;
+    transport.send(from, {
+      type: 'configuration',
+      from: transport.address,
+      seq,
+      ...mine,
+    });
+  }
+
+  function count(seq: number, isReached: boolean): void {
+    const round = rounds.get(seq);
+    if (!round) return;
+    if (isReached) round.reached++;
+    else round.unreached++;
+    if (isReached || round.reached + round.unreached >= round.asked)
+      round.end();
+  }
+
+  return {
+    receive(message) {
+      switch (message.type) {
+        case 'reaches':
+          void answerReach(message);
+          return;
+        case 'reached':
+          count(message.seq, message.isReached);
+          return;
+        case 'configurationAbove':
+          answerConfiguration(message);
+          return;
+        case 'configuration':
+          context.onConfiguration(message.value);
+          return;
+      }
+    },
+    ask(group, endpoint) {
+      const seq = ++lastSeq;
+      const chosen = some(mostAsked);
+      if (chosen.length === 0) {
+        return Promise.resolve(verdictOf({asked: 0, reached: 0, unreached: 0}));
+      }
+      return new Promise(resolve => {
+        const late = clock.after(answerMs, () => round.end());
+        const round: Round = {
+          asked: chosen.length,
+          reached: 0,
+          unreached: 0,
+          end() {
+            if (!rounds.delete(seq)) return;
+            late.dispose();
+            resolve(verdictOf(round));
+          },
+          dispose: () => late.dispose(),
+        };
+        rounds.set(seq, round);
+        for (const address of chosen) {
+          const from = transport.address;
+          transport.send(address, {
+            type: 'reaches',
+            from,
+            seq,
+            group,
+            endpoint,
+          });
+        }
+      });
+    },
+    askConfiguration(generation) {
+      const from = transport.address;
+      for (const address of some(CONFIGURATION_ASKED)) {
+        const seq = ++lastSeq;
+        transport.send(address, {
+          type: 'configurationAbove',
+          from,
+          seq,
+          generation,
+        });
+      }
+    },
+  };
+}
