--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -9,7 +9,7 @@
   /** Before the next try after a connection that failed. */
   connectRetryMs: 60,
   /** Before the next try at an endpoint that takes no more connections. */
-  connectionLimitRetryMs: 400,
+  connectionLimitRetryMs: 150,
   /** After which an unused connection beyond the least is closed. */
   idleConnectionMs: 6000,
   /** Time of a statement on an endpoint that none was sent to yet. */
@@ -35,8 +35,10 @@
   watchEndpointsMs: 3000,
   /** After a stop was asked for, the balancer still sends callers here. */
   balancerMs: 2500,
-  /** After its start an instance offers to hold the lease for changes. */
-  claimLeaseMs: 2000,
+  /** Between two looks at the lease for changes of primary. */
+  leaseLookMs: 10_000,
+  /** Head start of the lease's holder when a primary is to be changed. */
+  holderFirstMs: 150,
   /** Instances begin a change at different moments within this. */
   changeSpreadMs: 150,
   /** Longest wait for the answer to a status call, which needs a slot. */
@@ -92,8 +94,9 @@
 
 /** How a change of primary is carried out. */
 export const CHANGE_LIMITS = {
-  /** Some times the platform's time for a change of primary. */
-  standBackMs: 3000,
-  orderTries: 4,
+  /** The platform's time between the turns of two holders. */
+  turnMs: 3100,
+  /** Longer than one order and its answer take on a slow platform. */
+  actMs: 1500,
   retryMs: 100,
 } as const;
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -139,7 +139,8 @@
       await clock.sleep(TIMES.tickMs);
       const reason = reasonToChange(viewOf(group), PATIENCE, clock.now());
       if (!reason) continue;
-      await clock.sleep(delayMs);
+      const waitMs = changer.isHolder ? 0 : TIMES.holderFirstMs + delayMs;
+      await clock.sleep(waitMs);
       if (!reasonToChange(viewOf(group), PATIENCE, clock.now())) continue;
       try {
         await changeFor(reason);
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -252,15 +252,16 @@
     if (!owned.disposed) clock.after(TIMES.tickMs, tick);
   }
   tick();
-  void claimLater();
+  void lookAtLease();
 
-  /** Somebody is to hold the lease before the store is away. */
-  async function claimLater(): Promise<void> {
-    await clock.sleep(TIMES.claimLeaseMs);
-    try {
-      await changer.claim();
-    } catch (err) {
-      log.warn({event: 'leaseNotClaimed', why: messageOf(err)});
+  async function lookAtLease(): Promise<void> {
+    while (!owned.disposed) {
+      try {
+        await changer.observe();
+      } catch (err) {
+        log.warn({event: 'leaseNotRead', why: messageOf(err)});
+      }
+      await clock.sleep(TIMES.leaseLookMs);
     }
   }
 
--- a/packages/takeover/src/change.ts
+++ b/packages/takeover/src/change.ts
@@ -3,7 +3,6 @@
  * orders until the outcome is known.
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
-import {isBegunByOther} from './decide.js';
 import type {
   LeaseRecord,
   LeaseStore,
@@ -31,10 +30,11 @@
 
 /** Times and counts of a change. */
 export interface ChangeLimits {
-  /** How long a change begun by another is waited for, in milliseconds. */
-  readonly standBackMs: number;
-  /** Tries of one order under one fence. */
-  readonly orderTries: number;
+  /** Shortest time between the calls of two holders, in milliseconds. */
+  readonly turnMs: number;
+  /** How long a holder orders under one write of the lease, in milliseconds;
+   * others count with it before they take their turn. */
+  readonly actMs: number;
   /** Between two tries, in milliseconds. */
   readonly retryMs: number;
 }
@@ -58,8 +58,11 @@
 
 /** Changes primaries in the name of one instance, one change at a time. */
 export interface PrimaryChanger {
-  /** Makes this instance the holder if there is none; for outages later. */
-  claim(): Promise<void>;
+  /** Whether this instance was the holder when the lease was last read. */
+  readonly isHolder: boolean;
+  /** Reads the lease, and makes this instance the holder if there is none:
+   * somebody is to hold it before the store is away. */
+  observe(): Promise<void>;
   change(planned: PlannedChange): Promise<ChangeOutcome>;
 }
 
@@ -70,20 +73,24 @@
   let held: SeenLease | undefined;
   /** The target of an order under `held` that may still be carried out. */
   let openTarget: string | undefined;
-  /** The newest lease of another, and when it was first seen. */
-  let others: {readonly revision: number; readonly at: number} | undefined;
+  /** The lease as it was read last, and when it was first seen so. */
+  let last: {readonly seen: SeenLease; readonly at: number} | undefined;
 
-  function mustWait(
-    seen: SeenLease | undefined,
-    planned: PlannedChange,
-  ): boolean {
-    if (!seen || !isBegunByOther(seen, instance, planned.group, planned.from)) {
-      return false;
-    }
-    if (others?.revision !== seen.revision) {
-      others = {revision: seen.revision, at: clock.now()};
-    }
-    return clock.now() - others.at < limits.standBackMs;
+  function note(seen: SeenLease): void {
+    if (last?.seen.revision === seen.revision) return;
+    last = {seen, at: clock.now()};
+  }
+
+  async function readLease(): Promise<SeenLease | undefined> {
+    const seen = await lease.read();
+    if (seen) note(seen);
+    return seen;
+  }
+
+  /** Whether another holder may have acted a moment ago. */
+  function isTurnOfOther(): boolean {
+    if (!last || last.seen.record.holder === instance) return false;
+    return clock.now() - last.at < limits.turnMs + limits.actMs;
   }
 
   /** Writes the record; after a lost answer it reads back what happened. */
@@ -109,11 +116,12 @@
   async function takeFence(
     planned: PlannedChange,
   ): Promise<SeenLease | ChangeOutcome> {
-    const seen = await lease.read();
-    if (mustWait(seen, planned)) return ChangeOutcome.StoodBack;
+    const seen = await readLease();
+    if (isTurnOfOther()) return ChangeOutcome.StoodBack;
     const fence = (seen?.record.fence ?? 0) + 1;
     const record = {holder: instance, fence, change: planned};
     const taken = await write(record, seen);
+    if (taken) note(taken);
     return taken ?? ChangeOutcome.StoodBack;
   }
 
@@ -127,7 +135,8 @@
 
   async function order(planned: PlannedChange): Promise<ChangeOutcome> {
     const {group, to: endpoint} = planned;
-    for (let tries = 0; tries < limits.orderTries; tries++) {
+    const until = clock.now() + limits.actMs;
+    while (clock.now() < until) {
       if (!held) return ChangeOutcome.Refused;
       const {fence} = held.record;
       openTarget = endpoint;
@@ -168,12 +177,17 @@
   }
 
   return {
-    async claim() {
-      const seen = await lease.read();
+    get isHolder() {
+      return last?.seen.record.holder === instance;
+    },
+    async observe() {
+      const seen = await readLease();
       if (seen) return;
       const record = {holder: instance, fence: 1, change: undefined};
       held = await write(record, undefined);
-      if (held) onEvent({event: 'leaseTaken', group: '', fence: 1});
+      if (!held) return;
+      note(held);
+      onEvent({event: 'leaseTaken', group: '', fence: 1});
     },
     async change(planned) {
       const fence = await fenceFor(planned);
--- a/packages/takeover/src/decide.ts
+++ b/packages/takeover/src/decide.ts
@@ -1,6 +1,5 @@
 /** When a group's primary is to be changed, and who takes over. */
 import {type Position, comparePositions} from '@quetzalreel/position';
-import type {SeenLease} from './lease.js';
 
 /** Why a primary is replaced. */
 export const Reason = {
@@ -76,18 +75,3 @@
   }
   return best;
 }
-
-/**
- * Whether another instance has begun to replace this very primary, so that
- * this one waits for the outcome.
- */
-export function isBegunByOther(
-  seen: SeenLease | undefined,
-  instance: string,
-  group: string,
-  from: string | undefined,
-): boolean {
-  const change = seen?.record.change;
-  if (!change || seen.record.holder === instance) return false;
-  return change.group === group && change.from === (from ?? '');
-}
--- a/packages/takeover/src/index.ts
+++ b/packages/takeover/src/index.ts
@@ -12,7 +12,6 @@
   type Patience,
   type PrimaryView,
   Reason,
-  isBegunByOther,
   mostAdvanced,
   reasonToChange,
 } from './decide.js';
