Close connections that are not needed soon

Cause: after all machines lost power, endpoints keep the old connections for three seconds and answered CONNLIMIT; the first instances then opened up to 13 connections each in the burst and kept them idle for 6 s, so the busiest instance had none to a primary until second 44.

Change: connections beyond the least are closed after 1.2 s without use, and one instance uses two fifths of an endpoint's connections at most.

Ruled out: slow start-up (0.3 s from power to the first configuration).

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -11,7 +11,7 @@
   /** Before the next try at an endpoint that takes no more connections. */
   connectionLimitRetryMs: 150,
   /** After which an unused connection beyond the least is closed. */
-  idleConnectionMs: 6000,
+  idleConnectionMs: 1200,
   /** Time of a statement on an endpoint that none was sent to yet. */
   firstAnswerMs: 15,
   /** Silence of an endpoint after which it is asked for a sign of life. */
@@ -71,7 +71,7 @@
   /** Connections kept open to each endpoint. */
   leastConnections: 1,
   /** Part of an endpoint's connections that one instance may use. */
-  connectionShare: 0.6,
+  connectionShare: 0.4,
   /** Statements under way to one endpoint for each of its slots. */
   runningPerSlot: 2,
   /** Tries of one statement. */
