Reach an endpoint through another instance when the direct way is cut

Cause: instances cut off from a primary that lives refuse all that needs it.

Probes are sent sooner.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -5,7 +5,7 @@
   /** Between two looks at what is known; a tenth of the shortest objective. */
   tickMs: 50,
   /** Longest wait for a new connection: a full endpoint takes some 30 ms. */
-  connectMs: 600,
+  connectMs: 400,
   /** Before the next try after a connection that failed. */
   connectRetryMs: 60,
   /** Before the next try at an endpoint that takes no more connections. */
@@ -19,9 +19,9 @@
   /** Age of the newest sample of the primary at which one is taken. */
   sampleEveryMs: 400,
   /** Longest wait for the answer to a probe, which takes no slot. */
-  probeAnswerMs: 350,
+  probeAnswerMs: 220,
   /** Silence with statements under way after which a probe is sent. */
-  suspectMs: 200,
+  suspectMs: 120,
   /** Extra time of an endpoint in another data centre, for placing. */
   distanceMs: 3,
   /** Longest time for one try of a read; a third of the statement's. */
@@ -50,6 +50,13 @@
   /** How long an endpoint is tried for another instance: longer than a
    * connection takes to open on a busy endpoint. */
   reachMs: 250,
+  /** How long an endpoint is reached through another instance before it is
+   * tried directly again. */
+  relayMs: 2000,
+  /** Silence of an endpoint after which others are asked for a way to it. */
+  relayAfterMs: 60,
+  /** Between two questions for a way to one endpoint. */
+  relayAskMs: 400,
   /** Longest wait for the answers of other instances. */
   witnessMs: 400,
   /** Between two readings of the list of instances. */
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -52,6 +52,10 @@
   trim(least: number): void;
   /** Closes all idle connections; silent ones are found out by none other. */
   distrust(): void;
+  /** Reaches it through another instance's relay, `host:port`, for a while. */
+  reachThrough(relay: string): void;
+  /** Whether it is reached through another instance now. */
+  readonly isRelayed: boolean;
   /** Notes an answer to what was sent at `sentAt`. */
   heard(answer: Answer, sentAt: number): void;
   /** Notes that something sent at `sentAt` has no answer. */
@@ -85,6 +89,8 @@
   let opening = 0;
   let retryAt = -Infinity;
   let disposed = false;
+  let via: {readonly host: string; readonly port: number} | undefined;
+  let viaUntil = -Infinity;
   const facts: EndpointFacts = {
     position: undefined,
     heardAt: -Infinity,
@@ -126,20 +132,28 @@
     onIdle();
   }
 
+  function relayNow(): typeof via {
+    return clock.now() < viaUntil ? via : undefined;
+  }
+
   async function connect(): Promise<void> {
     const sentAt = clock.now();
     const {id, group, host, port} = link.listed;
+    const through = relayNow();
     try {
       const opened = await driver.connect(
-        {id, group, host, port},
+        {id, group, host, port, via: through},
         TIMES.connectMs,
       );
       opening--;
+      if (!through) via = undefined;
       heardAt(sentAt, opened.openedAt);
       if (disposed) opened.dispose();
       else add(pooledConnection(opened, clock.now()));
     } catch (err) {
       opening--;
+      // Still no direct way: the one that worked before is taken again.
+      if (!through && via) viaUntil = clock.now() + TIMES.relayMs;
       notOpened(err, sentAt);
     }
   }
@@ -205,6 +219,17 @@
     distrust() {
       for (const connection of [...free]) connection.connection.dispose();
     },
+    reachThrough(relay) {
+      const colon = relay.lastIndexOf(':');
+      const host = relay.slice(0, colon);
+      via = {host, port: Number(relay.slice(colon + 1))};
+      viaUntil = clock.now() + TIMES.relayMs;
+      retryAt = -Infinity;
+      log.info({event: 'endpointRelayed', endpoint: link.listed.id, relay});
+    },
+    get isRelayed() {
+      return relayNow() !== undefined;
+    },
     heard(answer, sentAt) {
       heardAt(sentAt, answer.position);
     },
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -2,7 +2,7 @@
  * One group at work: its endpoints, which of them is the primary, the samples
  * of its log, and the statements that wait for a place.
  */
-import type {Clock, Disposable} from '@quetzalreel/common';
+import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
 import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
 import {
   type Samples,
@@ -57,6 +57,11 @@
   readonly log: Log;
   readonly driver: EndpointDriver;
   readonly guard: SleepGuard;
+  /** A relay of another instance that reaches the endpoint, if there is one. */
+  readonly findRelay: (
+    group: string,
+    endpoint: string,
+  ) => Promise<string | undefined>;
 }
 
 /** A group at work. */
@@ -98,6 +103,8 @@
   const saidAt = new Map<string, number>();
   const line = waitingLine<Waiter>();
   const probing = new Set<string>();
+  /** When others may be asked again for a way to each endpoint. */
+  const seekAgainAt = new Map<string, number>();
   let samples: Samples = noSamples();
   let primaryId: string | undefined;
   let missingSince: number | undefined = clock.now();
@@ -224,7 +231,9 @@
 
   function needsProbe(link: EndpointLink, now: number): boolean {
     const {facts, listed} = link;
-    if (now - facts.heardAt > TIMES.probeEveryMs) return true;
+    const silentMs = now - facts.heardAt;
+    if (silentMs > TIMES.probeEveryMs) return true;
+    if (facts.running > 0 && silentMs > TIMES.suspectMs) return true;
     if (!primaryId) return true;
     if (listed.id !== primaryId) return false;
     return ageOfNewest(samples, now) > TIMES.sampleEveryMs;
@@ -244,6 +253,25 @@
     );
   }
 
+  /** Looks for a way through another instance to an endpoint that is silent. */
+  function seekRelay(link: EndpointLink, now: number): void {
+    const {id} = link.listed;
+    const {askedAt} = link.facts;
+    if (askedAt === undefined || now - askedAt < TIMES.relayAfterMs) return;
+    if (link.isRelayed || now < (seekAgainAt.get(id) ?? -Infinity)) return;
+    seekAgainAt.set(id, now + TIMES.relayAskMs);
+    context
+      .findRelay(group.name, id)
+      .then(relay => {
+        if (!relay || link.facts.askedAt === undefined) return;
+        link.reachThrough(relay);
+        link.open(mostConnections());
+      })
+      .catch(err =>
+        log.warn({event: 'relayNotFound', endpoint: id, why: messageOf(err)}),
+      );
+  }
+
   const group: GroupRuntime = {
     name: context.name,
     policy,
@@ -282,11 +310,12 @@
       };
       while (!isHeard() && clock.now() - askedAt < withinMs) {
         const link = links.get(endpoint);
-        if (!link) return false;
+        // One that is reached through others is no way for them.
+        if (!link || link.isRelayed) return false;
         probeEndpoint(link);
         await clock.sleep(TIMES.reachStepMs);
       }
-      return isHeard() ?? false;
+      return (isHeard() && !links.get(endpoint)?.isRelayed) ?? false;
     },
     listed(endpoints) {
       const listedIds = new Set(endpoints.map(({id}) => id));
@@ -296,6 +325,7 @@
         link.dispose();
         links.delete(id);
         saidAt.delete(id);
+        seekAgainAt.delete(id);
       }
       for (const endpoint of endpoints) take(endpoint);
       findPrimary();
@@ -308,6 +338,7 @@
         }
         link.trim(LIMITS.leastConnections);
         if (needsProbe(link, now)) probeEndpoint(link);
+        seekRelay(link, now);
       }
       serveWaiting();
     },
--- a/packages/proxy/src/others.ts
+++ b/packages/proxy/src/others.ts
@@ -7,6 +7,7 @@
 } from '@quetzalreel/common';
 import type {KindStore} from '@quetzalreel/object-store';
 import {tcpTransport} from '@quetzalreel/peer';
+import {type Target, startRelay} from '@quetzalreel/relay';
 import {
   type WitnessMessage,
   type WitnessSource,
@@ -24,6 +25,10 @@
   readonly instance: string;
   readonly dataCentre: string;
   readonly peers: {readonly host: string; readonly port: number};
+  /** Where others reach endpoints through this instance. */
+  readonly relay: {readonly host: string; readonly port: number};
+  /** Whether a target is an endpoint that is listed. */
+  readonly isEndpoint: (target: Target) => boolean;
   readonly clock: Clock;
   readonly log: Log;
   readonly store: KindStore;
@@ -58,6 +63,7 @@
   let enrolled = false;
   /** Where others reach this instance, once it listens. */
   let address = '';
+  let relayAddress = '';
 
   async function listen(): Promise<void> {
     const transport = await tcpTransport<WitnessMessage>({
@@ -71,9 +77,17 @@
     });
     owned.add(transport);
     address = transport.address;
+    const relay = await startRelay({
+      ...context.relay,
+      allows: context.isEndpoint,
+      onEnd: (target, why) => log.info({event: 'relayEnded', ...target, why}),
+    });
+    owned.add(relay);
+    relayAddress = `${context.relay.host}:${relay.port}`;
     current = witnesses({
       transport,
       clock,
+      relay: () => relayAddress,
       source: context.source,
       others: () => addresses,
       answerMs: TIMES.witnessMs,
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -99,7 +99,9 @@
   async function witnessed(from: string | undefined): Promise<Verdict> {
     const others = context.witnesses();
     if (from === undefined) return Verdict.Unreached;
-    return others ? others.ask(group.name, from) : Verdict.Unsure;
+    if (!others) return Verdict.Unsure;
+    const {verdict} = await others.ask(group.name, from);
+    return verdict;
   }
 
   async function changeFor(reason: Reason): Promise<void> {
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -42,6 +42,8 @@
   readonly dataCentre: string;
   /** Where the other instances reach this one. */
   readonly peers: {readonly host: string; readonly port: number};
+  /** Where others reach endpoints through this instance. */
+  readonly relay: {readonly host: string; readonly port: number};
   /** Between the request to stop and the kill, in milliseconds. */
   readonly graceMs: number;
   /** How long a leaving endpoint goes on serving, in milliseconds. */
@@ -86,6 +88,7 @@
 
   const others = joinOthers({
     ...options,
+    isEndpoint,
     isCutOff: () => !configurationReached,
     generation: () => table?.generation ?? 0,
     source: {
@@ -127,6 +130,7 @@
         ...options,
         name: policy.name,
         guard,
+        findRelay,
       });
       groups.set(policy.name, group);
       watches.set(
@@ -161,6 +165,21 @@
     }
   }
 
+  async function findRelay(
+    group: string,
+    endpoint: string,
+  ): Promise<string | undefined> {
+    const finding = await others.witnesses?.ask(group, endpoint);
+    return finding?.relay;
+  }
+
+  function isEndpoint({host, port}: {host: string; port: number}): boolean {
+    for (const {endpoint} of directory.entries.values()) {
+      if (endpoint.host === host && endpoint.port === port) return true;
+    }
+    return false;
+  }
+
   function step(event: DirectoryEvent): void {
     directory = stepDirectory(directory, event, clock.now());
   }
--- a/packages/witness/src/messages.ts
+++ b/packages/witness/src/messages.ts
@@ -16,7 +16,12 @@
         readonly group: string;
         readonly endpoint: string;
       }
-    | {readonly type: 'reached'; readonly isReached: boolean}
+    | {
+        readonly type: 'reached';
+        readonly isReached: boolean;
+        /** The sender's relay, `host:port`, for those that don't reach it. */
+        readonly relay: string;
+      }
     /** Asks for the configuration if it is above `generation`. */
     | {readonly type: 'configurationAbove'; readonly generation: number}
     | {
@@ -36,7 +41,8 @@
 const CHECKS: Checks = {
   reaches: ({group, endpoint}) =>
     typeof group === 'string' && typeof endpoint === 'string',
-  reached: ({isReached}) => typeof isReached === 'boolean',
+  reached: ({isReached, relay}) =>
+    typeof isReached === 'boolean' && typeof relay === 'string',
   configurationAbove: ({generation}) => typeof generation === 'number',
   configuration: ({generation}) => typeof generation === 'number',
 };
--- a/packages/witness/src/witnesses.ts
+++ b/packages/witness/src/witnesses.ts
@@ -18,6 +18,8 @@
   readonly transport: PeerTransport<WitnessMessage>;
   readonly clock: Clock;
   readonly source: WitnessSource;
+  /** This instance's relay, `host:port`. */
+  readonly relay: () => string;
   /** Addresses of the other instances. */
   readonly others: () => readonly string[];
   /** Longest wait for answers, in milliseconds. */
@@ -32,15 +34,23 @@
   /** Takes a message of another instance. */
   receive(message: WitnessMessage): void;
   /** Whether others reach an endpoint. */
-  ask(group: string, endpoint: string): Promise<Verdict>;
+  ask(group: string, endpoint: string): Promise<Finding>;
   /** Asks a few for a configuration above `generation`. */
   askConfiguration(generation: number): void;
 }
 
+/** What others see of an endpoint. */
+export interface Finding {
+  readonly verdict: Verdict;
+  /** Relay of one that reaches it, `host:port`; undefined when none does. */
+  readonly relay: string | undefined;
+}
+
 interface Round extends Disposable {
   asked: number;
   reached: number;
   unreached: number;
+  relay: string | undefined;
   end(): void;
 }
 
@@ -76,6 +86,7 @@
       from: transport.address,
       seq,
       isReached,
+      relay: context.relay(),
     });
   }
 
@@ -93,13 +104,21 @@
     });
   }
 
-  function count(seq: number, isReached: boolean): void {
+  function count({
+    seq,
+    isReached,
+    relay,
+  }: Extract<WitnessMessage, {type: 'reached'}>): void {
     const round = rounds.get(seq);
     if (!round) return;
-    if (isReached) round.reached++;
-    else round.unreached++;
-    if (isReached || round.reached + round.unreached >= round.asked)
-      round.end();
+    if (isReached) {
+      round.reached++;
+      round.relay = relay;
+    } else {
+      round.unreached++;
+    }
+    const isWhole = round.reached + round.unreached >= round.asked;
+    if (isReached || isWhole) round.end();
   }
 
   return {
@@ -109,7 +128,7 @@
           void answerReach(message);
           return;
         case 'reached':
-          count(message.seq, message.isReached);
+          count(message);
           return;
         case 'configurationAbove':
           answerConfiguration(message);
@@ -123,7 +142,8 @@
       const seq = ++lastSeq;
       const chosen = some(mostAsked);
       if (chosen.length === 0) {
-        return Promise.resolve(verdictOf({asked: 0, reached: 0, unreached: 0}));
+        const verdict = verdictOf({asked: 0, reached: 0, unreached: 0});
+        return Promise.resolve({verdict, relay: undefined});
       }
       return new Promise(resolve => {
         const late = clock.after(answerMs, () => round.end());
@@ -131,10 +151,11 @@
           asked: chosen.length,
           reached: 0,
           unreached: 0,
+          relay: undefined,
           end() {
             if (!rounds.delete(seq)) return;
             late.dispose();
-            resolve(verdictOf(round));
+            resolve({verdict: verdictOf(round), relay: round.relay});
           },
           dispose: () => late.dispose(),
         };
