Learn confirmed positions from other instances

Cause: after all machines lost power the old connections fill the primary for three seconds; an instance without one has no sample of its log, so it sends reads to the primary too, though replicas could serve them.

Change: an instance without a young sample asks a few others for the newest position that they confirmed, with its age; the question's own time bounds it from below. Waiting reads are placed by what they need now. Samples and answers from before a suspension are void whoever notices it first (test). A lost answer of a write is no longer evidence against the primary: probes are (test 'is not taken for dead when one answer is lost', flaky before).

--- a/packages/freshness/src/index.ts
+++ b/packages/freshness/src/index.ts
@@ -1,8 +1,10 @@
 /** Public exports of `@quetzalreel/freshness`. */
+export {type SampleBook, sampleBook} from './sample-book.js';
 export {
   type Sample,
   type Samples,
   ageOfNewest,
+  newestOf,
   noSamples,
   requiredPosition,
   withSample,
--- a/packages/freshness/src/samples.ts
+++ b/packages/freshness/src/samples.ts
@@ -31,10 +31,15 @@
   return {items: []};
 }
 
+/** The newest sample; undefined when there is none. */
+export function newestOf({items}: Samples): Sample | undefined {
+  return items[items.length - 1];
+}
+
 /** Adds a sample; one that was sent before the newest is of no use. */
 export function withSample(samples: Samples, sample: Sample): Samples {
   const {items} = samples;
-  const last = items[items.length - 1];
+  const last = newestOf(samples);
   if (last && sample.sentAt - last.sentAt < SPACING_MS) return samples;
   const kept = items.length >= MAX_SAMPLES ? items.slice(1) : items;
   return {items: [...kept, sample]};
@@ -42,7 +47,7 @@
 
 /** Age of the newest sample in milliseconds; Infinity without one. */
 export function ageOfNewest(samples: Samples, now: number): number {
-  const last = samples.items[samples.items.length - 1];
+  const last = newestOf(samples);
   return last ? now - last.sentAt : Infinity;
 }
 
--- a/packages/freshness/src/sleep-guard.ts
+++ b/packages/freshness/src/sleep-guard.ts
@@ -10,8 +10,9 @@
 
 /** Compares the two clocks. */
 export interface SleepGuard {
-  /** True when the clocks moved apart since the last call that said so. */
-  slept(): boolean;
+  /** How often the clocks have moved apart until now; each who asks compares
+   * it with the count that it saw last. */
+  sleeps(): number;
 }
 
 /** A guard over a monotonic clock and the time of day, in milliseconds. */
@@ -20,12 +21,14 @@
   timeOfDay: () => number,
 ): SleepGuard {
   let offset = timeOfDay() - now();
+  let count = 0;
   return {
-    slept() {
+    sleeps() {
       const current = timeOfDay() - now();
-      if (Math.abs(current - offset) <= TOLERANCE_MS) return false;
+      if (Math.abs(current - offset) <= TOLERANCE_MS) return count;
       offset = current;
-      return true;
+      count++;
+      return count;
     },
   };
 }
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -57,6 +57,9 @@
   relayAfterMs: 60,
   /** Between two questions for a way to one endpoint. */
   relayAskMs: 400,
+  /** Between two questions to others for a confirmed position: a fraction of
+   * the shortest objective, so that a read that waits for it is in time. */
+  askConfirmedMs: 40,
   /** Longest wait for the answers of other instances. */
   witnessMs: 400,
   /** Between two readings of the list of instances. */
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -4,14 +4,7 @@
  */
 import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
 import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
-import {
-  type Samples,
-  type SleepGuard,
-  ageOfNewest,
-  noSamples,
-  requiredPosition,
-  withSample,
-} from '@quetzalreel/freshness';
+import {type Sample, type SleepGuard, sampleBook} from '@quetzalreel/freshness';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
 import {
@@ -25,10 +18,13 @@
 import type {PooledConnection} from './pooled.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
+import type {ConfirmedPosition} from '@quetzalreel/witness';
 import {waitingLine} from './waiting.js';
 
 /** A connection that a session may use until it gives it back. */
 export interface Lease {
+  /** What it was given for. */
+  readonly need: Need;
   readonly link: EndpointLink;
   readonly pooled: PooledConnection;
   /** Ends the use; a connection that is not reusable is closed. */
@@ -36,7 +32,11 @@
 }
 
 /** A request for a place. */
-export interface PlaceRequest extends Need {
+export interface PlaceRequest {
+  /** Whether only the primary will ever do. */
+  readonly primaryOnly: boolean;
+  /** What is needed now; it may change while the request waits. */
+  readonly need: () => Need;
   readonly priority: number;
   /** Key of the session's settings. */
   readonly settingsKey: string;
@@ -62,6 +62,8 @@
     group: string,
     endpoint: string,
   ) => Promise<string | undefined>;
+  /** Asks other instances for a position that they have confirmed. */
+  readonly askConfirmed: (group: string) => void;
 }
 
 /** A group at work. */
@@ -74,6 +76,10 @@
   readonly missingSince: number | undefined;
   /** Waits for a place; undefined when there was none in time. */
   place(req: PlaceRequest): Promise<Lease | undefined>;
+  /** The newest position that this instance has confirmed itself. */
+  ownConfirmed(): ConfirmedPosition | undefined;
+  /** Takes a position that another instance has confirmed. */
+  takeConfirmed(confirmed: ConfirmedPosition, askedAt: number): void;
   /** What a log must hold; undefined when no sample tells. */
   required(
     maxStalenessMs: number,
@@ -92,6 +98,13 @@
   tick(): void;
 }
 
+/** No need but an endpoint. */
+export const ANY: Need = {
+  primaryOnly: false,
+  atLeast: undefined,
+  avoid: new Set(),
+};
+
 /** A group of which nothing is known yet. */
 export function groupRuntime(
   policy: GroupPolicy,
@@ -105,19 +118,20 @@
   const probing = new Set<string>();
   /** When others may be asked again for a way to each endpoint. */
   const seekAgainAt = new Map<string, number>();
-  let samples: Samples = noSamples();
+  const samples = sampleBook(
+    context.guard,
+    () => clock.now(),
+    () => {
+      own = undefined;
+      log.warn({event: 'clocksApart', group: group.name});
+    },
+  );
+  /** The newest sample that this instance took itself. */
+  let own: Sample | undefined;
+  let askedConfirmedAt = -Infinity;
   let primaryId: string | undefined;
   let missingSince: number | undefined = clock.now();
 
-  /** Samples whose age can be trusted. */
-  function soundSamples(): Samples {
-    if (context.guard.slept()) {
-      log.warn({event: 'clocksApart', group: group.name});
-      samples = noSamples();
-    }
-    return samples;
-  }
-
   function findPrimary(): void {
     const evidence = [...links.values()].map(({listed, facts}) => ({
       id: listed.id,
@@ -168,11 +182,16 @@
     };
   }
 
-  function lend(link: EndpointLink, settingsKey: string): Lease | undefined {
+  function lend(
+    link: EndpointLink,
+    settingsKey: string,
+    need: Need,
+  ): Lease | undefined {
     const pooled = link.take(settingsKey);
     if (!pooled) return undefined;
     let returned = false;
     return {
+      need,
       link,
       pooled,
       giveBack(reusable) {
@@ -185,16 +204,17 @@
 
   function tryPlace(req: PlaceRequest): Lease | undefined {
     const places = [...links.values()].map(placeOf);
-    const place = choosePlace(places, req);
-    if (place) return lend(links.get(place.id)!, req.settingsKey);
-    openFor(places, req);
+    const need = req.need();
+    const place = choosePlace(places, need);
+    if (place) return lend(links.get(place.id)!, req.settingsKey, need);
+    openFor(places, need);
     return undefined;
   }
 
   /** Opens a connection where one more would serve the request. */
-  function openFor(places: readonly Place[], req: PlaceRequest): void {
+  function openFor(places: readonly Place[], need: Need): void {
     const roomy = places.map(place => ({...place, hasRoom: true}));
-    const wanted = choosePlace(roomy, req);
+    const wanted = choosePlace(roomy, need);
     if (wanted) links.get(wanted.id)!.open(mostConnections());
   }
 
@@ -236,15 +256,16 @@
     if (facts.running > 0 && silentMs > TIMES.suspectMs) return true;
     if (!primaryId) return true;
     if (listed.id !== primaryId) return false;
-    return ageOfNewest(samples, now) > TIMES.sampleEveryMs;
+    return samples.age() > TIMES.sampleEveryMs;
   }
 
   function probeEndpoint(link: EndpointLink): void {
     const {id} = link.listed;
     if (probing.has(id)) return;
-    const lease = lend(link, '');
+    const lease = lend(link, '', ANY);
     if (!lease) {
-      if (link.connections === 0) link.open(mostConnections());
+      // A statement that waits says nothing; a new connection does.
+      link.open(mostConnections());
       return;
     }
     probing.add(id);
@@ -285,8 +306,15 @@
     async place(req) {
       return tryPlace(req) ?? wait(req);
     },
-    required: (maxStalenessMs, floor) =>
-      requiredPosition(soundSamples(), maxStalenessMs, floor, clock.now()),
+    required(maxStalenessMs, floor) {
+      const now = clock.now();
+      const found = samples.required(maxStalenessMs, floor);
+      if (!found && now - askedConfirmedAt > TIMES.askConfirmedMs) {
+        askedConfirmedAt = now;
+        context.askConfirmed(group.name);
+      }
+      return found;
+    },
     answered(link, answer, sentAt) {
       link.heard(answer, sentAt);
       if (!answer.error) noteAnswerTime(link.facts, clock.now() - sentAt);
@@ -295,8 +323,25 @@
       link.facts.ledAt = Math.max(link.facts.ledAt, sentAt);
       if (link.listed.id !== primaryId) findPrimary();
       if (!position || link.listed.id !== primaryId) return;
-      soundSamples();
-      samples = withSample(samples, {sentAt, position});
+      const sample = {sentAt, position};
+      if (samples.add(sample)) own = sample;
+    },
+    ownConfirmed() {
+      const newest = samples.newest();
+      if (!own || !newest || primaryId === undefined) return undefined;
+      const {sentAt, position} = own;
+      return {endpoint: primaryId, position, ageMs: clock.now() - sentAt};
+    },
+    takeConfirmed({endpoint, position}, askedAt) {
+      const newest = samples.newest();
+      if (newest && newest.sentAt >= askedAt) return;
+      if (!samples.add({sentAt: askedAt, position})) return;
+      const link = links.get(endpoint);
+      if (link) {
+        link.facts.ledAt = Math.max(link.facts.ledAt, askedAt);
+        findPrimary();
+      }
+      serveWaiting();
     },
     denied(link, sentAt) {
       link.facts.deniedAt = Math.max(link.facts.deniedAt, sentAt);
--- a/packages/proxy/src/others.ts
+++ b/packages/proxy/src/others.ts
@@ -9,6 +9,7 @@
 import {tcpTransport} from '@quetzalreel/peer';
 import {type Target, startRelay} from '@quetzalreel/relay';
 import {
+  type WitnessContext,
   type WitnessMessage,
   type WitnessSource,
   type Witnesses,
@@ -38,6 +39,7 @@
   /** Generation of the configuration in force; 0 for none. */
   readonly generation: () => number;
   readonly onConfiguration: (value: unknown) => void;
+  readonly onConfirmed: WitnessContext['onConfirmed'];
 }
 
 /** The others, once this instance can be reached by them. */
@@ -93,6 +95,7 @@
       answerMs: TIMES.witnessMs,
       mostAsked: LIMITS.witnesses,
       onConfiguration: context.onConfiguration,
+      onConfirmed: context.onConfirmed,
     });
   }
 
@@ -112,7 +115,7 @@
 
   async function run(): Promise<void> {
     await listen();
-    await enrolFirst();
+    await refresh();
     await clock.sleep(TIMES.firstRosterMs);
     while (!owned.disposed) {
       await refresh();
@@ -120,15 +123,6 @@
     }
   }
 
-  async function enrolFirst(): Promise<void> {
-    try {
-      await enrol(store, {instance, address, dataCentre});
-      enrolled = true;
-    } catch (err) {
-      log.warn({event: 'instanceNotListed', why: messageOf(err)});
-    }
-  }
-
   async function askWhileCutOff(): Promise<void> {
     while (!owned.disposed) {
       await clock.sleep(TIMES.askConfigurationMs);
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -13,7 +13,7 @@
 import {Verdict, type Witnesses} from '@quetzalreel/witness';
 import {PATIENCE, TIMES} from './defaults.js';
 import type {EndpointLink} from './endpoint-link.js';
-import type {GroupRuntime} from './group.js';
+import {ANY, type GroupRuntime} from './group.js';
 import type {Log} from './log.js';
 import {sendWithin} from './probe.js';
 
@@ -56,12 +56,12 @@
   let disposed = false;
 
   async function ask(link: EndpointLink): Promise<Candidate | undefined> {
+    const avoid = new Set(
+      [...group.links.keys()].filter(id => id !== link.listed.id),
+    );
     const lease = await group.place({
       primaryOnly: false,
-      atLeast: undefined,
-      avoid: new Set(
-        [...group.links.keys()].filter(id => id !== link.listed.id),
-      ),
+      need: () => ({...ANY, avoid}),
       priority: 0,
       settingsKey: '',
       until: clock.now() + TIMES.statusMs,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -96,10 +96,13 @@
         const known = groups.get(group);
         return known ? known.reaches(endpoint, TIMES.reachMs) : false;
       },
+      confirmed: group => groups.get(group)?.ownConfirmed(),
       configuration: () =>
         table && {generation: table.generation, value: inForce},
     },
     onConfiguration: applyValue,
+    onConfirmed: (group, confirmed, askedAt) =>
+      groups.get(group)?.takeConfirmed(confirmed, askedAt),
   });
   owned.add(others);
 
@@ -131,6 +134,7 @@
         name: policy.name,
         guard,
         findRelay,
+        askConfirmed: group => others.witnesses?.askConfirmed(group),
       });
       groups.set(policy.name, group);
       watches.set(
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -12,7 +12,8 @@
 import type {GroupRuntime, Lease} from './group.js';
 import type {Log} from './log.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
-import type {Route} from './routes.js';
+import type {Need} from './placing.js';
+import {ReadRule, type Route} from './routes.js';
 
 /** What a session remembers between its requests. */
 export interface SessionMemory {
@@ -39,6 +40,30 @@
   readonly arrivedAt: number;
 }
 
+/**
+ * What a read needs now: the primary, or a log that holds what the route and
+ * the session ask; the primary also when no sample tells what that is.
+ */
+export function readNeed(
+  {route, group, memory}: ServeContext,
+  avoid: ReadonlySet<string>,
+): Need {
+  if (route.rule === ReadRule.Primary) return PRIMARY;
+  const floor =
+    route.rule === ReadRule.OwnWrites
+      ? memory.floors.get(group.name)
+      : undefined;
+  const atLeast = group.required(route.maxStalenessMs, floor);
+  return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY;
+}
+
+/** The need of what only the primary can serve. */
+export const PRIMARY: Need = {
+  primaryOnly: true,
+  atLeast: undefined,
+  avoid: new Set(),
+};
+
 /** When the request must have its answer. */
 export function limitOf({route, arrivedAt}: ServeContext): number {
   return arrivedAt + route.statementTimeoutMs;
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -3,22 +3,24 @@
 import {
   type Answer,
   type CallerRequest,
-  ConnectionLostError,
   ErrorCode,
   SessionState,
   didNotRun,
   ownError,
 } from '@quetzalreel/exchange';
+import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
 import type {Lease} from './group.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
+  PRIMARY,
   type ServeContext,
   forwardOf,
   limitOf,
   noPlace,
   noteCommit,
+  readNeed,
 } from './session-context.js';
 
 /** What one try came to: an answer for the caller, or another try. */
@@ -33,28 +35,18 @@
   const limit = limitOf(context);
   const avoid = new Set<string>();
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const needsPrimary = route.rule === ReadRule.Primary;
-    const floor =
-      route.rule === ReadRule.OwnWrites
-        ? memory.floors.get(group.name)
-        : undefined;
-    const atLeast = needsPrimary
-      ? undefined
-      : group.required(route.maxStalenessMs, floor);
     const lease = await group.place({
-      primaryOnly: atLeast === undefined,
-      atLeast,
-      avoid,
+      primaryOnly: route.rule === ReadRule.Primary,
+      need: () => readNeed(context, avoid),
       priority: route.priority,
       settingsKey: memory.settings.key,
       until: limit,
     });
     if (!lease) break;
+    const {atLeast} = lease.need;
     const left = limit - clock.now();
-    const timeoutMs = Math.min(
-      left,
-      route.statementTimeoutMs * TIMES.readTryShare,
-    );
+    const tryMs = route.statementTimeoutMs * TIMES.readTryShare;
+    const timeoutMs = Math.min(left, tryMs);
     const result = atLeast
       ? await readAt(context, req, lease, atLeast, timeoutMs, avoid)
       : await readOnPrimary(context, req, lease, timeoutMs);
@@ -69,7 +61,7 @@
   context: ServeContext,
   req: CallerRequest,
   lease: Lease,
-  atLeast: NonNullable<ReturnType<ServeContext['group']['required']>>,
+  atLeast: Position,
   timeoutMs: number,
   avoid: Set<string>,
 ): Promise<Try> {
@@ -184,8 +176,7 @@
   for (let tries = 0; tries < LIMITS.tries; tries++) {
     const lease = await group.place({
       primaryOnly: true,
-      atLeast: undefined,
-      avoid: new Set(),
+      need: () => PRIMARY,
       priority: route.priority,
       settingsKey: memory.settings.key,
       until: limit,
@@ -234,8 +225,6 @@
     return didNotRun(code) ? 'again' : answer;
   } catch (err) {
     lease.giveBack(false);
-    const wasReset = err instanceof ConnectionLostError && err.wasReset;
-    if (!wasReset) link.unanswered(sentAt, false);
     const why = messageOf(err);
     log.warn({
       event: 'writeInDoubt',
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -20,11 +20,13 @@
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
+  PRIMARY,
   type ServeContext,
   forwardOf,
   limitOf,
   noPlace,
   noteCommit,
+  readNeed,
 } from './session-context.js';
 
 /** A transaction of a caller. */
@@ -71,16 +73,6 @@
     return {...answer, state};
   }
 
-  /** What opening it needs of a log; undefined stands for the primary. */
-  function needOf({route, group, memory}: ServeContext): Position | undefined {
-    if (!readOnly || route.rule === ReadRule.Primary) return undefined;
-    const floor =
-      route.rule === ReadRule.OwnWrites
-        ? memory.floors.get(group.name)
-        : undefined;
-    return group.required(route.maxStalenessMs, floor);
-  }
-
   /** Opens it at an endpoint; undefined when none took it in time. */
   async function open(
     context: ServeContext,
@@ -89,16 +81,15 @@
     const {clock, route, group, memory} = context;
     const limit = limitOf(context);
     for (let tries = 0; tries < LIMITS.tries; tries++) {
-      const atLeast = needOf(context);
       const taken = await group.place({
-        primaryOnly: atLeast === undefined,
-        atLeast,
-        avoid: atLeast ? avoid : new Set(),
+        primaryOnly: !readOnly || route.rule === ReadRule.Primary,
+        need: () => (readOnly ? readNeed(context, avoid) : PRIMARY),
         priority: route.priority,
         settingsKey: memory.settings.key,
         until: limit,
       });
       if (!taken) return undefined;
+      const {atLeast} = taken.need;
       if (await begin(context, taken, atLeast, avoid)) return taken;
       if (clock.now() >= limit) return undefined;
     }
--- a/packages/witness/src/index.ts
+++ b/packages/witness/src/index.ts
@@ -9,6 +9,7 @@
 } from './roster.js';
 export {type Answers, Verdict, verdictOf} from './verdict.js';
 export {
+  type ConfirmedPosition,
   type Finding,
   type WitnessContext,
   type WitnessSource,
--- a/packages/witness/src/messages.ts
+++ b/packages/witness/src/messages.ts
@@ -1,5 +1,7 @@
 /** Messages between instances: questions, and answers to them. */
 
+import type {Position} from '@quetzalreel/position';
+
 /** What every message carries. */
 interface Envelope {
   /** Address of the sender, `host:port`. */
@@ -22,6 +24,16 @@
         /** The sender's relay, `host:port`, for those that don't reach it. */
         readonly relay: string;
       }
+    /** Asks for a position that the group's primary has confirmed. */
+    | {readonly type: 'confirmedPosition'; readonly group: string}
+    | {
+        readonly type: 'confirmed';
+        readonly group: string;
+        readonly endpoint: string;
+        readonly position: Position;
+        /** How long before the answer the primary was asked, milliseconds. */
+        readonly ageMs: number;
+      }
     /** Asks for the configuration if it is above `generation`. */
     | {readonly type: 'configurationAbove'; readonly generation: number}
     | {
@@ -43,10 +55,23 @@
     typeof group === 'string' && typeof endpoint === 'string',
   reached: ({isReached, relay}) =>
     typeof isReached === 'boolean' && typeof relay === 'string',
+  confirmedPosition: ({group}) => typeof group === 'string',
+  confirmed: ({group, endpoint, position, ageMs}) =>
+    typeof group === 'string' &&
+    typeof endpoint === 'string' &&
+    isPosition(position) &&
+    typeof ageMs === 'number' &&
+    ageMs >= 0,
   configurationAbove: ({generation}) => typeof generation === 'number',
   configuration: ({generation}) => typeof generation === 'number',
 };
 
+function isPosition(value: unknown): value is Position {
+  if (typeof value !== 'object' || value === null) return false;
+  const {term, offset} = value as Partial<Position>;
+  return Number.isInteger(term) && Number.isInteger(offset);
+}
+
 /** Whether a decoded value is a message. */
 export function isWitnessMessage(value: unknown): value is WitnessMessage {
   if (typeof value !== 'object' || value === null) return false;
--- a/packages/witness/src/witnesses.ts
+++ b/packages/witness/src/witnesses.ts
@@ -1,13 +1,24 @@
 /** Asks other instances, and answers them. */
 import type {Clock, Disposable} from '@quetzalreel/common';
 import type {PeerTransport} from '@quetzalreel/peer';
+import type {Position} from '@quetzalreel/position';
 import type {WitnessMessage} from './messages.js';
 import {type Verdict, verdictOf} from './verdict.js';
 
+/** A position that a primary has confirmed. */
+export interface ConfirmedPosition {
+  readonly endpoint: string;
+  readonly position: Position;
+  /** How long ago the primary was asked, milliseconds. */
+  readonly ageMs: number;
+}
+
 /** What this instance answers from. */
 export interface WitnessSource {
   /** Whether this instance reaches an endpoint now; it may try first. */
   reaches(group: string, endpoint: string): Promise<boolean>;
+  /** The newest position that this instance has confirmed itself. */
+  confirmed(group: string): ConfirmedPosition | undefined;
   /** The configuration in force; undefined for none. */
   configuration():
     {readonly generation: number; readonly value: unknown} | undefined;
@@ -27,6 +38,13 @@
   /** Instances that are asked at most, whatever the size of the fleet. */
   readonly mostAsked: number;
   readonly onConfiguration: (value: unknown) => void;
+  /** Takes a position that another has confirmed. `askedAt` is when the
+   * primary was asked at the earliest, by this instance's clock. */
+  readonly onConfirmed: (
+    group: string,
+    confirmed: ConfirmedPosition,
+    askedAt: number,
+  ) => void;
 }
 
 /** The other instances, as ones that can be asked. */
@@ -35,6 +53,8 @@
   receive(message: WitnessMessage): void;
   /** Whether others reach an endpoint. */
   ask(group: string, endpoint: string): Promise<Finding>;
+  /** Asks a few for a position that the group's primary has confirmed. */
+  askConfirmed(group: string): void;
   /** Asks a few for a configuration above `generation`. */
   askConfiguration(generation: number): void;
 }
@@ -56,11 +76,17 @@
 
 /** Those asked at once for a configuration. */
 const CONFIGURATION_ASKED = 2;
+/** Those asked at once for a position; most of them may have none either. */
+const POSITION_ASKED = 5;
+/** Questions for positions whose answers are still taken. */
+const MAX_POSITION_QUESTIONS = 64;
 
 /** Witnesses over a transport. */
 export function witnesses(context: WitnessContext): Witnesses {
   const {transport, clock, source, answerMs, mostAsked} = context;
   const rounds = new Map<number, Round>();
+  /** When each question for a position was sent. */
+  const positionAskedAt = new Map<number, number>();
   let lastSeq = 0;
   let nextOther = 0;
 
@@ -104,6 +130,43 @@
     });
   }
 
+  function answerConfirmed(
+    message: Extract<WitnessMessage, {type: 'confirmedPosition'}>,
+  ): void {
+    const {from, seq, group} = message;
+    const mine = source.confirmed(group);
+    if (!mine) return;
+    transport.send(from, {
+      type: 'confirmed',
+      from: transport.address,
+      seq,
+      group,
+      ...mine,
+    });
+  }
+
+  /**
+   * The primary was asked `ageMs` before the answer was sent, and that was
+   * after the question was: so no earlier than `ageMs` before the question.
+   */
+  function takeConfirmed(
+    message: Extract<WitnessMessage, {type: 'confirmed'}>,
+  ): void {
+    const sentAt = positionAskedAt.get(message.seq);
+    if (sentAt === undefined) return;
+    const {group, endpoint, position, ageMs} = message;
+    const confirmed = {endpoint, position, ageMs};
+    context.onConfirmed(group, confirmed, sentAt - ageMs);
+  }
+
+  function noteQuestion(seq: number): void {
+    positionAskedAt.set(seq, clock.now());
+    for (const old of positionAskedAt.keys()) {
+      if (positionAskedAt.size <= MAX_POSITION_QUESTIONS) break;
+      positionAskedAt.delete(old);
+    }
+  }
+
   function count({
     seq,
     isReached,
@@ -130,6 +193,12 @@
         case 'reached':
           count(message);
           return;
+        case 'confirmedPosition':
+          answerConfirmed(message);
+          return;
+        case 'confirmed':
+          takeConfirmed(message);
+          return;
         case 'configurationAbove':
           answerConfiguration(message);
           return;
@@ -172,6 +241,14 @@
         }
       });
     },
+    askConfirmed(group) {
+      const seq = ++lastSeq;
+      const from = transport.address;
+      noteQuestion(seq);
+      for (const address of some(POSITION_ASKED)) {
+        transport.send(address, {type: 'confirmedPosition', from, seq, group});
+      }
+    },
     askConfiguration(generation) {
       const from = transport.address;
       for (const address of some(CONFIGURATION_ASKED)) {
