Replace a primary only when most instances agree; refuse what is out of reach

What needed the primary waited 800 ms on the wrong side.

Change: this instance and those that agree must be the greater part of all, also when the entry is listed no more; what is out of reach is refused at once, so that the caller's next try goes elsewhere. detours.ts holds this.

Ruled out: the primary's entry as evidence (it is cut off from the store as well).

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -57,6 +57,8 @@
   relayAfterMs: 60,
   /** Between two questions for a way to one endpoint. */
   relayAskMs: 400,
+  /** How long what others said of a silent endpoint is believed. */
+  findingMs: 1500,
   /** Between two questions to others for a confirmed position: a fraction of
    * the shortest objective, so that a read that waits for it is in time. */
   askConfirmedMs: 40,
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -2,10 +2,11 @@
  * One group at work: its endpoints, which of them is the primary, the samples
  * of its log, and the statements that wait for a place.
  */
-import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
+import type {Clock, Disposable} from '@quetzalreel/common';
 import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
 import {type Sample, type SleepGuard, sampleBook} from '@quetzalreel/freshness';
 import type {Position} from '@quetzalreel/position';
+import {detours} from './detours.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {
   type EndpointLink,
@@ -18,7 +19,7 @@
 import type {PooledConnection} from './pooled.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
-import type {ConfirmedPosition} from '@quetzalreel/witness';
+import type {ConfirmedPosition, Finding} from '@quetzalreel/witness';
 import {waitingLine} from './waiting.js';
 
 /** A connection that a session may use until it gives it back. */
@@ -57,11 +58,12 @@
   readonly log: Log;
   readonly driver: EndpointDriver;
   readonly guard: SleepGuard;
-  /** A relay of another instance that reaches the endpoint, if there is one. */
-  readonly findRelay: (
+  /** Asks other instances whether they reach an endpoint; undefined while
+   * there are none to ask. */
+  readonly askOthers: (
     group: string,
     endpoint: string,
-  ) => Promise<string | undefined>;
+  ) => Promise<Finding | undefined>;
   /** Asks other instances for a position that they have confirmed. */
   readonly askConfirmed: (group: string) => void;
 }
@@ -72,8 +74,12 @@
   policy: GroupPolicy;
   readonly links: ReadonlyMap<string, EndpointLink>;
   readonly primary: EndpointLink | undefined;
+  /** The last endpoint that was the primary, listed or not; '' for none. */
+  readonly lastPrimary: string;
   /** Since when there has been no primary; undefined while there is one. */
   readonly missingSince: number | undefined;
+  /** Whether the primary lives but can't be reached from here. */
+  readonly isOutOfReach: boolean;
   /** Waits for a place; undefined when there was none in time. */
   place(req: PlaceRequest): Promise<Lease | undefined>;
   /** The newest position that this instance has confirmed itself. */
@@ -92,7 +98,8 @@
   /** Notes that an endpoint said that it is not the primary. */
   denied(link: EndpointLink, sentAt: number): void;
   listed(endpoints: readonly ListedEndpoint[]): void;
-  /** Whether an endpoint answers now; asks it if it was not heard of. */
+  /** Whether an endpoint answers now; asks it if it was not heard of. '' asks
+   * for the primary, whichever it is. */
   reaches(endpoint: string, withinMs: number): Promise<boolean>;
   /** Looks at time: probes, connections, requests that waited too long. */
   tick(): void;
@@ -105,6 +112,13 @@
   avoid: new Set(),
 };
 
+/** The need of what only the primary can serve. */
+export const PRIMARY_NEED: Need = {
+  primaryOnly: true,
+  atLeast: undefined,
+  avoid: new Set(),
+};
+
 /** A group of which nothing is known yet. */
 export function groupRuntime(
   policy: GroupPolicy,
@@ -116,8 +130,12 @@
   const saidAt = new Map<string, number>();
   const line = waitingLine<Waiter>();
   const probing = new Set<string>();
-  /** When others may be asked again for a way to each endpoint. */
-  const seekAgainAt = new Map<string, number>();
+  const ways = detours({
+    clock,
+    log,
+    ask: endpoint => context.askOthers(context.name, endpoint),
+    onFound: link => link.open(mostConnections()),
+  });
   const samples = sampleBook(
     context.guard,
     () => clock.now(),
@@ -130,6 +148,7 @@
   let own: Sample | undefined;
   let askedConfirmedAt = -Infinity;
   let primaryId: string | undefined;
+  let lastPrimary = '';
   let missingSince: number | undefined = clock.now();
 
   function findPrimary(): void {
@@ -151,6 +170,7 @@
       evidence,
     });
     primaryId = found;
+    lastPrimary = found ?? lastPrimary;
     missingSince = found ? undefined : clock.now();
     serveWaiting();
   }
@@ -218,11 +238,18 @@
     if (wanted) links.get(wanted.id)!.open(mostConnections());
   }
 
+  /** Whether what is needed lives, but not where this instance reaches it. */
+  function isOutOfReach(need: Need): boolean {
+    if (!need.primaryOnly || primaryId === undefined) return false;
+    const link = links.get(primaryId);
+    return link !== undefined && ways.isOutOfReach(link);
+  }
+
   function serveWaiting(): void {
     if (line.size === 0) return;
     line.offer(waiter => {
       const lease = tryPlace(waiter);
-      if (!lease) return false;
+      if (!lease && !isOutOfReach(waiter.need())) return false;
       settle(waiter, lease);
       return true;
     }, LIMITS.lookAhead);
@@ -274,25 +301,6 @@
     );
   }
 
-  /** Looks for a way through another instance to an endpoint that is silent. */
-  function seekRelay(link: EndpointLink, now: number): void {
-    const {id} = link.listed;
-    const {askedAt} = link.facts;
-    if (askedAt === undefined || now - askedAt < TIMES.relayAfterMs) return;
-    if (link.isRelayed || now < (seekAgainAt.get(id) ?? -Infinity)) return;
-    seekAgainAt.set(id, now + TIMES.relayAskMs);
-    context
-      .findRelay(group.name, id)
-      .then(relay => {
-        if (!relay || link.facts.askedAt === undefined) return;
-        link.reachThrough(relay);
-        link.open(mostConnections());
-      })
-      .catch(err =>
-        log.warn({event: 'relayNotFound', endpoint: id, why: messageOf(err)}),
-      );
-  }
-
   const group: GroupRuntime = {
     name: context.name,
     policy,
@@ -300,11 +308,19 @@
     get primary() {
       return primaryId === undefined ? undefined : links.get(primaryId);
     },
+    get lastPrimary() {
+      return lastPrimary;
+    },
     get missingSince() {
       return missingSince;
     },
+    get isOutOfReach() {
+      return isOutOfReach(PRIMARY_NEED);
+    },
     async place(req) {
-      return tryPlace(req) ?? wait(req);
+      const lease = tryPlace(req);
+      if (lease || isOutOfReach(req.need())) return lease;
+      return wait(req);
     },
     required(maxStalenessMs, floor) {
       const now = clock.now();
@@ -347,7 +363,8 @@
       link.facts.deniedAt = Math.max(link.facts.deniedAt, sentAt);
       if (link.listed.id === primaryId) findPrimary();
     },
-    async reaches(endpoint, withinMs) {
+    async reaches(wanted, withinMs) {
+      const endpoint = wanted === '' ? (primaryId ?? '') : wanted;
       const askedAt = clock.now();
       const isHeard = () => {
         const link = links.get(endpoint);
@@ -370,7 +387,7 @@
         link.dispose();
         links.delete(id);
         saidAt.delete(id);
-        seekAgainAt.delete(id);
+        ways.forget(id);
       }
       for (const endpoint of endpoints) take(endpoint);
       findPrimary();
@@ -383,7 +400,7 @@
         }
         link.trim(LIMITS.leastConnections);
         if (needsProbe(link, now)) probeEndpoint(link);
-        seekRelay(link, now);
+        ways.seek(link);
       }
       serveWaiting();
     },
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -95,12 +95,12 @@
     return found;
   }
 
-  /** What others see of a primary that this instance does not reach. */
+  /** What others see of a primary that this instance does not reach, or that
+   * is listed no more: an entry may lapse while its endpoint serves. */
   async function witnessed(from: string | undefined): Promise<Verdict> {
     const others = context.witnesses();
-    if (from === undefined) return Verdict.Unreached;
     if (!others) return Verdict.Unsure;
-    const {verdict} = await others.ask(group.name, from);
+    const {verdict} = await others.ask(group.name, from ?? group.lastPrimary);
     return verdict;
   }
 
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -21,6 +21,7 @@
   leaseStore,
   primaryChanger,
 } from '@quetzalreel/takeover';
+import type {Finding} from '@quetzalreel/witness';
 import {CHANGE_LIMITS, TIMES} from './defaults.js';
 import {
   type Directory,
@@ -133,7 +134,7 @@
         ...options,
         name: policy.name,
         guard,
-        findRelay,
+        askOthers,
         askConfirmed: group => others.witnesses?.askConfirmed(group),
       });
       groups.set(policy.name, group);
@@ -169,12 +170,11 @@
     }
   }
 
-  async function findRelay(
+  async function askOthers(
     group: string,
     endpoint: string,
-  ): Promise<string | undefined> {
-    const finding = await others.witnesses?.ask(group, endpoint);
-    return finding?.relay;
+  ): Promise<Finding | undefined> {
+    return others.witnesses?.ask(group, endpoint);
   }
 
   function isEndpoint({host, port}: {host: string; port: number}): boolean {
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -9,7 +9,7 @@
   ownError,
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
-import type {GroupRuntime, Lease} from './group.js';
+import {type GroupRuntime, type Lease, PRIMARY_NEED} from './group.js';
 import type {Log} from './log.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
 import type {Need} from './placing.js';
@@ -48,22 +48,15 @@
   {route, group, memory}: ServeContext,
   avoid: ReadonlySet<string>,
 ): Need {
-  if (route.rule === ReadRule.Primary) return PRIMARY;
+  if (route.rule === ReadRule.Primary) return PRIMARY_NEED;
   const floor =
     route.rule === ReadRule.OwnWrites
       ? memory.floors.get(group.name)
       : undefined;
   const atLeast = group.required(route.maxStalenessMs, floor);
-  return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY;
+  return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY_NEED;
 }
 
-/** The need of what only the primary can serve. */
-export const PRIMARY: Need = {
-  primaryOnly: true,
-  atLeast: undefined,
-  avoid: new Set(),
-};
-
 /** When the request must have its answer. */
 export function limitOf({route, arrivedAt}: ServeContext): number {
   return arrivedAt + route.statementTimeoutMs;
@@ -100,6 +93,7 @@
     why,
     waitedMs: Math.round(clock.now() - arrivedAt),
     primary: group.primary?.listed.id,
+    outOfReach: group.isOutOfReach,
   });
   return ownError(ErrorCode.Busy, `not run: ${why}; try again`, state);
 }
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -10,11 +10,10 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
-import type {Lease} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
-  PRIMARY,
   type ServeContext,
   forwardOf,
   limitOf,
@@ -176,7 +175,7 @@
   for (let tries = 0; tries < LIMITS.tries; tries++) {
     const lease = await group.place({
       primaryOnly: true,
-      need: () => PRIMARY,
+      need: () => PRIMARY_NEED,
       priority: route.priority,
       settingsKey: memory.settings.key,
       until: limit,
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -15,12 +15,11 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS} from './defaults.js';
-import type {Lease} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group.js';
 import {endTransaction} from './single.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
-  PRIMARY,
   type ServeContext,
   forwardOf,
   limitOf,
@@ -83,7 +82,7 @@
     for (let tries = 0; tries < LIMITS.tries; tries++) {
       const taken = await group.place({
         primaryOnly: !readOnly || route.rule === ReadRule.Primary,
-        need: () => (readOnly ? readNeed(context, avoid) : PRIMARY),
+        need: () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
         priority: route.priority,
         settingsKey: memory.settings.key,
         until: limit,
--- a/packages/witness/src/verdict.ts
+++ b/packages/witness/src/verdict.ts
@@ -4,7 +4,7 @@
 export const Verdict = {
   /** Somebody reaches it: it is not down, whatever this instance sees. */
   Reached: 'reached',
-  /** Enough others say that they don't reach it either. */
+  /** Most others say that they don't reach it either. */
   Unreached: 'unreached',
   /** Too few have answered: this instance may be the one that is cut off. */
   Unsure: 'unsure',
@@ -21,12 +21,14 @@
   readonly unreached: number;
 }
 
-/** Part of those asked that must agree; some may have left or be down. */
-const QUORUM_SHARE = 1 / 3;
-
-/** The verdict of the answers that came. */
+/**
+ * The verdict of the answers that came. This instance and those that agree
+ * with it must be the greater part of all: a part of the fleet that is cut off
+ * together with an endpoint's replicas must not replace a primary that serves
+ * the rest.
+ */
 export function verdictOf({asked, reached, unreached}: Answers): Verdict {
   if (reached > 0) return Verdict.Reached;
-  const needed = Math.ceil(asked * QUORUM_SHARE);
+  const needed = Math.floor((asked + 1) / 2);
   return unreached >= needed ? Verdict.Unreached : Verdict.Unsure;
 }
