--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -84,8 +84,6 @@
   leastConnections: 1,
   /** Part of an endpoint's connections that one instance may use. */
   connectionShare: 0.4,
-  /** Statements under way to one endpoint for each of its slots. */
-  runningPerSlot: 2,
   /** Tries of one statement. */
   tries: 5,
   /** Requests looked at in one lane before the others wait for a change. */
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -11,6 +11,7 @@
   ErrorCode,
 } from '@quetzalreel/exchange';
 import {type Position, laterOf} from '@quetzalreel/position';
+import {type ConcurrencyLimit, firstLimit} from './concurrency.js';
 import {LIMITS, TIMES} from './defaults.js';
 import type {Log} from './log.js';
 import {type PooledConnection, pooledConnection} from './pooled.js';
@@ -34,6 +35,8 @@
   answerMs: number;
   /** Statements under way from here. */
   running: number;
+  /** How many of them are allowed. */
+  concurrency: ConcurrencyLimit;
 }
 
 /** One endpoint. */
@@ -100,6 +103,7 @@
     deniedAt: -Infinity,
     answerMs: TIMES.firstAnswerMs,
     running: 0,
+    concurrency: firstLimit(listed.slots),
   };
 
   function heardAt(sentAt: number, position: Position | undefined): void {
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -3,9 +3,14 @@
  * of its log, and the statements that wait for a place.
  */
 import type {Clock, Disposable} from '@quetzalreel/common';
-import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
+import {
+  type Answer,
+  type EndpointDriver,
+  ErrorCode,
+} from '@quetzalreel/exchange';
 import {type Sample, type SleepGuard, sampleBook} from '@quetzalreel/freshness';
 import type {Position} from '@quetzalreel/position';
+import {afterBusy, afterRun} from './concurrency.js';
 import {detours} from './detours.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {
@@ -41,8 +46,12 @@
   readonly priority: number;
   /** Key of the session's settings. */
   readonly settingsKey: string;
+  /** When an answer would be late, monotonic milliseconds. */
+  readonly lateAt: number;
   /** When waiting is given up, monotonic milliseconds. */
   readonly until: number;
+  /** Whether the caller has left: nobody waits for an answer any more. */
+  readonly hasLeft: () => boolean;
 }
 
 interface Waiter extends PlaceRequest {
@@ -187,7 +196,7 @@
     const {facts, listed} = link;
     const now = clock.now();
     const isPrimary = listed.id === primaryId;
-    const limit = listed.slots * LIMITS.runningPerSlot;
+    const {limit} = facts.concurrency;
     return {
       id: listed.id,
       isPrimary,
@@ -247,12 +256,20 @@
 
   function serveWaiting(): void {
     if (line.size === 0) return;
-    line.offer(waiter => {
-      const lease = tryPlace(waiter);
-      if (!lease && !isOutOfReach(waiter.need())) return false;
-      settle(waiter, lease);
-      return true;
-    }, LIMITS.lookAhead);
+    line.offer(
+      waiter => {
+        if (waiter.hasLeft()) {
+          settle(waiter, undefined);
+          return true;
+        }
+        const lease = tryPlace(waiter);
+        if (!lease && !isOutOfReach(waiter.need())) return false;
+        settle(waiter, lease);
+        return true;
+      },
+      LIMITS.lookAhead,
+      clock.now(),
+    );
   }
 
   function settle(waiter: Waiter, lease: Lease | undefined): void {
@@ -333,7 +350,13 @@
     },
     answered(link, answer, sentAt) {
       link.heard(answer, sentAt);
-      if (!answer.error) noteAnswerTime(link.facts, clock.now() - sentAt);
+      const {facts, listed} = link;
+      if (answer.error?.code === ErrorCode.Busy) {
+        facts.concurrency = afterBusy(facts.concurrency);
+      }
+      if (answer.error) return;
+      facts.concurrency = afterRun(facts.concurrency, listed.slots);
+      noteAnswerTime(facts, clock.now() - sentAt);
     },
     confirmed(link, {position}, sentAt) {
       link.facts.ledAt = Math.max(link.facts.ledAt, sentAt);
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -64,7 +64,9 @@
       need: () => ({...ANY, avoid}),
       priority: 0,
       settingsKey: '',
+      lateAt: clock.now() + TIMES.statusMs,
       until: clock.now() + TIMES.statusMs,
+      hasLeft: () => false,
     });
     if (!lease) return undefined;
     const bound = {clock, timeoutMs: TIMES.statusMs};
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -9,7 +9,12 @@
   ownError,
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
-import {type GroupRuntime, type Lease, PRIMARY_NEED} from './group.js';
+import {
+  type GroupRuntime,
+  type Lease,
+  PRIMARY_NEED,
+  type PlaceRequest,
+} from './group.js';
 import type {Log} from './log.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
 import type {Need} from './placing.js';
@@ -38,6 +43,8 @@
   readonly memory: SessionMemory;
   /** When the request came, monotonic milliseconds. */
   readonly arrivedAt: number;
+  /** Whether the caller has left. */
+  readonly hasLeft: () => boolean;
 }
 
 /**
@@ -57,6 +64,24 @@
   return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY_NEED;
 }
 
+/** A request for a place for what `need` tells. */
+export function placeRequest(
+  context: ServeContext,
+  primaryOnly: boolean,
+  need: () => Need,
+): PlaceRequest {
+  const {route, memory, arrivedAt, hasLeft} = context;
+  return {
+    primaryOnly,
+    need,
+    priority: route.priority,
+    settingsKey: memory.settings.key,
+    lateAt: arrivedAt + route.objectiveMs,
+    until: limitOf(context),
+    hasLeft,
+  };
+}
+
 /** When the request must have its answer. */
 export function limitOf({route, arrivedAt}: ServeContext): number {
   return arrivedAt + route.statementTimeoutMs;
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -109,7 +109,10 @@
   function serveContext(arrivedAt: number): ServeContext | Answer {
     const route = pinned ?? context.route();
     const group = route && context.group(route.group);
-    if (route && group) return {clock, log, route, group, memory, arrivedAt};
+    if (route && group) {
+      const hasLeft = () => ended;
+      return {clock, log, route, group, memory, arrivedAt, hasLeft};
+    }
     const text = `no route leads from ${context.database} to a group`;
     return ownError(ErrorCode.NoDatabase, text, SessionState.Idle);
   }
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -19,6 +19,7 @@
   limitOf,
   noPlace,
   noteCommit,
+  placeRequest,
   readNeed,
 } from './session-context.js';
 
@@ -30,17 +31,14 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, route, group, memory} = context;
+  const {clock, route, group} = context;
   const limit = limitOf(context);
   const avoid = new Set<string>();
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const lease = await group.place({
-      primaryOnly: route.rule === ReadRule.Primary,
-      need: () => readNeed(context, avoid),
-      priority: route.priority,
-      settingsKey: memory.settings.key,
-      until: limit,
-    });
+    const wanted = placeRequest(context, route.rule === ReadRule.Primary, () =>
+      readNeed(context, avoid),
+    );
+    const lease = await group.place(wanted);
     if (!lease) break;
     const {atLeast} = lease.need;
     const left = limit - clock.now();
@@ -170,16 +168,11 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, route, group, memory} = context;
+  const {clock, group} = context;
   const limit = limitOf(context);
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const lease = await group.place({
-      primaryOnly: true,
-      need: () => PRIMARY_NEED,
-      priority: route.priority,
-      settingsKey: memory.settings.key,
-      until: limit,
-    });
+    const wanted = placeRequest(context, true, () => PRIMARY_NEED);
+    const lease = await group.place(wanted);
     if (!lease) break;
     const result = await writeOnce(context, req, lease, limit - clock.now());
     if (result !== 'again') return result;
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -25,6 +25,7 @@
   limitOf,
   noPlace,
   noteCommit,
+  placeRequest,
   readNeed,
 } from './session-context.js';
 
@@ -77,16 +78,15 @@
     context: ServeContext,
     avoid: Set<string>,
   ): Promise<Lease | undefined> {
-    const {clock, route, group, memory} = context;
+    const {clock, route, group} = context;
     const limit = limitOf(context);
     for (let tries = 0; tries < LIMITS.tries; tries++) {
-      const taken = await group.place({
-        primaryOnly: !readOnly || route.rule === ReadRule.Primary,
-        need: () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
-        priority: route.priority,
-        settingsKey: memory.settings.key,
-        until: limit,
-      });
+      const wanted = placeRequest(
+        context,
+        !readOnly || route.rule === ReadRule.Primary,
+        () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
+      );
+      const taken = await group.place(wanted);
       if (!taken) return undefined;
       const {atLeast} = taken.need;
       if (await begin(context, taken, atLeast, avoid)) return taken;
