--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -26,8 +26,6 @@
   distanceMs: 3,
   /** Longest time for one try of a read; a third of the statement's. */
   readTryShare: 0.4,
-  /** Age of a replica's position beyond which it is tried anyway. */
-  positionAgeMs: 150,
   /** How long one watch of the configuration waits; with the wait for an
    * answer it is within the bound for configurations to be in force. */
   watchConfigurationMs: 2500,
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -59,8 +59,8 @@
   reachThrough(relay: string): void;
   /** Whether it is reached through another instance now. */
   readonly isRelayed: boolean;
-  /** Notes an answer to what was sent at `sentAt`. */
-  heard(answer: Answer, sentAt: number): void;
+  /** Notes an answer. */
+  heard(answer: Answer): void;
   /** Notes that something sent at `sentAt` has no answer. */
   unanswered(sentAt: number, wasReset: boolean): void;
 }
@@ -106,7 +106,7 @@
     concurrency: firstLimit(listed.slots),
   };
 
-  function heardAt(sentAt: number, position: Position | undefined): void {
+  function noteHeard(position: Position | undefined): void {
     facts.heardAt = Math.max(facts.heardAt, clock.now());
     facts.askedAt = undefined;
     facts.refusingSince = undefined;
@@ -115,7 +115,6 @@
         ? laterOf(facts.position, position)
         : position;
     }
-    void sentAt;
   }
 
   function noteUnanswered(sentAt: number, wasReset: boolean): void {
@@ -151,7 +150,7 @@
       );
       opening--;
       if (!through) via = undefined;
-      heardAt(sentAt, opened.openedAt);
+      noteHeard(opened.openedAt);
       if (disposed) opened.dispose();
       else add(pooledConnection(opened, clock.now()));
     } catch (err) {
@@ -170,7 +169,7 @@
       if (code === ErrorCode.TooManyConnections) {
         retryAt = clock.now() + TIMES.connectionLimitRetryMs;
       }
-      heardAt(sentAt, undefined);
+      noteHeard(undefined);
       log.info({event: 'connectionRefused', endpoint: id, code});
       return;
     }
@@ -234,8 +233,8 @@
     get isRelayed() {
       return relayNow() !== undefined;
     },
-    heard(answer, sentAt) {
-      heardAt(sentAt, answer.position);
+    heard(answer) {
+      noteHeard(answer.position);
     },
     unanswered: noteUnanswered,
     dispose() {
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -313,9 +313,12 @@
       return;
     }
     probing.add(id);
-    void probe(lease, {clock, group, timeoutMs: TIMES.probeAnswerMs}).finally(
-      () => probing.delete(id),
-    );
+    void probe(lease, {
+      clock,
+      group,
+      log,
+      timeoutMs: TIMES.probeAnswerMs,
+    }).finally(() => probing.delete(id));
   }
 
   const group: GroupRuntime = {
@@ -349,7 +352,7 @@
       return found;
     },
     answered(link, answer, sentAt) {
-      link.heard(answer, sentAt);
+      link.heard(answer);
       const {facts, listed} = link;
       if (answer.error?.code === ErrorCode.Busy) {
         facts.concurrency = afterBusy(facts.concurrency);
--- a/packages/proxy/src/pooled.ts
+++ b/packages/proxy/src/pooled.ts
@@ -75,6 +75,7 @@
       answer => {
         if (answer.error) spoil();
       },
+      // Whoever waits for the statement behind it logs why it was lost.
       () => spoil(),
     );
   }
--- a/packages/proxy/src/probe.ts
+++ b/packages/proxy/src/probe.ts
@@ -12,11 +12,13 @@
   SessionState,
 } from '@quetzalreel/exchange';
 import type {GroupRuntime, Lease} from './group.js';
+import type {Log} from './log.js';
 
 /** What a probe works with. */
 export interface ProbeContext {
   readonly clock: Clock;
   readonly group: GroupRuntime;
+  readonly log: Log;
   readonly timeoutMs: number;
 }
 
@@ -52,7 +54,7 @@
 /** Probes over `lease` and gives it back. */
 export async function probe(
   lease: Lease,
-  {clock, group, timeoutMs}: ProbeContext,
+  {clock, group, log, timeoutMs}: ProbeContext,
 ): Promise<void> {
   const {link} = lease;
   const sentAt = clock.now();
@@ -63,7 +65,7 @@
       {type: 'begin', readOnly: false},
       bound,
     );
-    link.heard(answer, sentAt);
+    link.heard(answer);
     if (answer.error?.code === ErrorCode.ReadOnly) group.denied(link, sentAt);
     if (!answer.error) group.confirmed(link, answer, sentAt);
     if (answer.state !== SessionState.Idle) {
@@ -78,6 +80,7 @@
     link.unanswered(sentAt, wasReset);
     // One silent connection makes the others doubtful.
     link.distrust();
-    void messageOf(err);
+    const endpoint = link.listed.id;
+    log.info({event: 'probeLost', endpoint, why: messageOf(err)});
   }
 }
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -103,7 +103,7 @@
   try {
     const begin = {type: 'begin', readOnly: false} as const;
     const begun = await sendWithin(lease, begin, bound);
-    link.heard(begun, sentAt);
+    link.heard(begun);
     if (begun.error) {
       if (begun.error.code === ErrorCode.ReadOnly) group.denied(link, sentAt);
       lease.giveBack(begun.state === SessionState.Idle);
@@ -152,12 +152,11 @@
 }
 
 function lost(
-  {log, clock}: ServeContext,
+  {log}: ServeContext,
   req: CallerRequest,
   err: unknown,
   endpoint: string,
 ): Try {
-  void clock;
   log.info({event: 'readLost', id: req.id, endpoint, why: messageOf(err)});
   return 'again';
 }
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -116,7 +116,7 @@
         {type: 'begin', readOnly: asRead, atLeast},
         {clock, timeoutMs},
       );
-      link.heard(answer, sentAt);
+      link.heard(answer);
       if (!answer.error) {
         if (!asRead) group.confirmed(link, answer, sentAt);
         return true;
--- /dev/null
+++ b/packages/proxy/test/test-beliefs.ts
@@ -0,0 +1,130 @@
+/** What the proxy believes: the list of endpoints, the primary, places. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {
+  COME_BACK_MS,
+  type Directory,
+  type DirectoryEvent,
+  emptyDirectory,
+  stepDirectory,
+} from '../src/directory.js';
+import {leaderOf} from '../src/leadership.js';
+import {type Place, choosePlace} from '../src/placing.js';
+import type {ListedEndpoint} from '../src/routes.js';
+
+function endpoint(id: string): ListedEndpoint {
+  return {
+    id,
+    group: 'g',
+    host: '10.0.0.1',
+    port: 1,
+    dataCentre: 'z',
+    slots: 3,
+    leaving: false,
+    saysPrimary: false,
+    startedAt: 1,
+    coldMs: 0,
+  };
+}
+
+function after(
+  events: ReadonlyArray<readonly [number, DirectoryEvent]>,
+): string[] {
+  let directory: Directory = emptyDirectory(0);
+  for (const [at, event] of events) {
+    directory = stepDirectory(directory, event, at);
+  }
+  return [...directory.entries.keys()];
+}
+
+describe('the list of endpoints', () => {
+  const reached = [0, {type: 'reach', reached: true}] as const;
+  const both = [
+    10,
+    {type: 'listed', endpoints: [endpoint('a'), endpoint('b')]},
+  ] as const;
+
+  it('drops what was deleted while the store is there', () => {
+    const gone = [10_000, {type: 'deleted', id: 'a'}] as const;
+    assert.deepEqual(after([reached, both, gone]), ['b']);
+  });
+
+  it('keeps what lapsed during an outage until it has had time to return', () => {
+    const outage = [
+      reached,
+      both,
+      [10_000, {type: 'reach', reached: false}],
+      [15_000, {type: 'reach', reached: true}],
+      [15_010, {type: 'listed', endpoints: [endpoint('b')]}],
+    ] as const;
+    assert.deepEqual(after(outage), ['a', 'b']);
+    const back = [16_000, {type: 'put', endpoint: endpoint('a')}] as const;
+    const later = [15_000 + COME_BACK_MS, {type: 'tick'}] as const;
+    assert.deepEqual(after([...outage, later]), ['b']);
+    assert.deepEqual(after([...outage, back, later]).sort(), ['a', 'b']);
+  });
+});
+
+describe('the primary', () => {
+  const base = {
+    term: 1,
+    saysPrimary: false,
+    saidAt: 0,
+    ledAt: -Infinity,
+    deniedAt: -Infinity,
+  };
+
+  it('is the one that leads in the newest term', () => {
+    const old = {...base, id: 'a', saysPrimary: true, ledAt: 90};
+    const next = {...base, id: 'b', term: 2, ledAt: 50};
+    assert.equal(leaderOf([old, next]), 'b');
+  });
+
+  it('is none when the listed one has denied it since', () => {
+    const denied = {...base, id: 'a', saysPrimary: true, deniedAt: 10};
+    assert.equal(leaderOf([denied, {...base, id: 'b'}]), undefined);
+  });
+});
+
+describe('a place', () => {
+  const base: Place = {
+    id: 'a',
+    isPrimary: false,
+    usable: true,
+    position: {term: 1, offset: 10},
+    positionAgeMs: 0,
+    answerMs: 10,
+    running: 0,
+    slots: 3,
+    distanceMs: 0,
+    hasRoom: true,
+  };
+  const need = {
+    primaryOnly: false,
+    atLeast: {term: 1, offset: 10},
+    avoid: new Set<string>(),
+  };
+
+  it('is in the own data centre when that is no slower', () => {
+    const far = {...base, id: 'far', distanceMs: 3};
+    assert.equal(choosePlace([far, base], need)!.id, 'a');
+    const slow = {...base, answerMs: 40};
+    assert.equal(choosePlace([far, slow], need)!.id, 'far');
+  });
+
+  it('holds what the read must see', () => {
+    const behind = {...base, position: {term: 1, offset: 9}};
+    assert.equal(choosePlace([behind], need), undefined);
+  });
+
+  it('of a replaced term never holds a position of the next', () => {
+    const old = {...base, position: {term: 1, offset: 99}};
+    const next = {...need, atLeast: {term: 2, offset: 5}};
+    assert.equal(choosePlace([old], next), undefined);
+  });
+
+  it('is not the one that has failed the statement already', () => {
+    const avoided = {...need, avoid: new Set(['a'])};
+    assert.equal(choosePlace([base], avoided), undefined);
+  });
+});
--- /dev/null
+++ b/packages/takeover/test/test-change.ts
@@ -0,0 +1,184 @@
+/** Changes of primary under a lease, with a store and orders that fail. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {manualClock} from '@quetzalreel/common';
+import {StoreUnavailableError} from '@quetzalreel/object-store';
+import {
+  ChangeOutcome,
+  type LeaseRecord,
+  type LeaseStore,
+  OrderResult,
+  type PromotionOrder,
+  PromotionOrders,
+  type SeenLease,
+  primaryChanger,
+} from '../src/index.js';
+
+const LIMITS = {turnMs: 3000, actMs: 1500, retryMs: 100};
+const PLANNED = {group: 'g', from: 'e-1', to: 'e-2'};
+
+/** A store that several instances share. */
+function sharedLease() {
+  let current: SeenLease | undefined;
+  const state = {down: false, loseAnswers: 0};
+  function check(): void {
+    if (state.down) throw new StoreUnavailableError('down', true);
+  }
+  const lease: LeaseStore = {
+    async read() {
+      check();
+      return current;
+    },
+    async replace(record: LeaseRecord, seen) {
+      check();
+      if (seen?.revision !== current?.revision) return undefined;
+      current = {record, revision: (current?.revision ?? 0) + 1};
+      if (state.loseAnswers > 0) {
+        state.loseAnswers--;
+        throw new StoreUnavailableError('lost', false);
+      }
+      return current;
+    },
+  };
+  return {lease, state};
+}
+
+class RecordedOrders extends PromotionOrders {
+  readonly sent: PromotionOrder[] = [];
+  results: OrderResult[] = [];
+
+  async send(order: PromotionOrder): Promise<OrderResult> {
+    this.sent.push(order);
+    return this.results.shift() ?? OrderResult.Accepted;
+  }
+}
+
+function setUp() {
+  const clock = manualClock();
+  const {lease, state} = sharedLease();
+  const orders = new RecordedOrders();
+  const instance = (name: string) =>
+    primaryChanger({
+      instance: name,
+      clock,
+      lease,
+      orders,
+      limits: LIMITS,
+      onEvent: () => {},
+    });
+  return {clock, state, orders, instance};
+}
+
+/** Lets time pass while a change waits between its tries. */
+async function finish<T>(
+  clock: ReturnType<typeof manualClock>,
+  work: Promise<T>,
+): Promise<T> {
+  let done = false;
+  void work.finally(() => {
+    done = true;
+  });
+  while (!done) {
+    await new Promise(resolve => setImmediate(resolve));
+    if (!done) clock.advance(50);
+  }
+  return work;
+}
+
+describe('a change of primary', () => {
+  it('has a fence above all before it', async () => {
+    const {clock, orders, instance} = setUp();
+    const one = instance('one');
+    await one.observe();
+    await finish(clock, one.change(PLANNED));
+    await finish(clock, one.change({...PLANNED, from: 'e-2', to: 'e-3'}));
+    assert.deepEqual(
+      orders.sent.map(order => order.fence),
+      [2, 3],
+    );
+  });
+
+  it('waits for the turn of another holder', async () => {
+    const {clock, orders, instance} = setUp();
+    const one = instance('one');
+    const two = instance('two');
+    await finish(clock, one.change(PLANNED));
+    assert.equal(
+      await finish(clock, two.change(PLANNED)),
+      ChangeOutcome.StoodBack,
+    );
+    clock.advance(LIMITS.turnMs + LIMITS.actMs);
+    assert.equal(
+      await finish(clock, two.change(PLANNED)),
+      ChangeOutcome.Ordered,
+    );
+    const fences = orders.sent.map(order => order.fence);
+    assert.deepEqual(fences, [1, 2]);
+  });
+
+  it("is the holder's when the answer of its write was lost", async () => {
+    const {clock, state, orders, instance} = setUp();
+    state.loseAnswers = 1;
+    const outcome = await finish(clock, instance('one').change(PLANNED));
+    assert.equal(outcome, ChangeOutcome.Ordered);
+    assert.equal(orders.sent[0]!.fence, 1);
+  });
+
+  it('is ordered again with the same fence while it has no answer', async () => {
+    const {clock, orders, instance} = setUp();
+    orders.results = [OrderResult.Unanswered, OrderResult.NotDone];
+    const outcome = await finish(clock, instance('one').change(PLANNED));
+    assert.equal(outcome, ChangeOutcome.Ordered);
+    assert.deepEqual(
+      orders.sent.map(order => order.fence),
+      [1, 1, 1],
+    );
+  });
+
+  it('ends with that fence for good when it is refused', async () => {
+    const {clock, state, orders, instance} = setUp();
+    const one = instance('one');
+    orders.results = [OrderResult.Refused];
+    assert.equal(
+      await finish(clock, one.change(PLANNED)),
+      ChangeOutcome.Refused,
+    );
+    // Without the store there is no other fence.
+    state.down = true;
+    assert.equal(
+      await finish(clock, one.change(PLANNED)),
+      ChangeOutcome.NoFence,
+    );
+    assert.equal(orders.sent.length, 1);
+  });
+
+  it('may use the held fence without the store', async () => {
+    const {clock, state, orders, instance} = setUp();
+    const one = instance('one');
+    await one.observe();
+    state.down = true;
+    assert.equal(
+      await finish(clock, one.change(PLANNED)),
+      ChangeOutcome.Ordered,
+    );
+    assert.equal(orders.sent[0]!.fence, 1);
+  });
+
+  it('to another target needs a new fence while one may still land', async () => {
+    const {clock, state, orders, instance} = setUp();
+    const one = instance('one');
+    await one.observe();
+    state.down = true;
+    orders.results = Array.from({length: 40}, () => OrderResult.Unanswered);
+    assert.equal(
+      await finish(clock, one.change(PLANNED)),
+      ChangeOutcome.Unanswered,
+    );
+    const sent = orders.sent.length;
+    assert.equal(
+      await finish(clock, one.change({...PLANNED, to: 'e-3'})),
+      ChangeOutcome.NoFence,
+    );
+    assert.equal(orders.sent.length, sent);
+  });
+});
