Serve metrics, and ask the store less

Counters, histograms and ages by prom-client at the port that QUETZALREEL_METRICS_PORT names; bounded by rules, outcomes and endpoints.

--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -8,6 +8,7 @@
 } from './client.js';
 export {type HttpPlatformOptions, httpPlatformClient} from './http-client.js';
 export {
+  Freshness,
   HistoryGoneError,
   type KindChanges,
   type KindEvent,
--- a/packages/object-store/src/kinds.ts
+++ b/packages/object-store/src/kinds.ts
@@ -78,12 +78,27 @@
   }
 }
 
+/** How exact an answer must be. */
+export const Freshness = {
+  /** As the store is now. */
+  Current: 'current',
+  /** May be seconds old; costs the store less. */
+  Stale: 'stale',
+} as const;
+
+/** One of the values of `Freshness`. */
+export type Freshness = (typeof Freshness)[keyof typeof Freshness];
+
 /** Access to the store. Calls reject with the errors of this module. */
 export abstract class KindStore {
   /** Lists all objects of a kind, over as many pages as there are. */
-  abstract list(kind: string): Promise<KindSnapshot>;
+  abstract list(kind: string, freshness?: Freshness): Promise<KindSnapshot>;
   /** The object, or undefined when there is none. */
-  abstract get(kind: string, name: string): Promise<KindObject | undefined>;
+  abstract get(
+    kind: string,
+    name: string,
+    freshness?: Freshness,
+  ): Promise<KindObject | undefined>;
   /** Makes an object; RevisionConflictError when there is one. */
   abstract create(
     kind: string,
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -28,9 +28,9 @@
   readTryShare: 0.4,
   /** How long one watch of the configuration waits; with the wait for an
    * answer it is within the bound for configurations to be in force. */
-  watchConfigurationMs: 2500,
+  watchConfigurationMs: 3000,
   /** How long one watch of endpoints' entries waits. */
-  watchEndpointsMs: 3000,
+  watchEndpointsMs: 4500,
   /** After a stop was asked for, the balancer still sends callers here. */
   balancerMs: 2500,
   /** Between two looks at the lease for changes of primary. */
--- /dev/null
+++ b/packages/proxy/src/metrics.ts
@@ -0,0 +1,153 @@
+/** Counters and histograms for operators, bounded in their series. */
+import http from 'node:http';
+import type {Disposable} from '@quetzalreel/common';
+import type {Answer} from '@quetzalreel/exchange';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
+import type {GroupRuntime} from './group.js';
+import type {ReadRule} from './routes.js';
+
+/** What sessions report. */
+export interface Metrics {
+  /** A request was answered after `tookMs`. */
+  answered(rule: ReadRule, answer: Answer, tookMs: number): void;
+  /** A statement had waited `waitedMs` for a place when it got one. */
+  placed(rule: ReadRule, waitedMs: number): void;
+  /** The metrics as text, and the type of that text. */
+  text(): Promise<string>;
+  readonly contentType: string;
+}
+
+/** What the gauges tell of. */
+export interface MetricsSource {
+  groups(): Iterable<GroupRuntime>;
+  generation(): number;
+  sessions(): number;
+  now(): number;
+}
+
+/** Bounds of the histograms, in seconds: around the objectives of routes. */
+const BUCKETS = [0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1, 2.5, 8];
+const MS_PER_SECOND = 1000;
+
+/** Metrics of one proxy. */
+export function proxyMetrics(source: MetricsSource): Metrics {
+  const registry = new Registry();
+  const registers = [registry];
+  const answers = new Counter({
+    name: 'quetzalreel_answers_total',
+    help: 'Answers to callers by rule of the route and outcome.',
+    labelNames: ['rule', 'outcome'] as const,
+    registers,
+  });
+  const times = new Histogram({
+    name: 'quetzalreel_answer_seconds',
+    help: 'Time from a request to its answer.',
+    labelNames: ['rule'] as const,
+    buckets: BUCKETS,
+    registers,
+  });
+  const waits = new Histogram({
+    name: 'quetzalreel_wait_seconds',
+    help: 'Time that a statement waited for a place at an endpoint.',
+    labelNames: ['rule'] as const,
+    buckets: BUCKETS,
+    registers,
+  });
+  const gauges = {
+    generation: new Gauge({
+      name: 'quetzalreel_configuration_generation',
+      help: 'Generation of the configuration in force; 0 for none.',
+      registers,
+    }),
+    sessions: new Gauge({
+      name: 'quetzalreel_sessions',
+      help: 'Sessions that are open.',
+      registers,
+    }),
+    silent: new Gauge({
+      name: 'quetzalreel_endpoint_silent_seconds',
+      help: 'Time since an endpoint was last heard of; the age of what is believed of it.',
+      labelNames: ['group', 'endpoint'] as const,
+      registers,
+    }),
+    running: new Gauge({
+      name: 'quetzalreel_endpoint_running',
+      help: 'Statements under way at an endpoint from here.',
+      labelNames: ['group', 'endpoint'] as const,
+      registers,
+    }),
+    connections: new Gauge({
+      name: 'quetzalreel_endpoint_connections',
+      help: 'Connections to an endpoint from here.',
+      labelNames: ['group', 'endpoint'] as const,
+      registers,
+    }),
+    primary: new Gauge({
+      name: 'quetzalreel_group_primary',
+      help: '1 for the endpoint that is believed to be the primary.',
+      labelNames: ['group', 'endpoint'] as const,
+      registers,
+    }),
+  };
+
+  function readGroup(group: GroupRuntime): void {
+    for (const [endpoint, link] of group.links) {
+      const labels = {group: group.name, endpoint};
+      const silentMs = source.now() - link.facts.heardAt;
+      gauges.silent.set(labels, silentMs / MS_PER_SECOND);
+      gauges.running.set(labels, link.facts.running);
+      gauges.connections.set(labels, link.connections);
+      gauges.primary.set(labels, group.primary === link ? 1 : 0);
+    }
+  }
+
+  return {
+    contentType: registry.contentType,
+    answered(rule, {error}, tookMs) {
+      answers.inc({rule, outcome: error?.code ?? 'ok'});
+      times.observe({rule}, tookMs / MS_PER_SECOND);
+    },
+    placed(rule, waitedMs) {
+      waits.observe({rule}, waitedMs / MS_PER_SECOND);
+    },
+    text() {
+      // Endpoints come and go: what has gone leaves no series behind.
+      for (const gauge of Object.values(gauges)) gauge.reset();
+      gauges.generation.set(source.generation());
+      gauges.sessions.set(source.sessions());
+      for (const group of source.groups()) readGroup(group);
+      return registry.metrics();
+    },
+  };
+}
+
+/** Serves the metrics at `/metrics`. */
+export async function serveMetrics(
+  metrics: Metrics,
+  host: string,
+  port: number,
+): Promise<Disposable & {readonly port: number}> {
+  const server = http.createServer((_req, res) => {
+    metrics.text().then(
+      text => {
+        res.writeHead(200, {'Content-Type': metrics.contentType});
+        res.end(text);
+      },
+      err => {
+        res.writeHead(500);
+        res.end(String(err));
+      },
+    );
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, host, () => resolve());
+  });
+  return {
+    port: (server.address() as {port: number}).port,
+    dispose() {
+      server.close();
+      server.closeAllConnections();
+    },
+  };
+}
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -32,6 +32,7 @@
 import {followKind} from './follow.js';
 import {type GroupRuntime, groupRuntime} from './group.js';
 import type {Log} from './log.js';
+import {type Metrics, proxyMetrics} from './metrics.js';
 import {watchPrimary} from './primary-watch.js';
 import type {Catalog, ListedEndpoint, RoutingTable} from './routes.js';
 import {joinOthers} from './others.js';
@@ -62,6 +63,7 @@
 
 /** A running proxy. */
 export interface Proxy {
+  readonly metrics: Metrics;
   /** Takes a caller's session. */
   readonly accept: AcceptCaller;
   /** Whether callers may be sent here. */
@@ -87,6 +89,13 @@
   let inForce: unknown;
   let configurationReached = false;
 
+  const metrics = proxyMetrics({
+    groups: () => groups.values(),
+    generation: () => table?.generation ?? 0,
+    sessions: () => sessions.size,
+    now: () => clock.now(),
+  });
+
   const others = joinOthers({
     ...options,
     isEndpoint,
@@ -297,6 +306,7 @@
     const session = callerSession({
       clock,
       log,
+      metrics,
       database,
       connection,
       route: () => table?.routes.get(database),
@@ -341,6 +351,7 @@
 
   return {
     accept,
+    metrics,
     dispose,
     get ready() {
       if (stopping || !table) return false;
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -16,6 +16,7 @@
   type PlaceRequest,
 } from './group.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
 import type {Need} from './placing.js';
 import {ReadRule, type Route} from './routes.js';
@@ -38,6 +39,7 @@
 export interface ServeContext {
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly route: Route;
   readonly group: GroupRuntime;
   readonly memory: SessionMemory;
@@ -64,8 +66,20 @@
   return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY_NEED;
 }
 
-/** A request for a place for what `need` tells. */
-export function placeRequest(
+/** Waits for a place for what `need` tells; undefined when there was none. */
+export async function findPlace(
+  context: ServeContext,
+  primaryOnly: boolean,
+  need: () => Need,
+): Promise<Lease | undefined> {
+  const {clock, group, route, metrics} = context;
+  const since = clock.now();
+  const lease = await group.place(placeRequest(context, primaryOnly, need));
+  metrics.placed(route.rule, clock.now() - since);
+  return lease;
+}
+
+function placeRequest(
   context: ServeContext,
   primaryOnly: boolean,
   need: () => Need,
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -14,6 +14,7 @@
 } from '@quetzalreel/exchange';
 import type {GroupRuntime} from './group.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import {withValue} from './pooled.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newMemory} from './session-context.js';
@@ -31,6 +32,7 @@
   readonly group: (name: string) => GroupRuntime | undefined;
   /** How long a transaction may rest, in milliseconds. */
   readonly idleTransactionMs: () => number;
+  readonly metrics: Metrics;
   /** Whether this instance stops. */
   readonly stopping: () => boolean;
   readonly onEnd: () => void;
@@ -111,7 +113,16 @@
     const group = route && context.group(route.group);
     if (route && group) {
       const hasLeft = () => ended;
-      return {clock, log, route, group, memory, arrivedAt, hasLeft};
+      return {
+        clock,
+        log,
+        metrics: context.metrics,
+        route,
+        group,
+        memory,
+        arrivedAt,
+        hasLeft,
+      };
     }
     const text = `no route leads from ${context.database} to a group`;
     return ownError(ErrorCode.NoDatabase, text, SessionState.Idle);
@@ -185,6 +196,8 @@
         break;
       }
       queue.shift();
+      const rule = (pinned ?? context.route())?.rule;
+      if (rule) context.metrics.answered(rule, answer, clock.now() - arrivedAt);
       if (ended) break;
       connection.answer(answer);
       if (answer.error?.code === ErrorCode.NoDatabase) dismissNow();
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -18,8 +18,8 @@
   forwardOf,
   limitOf,
   noPlace,
+  findPlace,
   noteCommit,
-  placeRequest,
   readNeed,
 } from './session-context.js';
 
@@ -31,14 +31,15 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, route, group} = context;
+  const {clock, route} = context;
   const limit = limitOf(context);
   const avoid = new Set<string>();
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const wanted = placeRequest(context, route.rule === ReadRule.Primary, () =>
-      readNeed(context, avoid),
+    const lease = await findPlace(
+      context,
+      route.rule === ReadRule.Primary,
+      () => readNeed(context, avoid),
     );
-    const lease = await group.place(wanted);
     if (!lease) break;
     const {atLeast} = lease.need;
     const left = limit - clock.now();
@@ -167,11 +168,10 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, group} = context;
+  const {clock} = context;
   const limit = limitOf(context);
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const wanted = placeRequest(context, true, () => PRIMARY_NEED);
-    const lease = await group.place(wanted);
+    const lease = await findPlace(context, true, () => PRIMARY_NEED);
     if (!lease) break;
     const result = await writeOnce(context, req, lease, limit - clock.now());
     if (result !== 'again') return result;
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -24,8 +24,8 @@
   forwardOf,
   limitOf,
   noPlace,
+  findPlace,
   noteCommit,
-  placeRequest,
   readNeed,
 } from './session-context.js';
 
@@ -78,15 +78,14 @@
     context: ServeContext,
     avoid: Set<string>,
   ): Promise<Lease | undefined> {
-    const {clock, route, group} = context;
+    const {clock, route} = context;
     const limit = limitOf(context);
     for (let tries = 0; tries < LIMITS.tries; tries++) {
-      const wanted = placeRequest(
+      const taken = await findPlace(
         context,
         !readOnly || route.rule === ReadRule.Primary,
         () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
       );
-      const taken = await group.place(wanted);
       if (!taken) return undefined;
       const {atLeast} = taken.need;
       if (await begin(context, taken, atLeast, avoid)) return taken;
--- a/packages/takeover/src/change.ts
+++ b/packages/takeover/src/change.ts
@@ -3,6 +3,7 @@
  * orders until the outcome is known.
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
+import {Freshness} from '@quetzalreel/object-store';
 import type {
   LeaseRecord,
   LeaseStore,
@@ -77,12 +78,14 @@
   let last: {readonly seen: SeenLease; readonly at: number} | undefined;
 
   function note(seen: SeenLease): void {
-    if (last?.seen.revision === seen.revision) return;
+    if (last && last.seen.revision >= seen.revision) return;
     last = {seen, at: clock.now()};
   }
 
-  async function readLease(): Promise<SeenLease | undefined> {
-    const seen = await lease.read();
+  async function readLease(
+    freshness: Freshness,
+  ): Promise<SeenLease | undefined> {
+    const seen = await lease.read(freshness);
     if (seen) note(seen);
     return seen;
   }
@@ -116,7 +119,7 @@
   async function takeFence(
     planned: PlannedChange,
   ): Promise<SeenLease | ChangeOutcome> {
-    const seen = await readLease();
+    const seen = await readLease(Freshness.Current);
     if (isTurnOfOther()) return ChangeOutcome.StoodBack;
     const fence = (seen?.record.fence ?? 0) + 1;
     const record = {holder: instance, fence, change: planned};
@@ -181,7 +184,8 @@
       return last?.seen.record.holder === instance;
     },
     async observe() {
-      const seen = await readLease();
+      // An old answer is older than it seems, which only makes a turn longer.
+      const seen = await readLease(last ? Freshness.Stale : Freshness.Current);
       if (seen) return;
       const record = {holder: instance, fence: 1, change: undefined};
       held = await write(record, undefined);
--- a/packages/takeover/src/lease.ts
+++ b/packages/takeover/src/lease.ts
@@ -4,6 +4,7 @@
  * fence, so an order that is carried out late is refused after a newer one.
  */
 import {
+  Freshness,
   type KindObject,
   type KindStore,
   RevisionConflictError,
@@ -48,7 +49,7 @@
 
 /** Reads and replaces the lease. Calls reject with the store's errors. */
 export interface LeaseStore {
-  read(): Promise<SeenLease | undefined>;
+  read(freshness?: Freshness): Promise<SeenLease | undefined>;
   /** Writes `record` if the lease is still as `seen`; undefined when not. */
   replace(
     record: LeaseRecord,
@@ -59,8 +60,8 @@
 /** The lease in `store`. */
 export function leaseStore(store: KindStore): LeaseStore {
   return {
-    async read() {
-      const object = await store.get(LEASE_KIND, LEASE_NAME);
+    async read(freshness = Freshness.Current) {
+      const object = await store.get(LEASE_KIND, LEASE_NAME, freshness);
       return object && readLease(object);
     },
     async replace(record, seen) {
--- a/packages/witness/src/roster.ts
+++ b/packages/witness/src/roster.ts
@@ -1,5 +1,6 @@
 /** The instances as they list themselves in the store. */
 import {
+  Freshness,
   type KindObject,
   type KindStore,
   RevisionConflictError,
@@ -49,7 +50,7 @@
 
 /** The instances that are listed, but for those that can't be read. */
 export async function readRoster(store: KindStore): Promise<RosterEntry[]> {
-  const {objects} = await store.list(INSTANCE_KIND);
+  const {objects} = await store.list(INSTANCE_KIND, Freshness.Stale);
   const entries: RosterEntry[] = [];
   for (const object of objects) {
     const entry = readRosterEntry(object);
