Split the group's parts; ask for positions of the newest term only

A read asks for a position of the newest term that has a sample: one of a replaced term may have been rolled back, and no log would ever hold it (test 'is of the newest term once that has a sample', which fails without the change).

--- a/packages/freshness/src/samples.ts
+++ b/packages/freshness/src/samples.ts
@@ -63,8 +63,11 @@
   now: number,
 ): Position | undefined {
   const since = now - maxStalenessMs;
+  // A position of a replaced term may have been rolled back with it; the
+  // next term's log holds all of the old one that counts.
+  const term = newestOf(samples)?.position.term;
   for (const {sentAt, position} of samples.items) {
-    if (sentAt < since) continue;
+    if (sentAt < since || position.term !== term) continue;
     return floor ? laterOf(floor, position) : position;
   }
   return undefined;
--- a/packages/freshness/test/test-sample-book.ts
+++ b/packages/freshness/test/test-sample-book.ts
@@ -44,6 +44,15 @@
     assert.deepEqual(book.required(1500, AT_20), AT_20);
   });
 
+  it('is of the newest term once that has a sample', () => {
+    const {clock, book} = bookOnClocks();
+    const next = {term: 2, offset: 5};
+    book.add({sentAt: 0, position: AT_20});
+    book.add({sentAt: 100, position: next});
+    clock.advance(200);
+    assert.deepEqual(book.required(1500, undefined), next);
+  });
+
   it('is the sample when the floor is of a replaced term', () => {
     const {book} = bookOnClocks();
     const next = {term: 2, offset: 5};
--- /dev/null
+++ b/packages/proxy/src/group-types.ts
@@ -0,0 +1,107 @@
+/** What a group offers to sessions and to the parts that watch it. */
+import type {Clock, Disposable} from '@quetzalreel/common';
+import type {Answer, EndpointDriver} from '@quetzalreel/exchange';
+import type {SleepGuard} from '@quetzalreel/freshness';
+import type {Position} from '@quetzalreel/position';
+import type {ConfirmedPosition, Finding} from '@quetzalreel/witness';
+import type {EndpointLink} from './endpoint-link.js';
+import type {Log} from './log.js';
+import type {Need} from './placing.js';
+import type {PooledConnection} from './pooled.js';
+import type {GroupPolicy, ListedEndpoint} from './routes.js';
+
+/** A connection that a session may use until it gives it back. */
+export interface Lease {
+  /** What it was given for. */
+  readonly need: Need;
+  readonly link: EndpointLink;
+  readonly pooled: PooledConnection;
+  /** Ends the use; a connection that is not reusable is closed. */
+  giveBack(reusable: boolean): void;
+}
+
+/** A request for a place. */
+export interface PlaceRequest {
+  /** Whether only the primary will ever do. */
+  readonly primaryOnly: boolean;
+  /** What is needed now; it may change while the request waits. */
+  readonly need: () => Need;
+  readonly priority: number;
+  /** Key of the session's settings. */
+  readonly settingsKey: string;
+  /** When an answer would be late, monotonic milliseconds. */
+  readonly lateAt: number;
+  /** When waiting is given up, monotonic milliseconds. */
+  readonly until: number;
+  /** Whether the caller has left: nobody waits for an answer any more. */
+  readonly hasLeft: () => boolean;
+}
+
+/** What a group works with. */
+export interface GroupContext {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly driver: EndpointDriver;
+  readonly guard: SleepGuard;
+  /** Asks other instances whether they reach an endpoint; undefined while
+   * there are none to ask. */
+  readonly askOthers: (
+    group: string,
+    endpoint: string,
+  ) => Promise<Finding | undefined>;
+  /** Asks other instances for a position that they have confirmed. */
+  readonly askConfirmed: (group: string) => void;
+}
+
+/** A group at work. */
+export interface GroupRuntime extends Disposable {
+  readonly name: string;
+  policy: GroupPolicy;
+  readonly links: ReadonlyMap<string, EndpointLink>;
+  readonly primary: EndpointLink | undefined;
+  /** The last endpoint that was the primary, listed or not; '' for none. */
+  readonly lastPrimary: string;
+  /** Since when there has been no primary; undefined while there is one. */
+  readonly missingSince: number | undefined;
+  /** Whether the primary lives but can't be reached from here. */
+  readonly isOutOfReach: boolean;
+  /** Waits for a place; undefined when there was none in time. */
+  place(req: PlaceRequest): Promise<Lease | undefined>;
+  /** The newest position that this instance has confirmed itself. */
+  ownConfirmed(): ConfirmedPosition | undefined;
+  /** Takes a position that another instance has confirmed. */
+  takeConfirmed(confirmed: ConfirmedPosition, askedAt: number): void;
+  /** What a log must hold; undefined when no sample tells. */
+  required(
+    maxStalenessMs: number,
+    floor: Position | undefined,
+  ): Position | undefined;
+  /** Notes an answer of a statement that was sent at `sentAt`. */
+  answered(link: EndpointLink, answer: Answer, sentAt: number): void;
+  /** Notes an answer that only a primary gives. */
+  confirmed(link: EndpointLink, answer: Answer, sentAt: number): void;
+  /** Notes that an endpoint said that it is not the primary. */
+  denied(link: EndpointLink, sentAt: number): void;
+  listed(endpoints: readonly ListedEndpoint[]): void;
+  /** Whether an endpoint answers now; asks it if it was not heard of. '' asks
+   * for the primary, whichever it is. */
+  reaches(endpoint: string, withinMs: number): Promise<boolean>;
+  /** Looks at time: probes, connections, requests that waited too long. */
+  tick(): void;
+}
+
+/** No need but an endpoint. */
+export const ANY: Need = {
+  primaryOnly: false,
+  atLeast: undefined,
+  avoid: new Set(),
+};
+
+/** The need of what only the primary can serve. */
+export const PRIMARY_NEED: Need = {
+  primaryOnly: true,
+  atLeast: undefined,
+  avoid: new Set(),
+};
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -2,14 +2,7 @@
  * One group at work: its endpoints, which of them is the primary, the samples
  * of its log, and the statements that wait for a place.
  */
-import type {Clock, Disposable} from '@quetzalreel/common';
-import {
-  type Answer,
-  type EndpointDriver,
-  ErrorCode,
-} from '@quetzalreel/exchange';
-import {type Sample, type SleepGuard, sampleBook} from '@quetzalreel/freshness';
-import type {Position} from '@quetzalreel/position';
+import {ErrorCode} from '@quetzalreel/exchange';
 import {afterBusy, afterRun} from './concurrency.js';
 import {detours} from './detours.js';
 import {LIMITS, TIMES} from './defaults.js';
@@ -18,116 +11,26 @@
   endpointLink,
   noteAnswerTime,
 } from './endpoint-link.js';
+import {confirmedPositions} from './confirmed-positions.js';
+import {
+  ANY,
+  type GroupContext,
+  type GroupRuntime,
+  type Lease,
+  PRIMARY_NEED,
+  type PlaceRequest,
+} from './group-types.js';
 import {leaderOf} from './leadership.js';
-import type {Log} from './log.js';
 import {type Need, type Place, choosePlace} from './placing.js';
-import type {PooledConnection} from './pooled.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
-import type {ConfirmedPosition, Finding} from '@quetzalreel/witness';
 import {waitingLine} from './waiting.js';
 
-/** A connection that a session may use until it gives it back. */
-export interface Lease {
-  /** What it was given for. */
-  readonly need: Need;
-  readonly link: EndpointLink;
-  readonly pooled: PooledConnection;
-  /** Ends the use; a connection that is not reusable is closed. */
-  giveBack(reusable: boolean): void;
-}
-
-/** A request for a place. */
-export interface PlaceRequest {
-  /** Whether only the primary will ever do. */
-  readonly primaryOnly: boolean;
-  /** What is needed now; it may change while the request waits. */
-  readonly need: () => Need;
-  readonly priority: number;
-  /** Key of the session's settings. */
-  readonly settingsKey: string;
-  /** When an answer would be late, monotonic milliseconds. */
-  readonly lateAt: number;
-  /** When waiting is given up, monotonic milliseconds. */
-  readonly until: number;
-  /** Whether the caller has left: nobody waits for an answer any more. */
-  readonly hasLeft: () => boolean;
-}
-
 interface Waiter extends PlaceRequest {
   resolve(lease: Lease | undefined): void;
   done: boolean;
 }
 
-/** What a group works with. */
-export interface GroupContext {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly clock: Clock;
-  readonly log: Log;
-  readonly driver: EndpointDriver;
-  readonly guard: SleepGuard;
-  /** Asks other instances whether they reach an endpoint; undefined while
-   * there are none to ask. */
-  readonly askOthers: (
-    group: string,
-    endpoint: string,
-  ) => Promise<Finding | undefined>;
-  /** Asks other instances for a position that they have confirmed. */
-  readonly askConfirmed: (group: string) => void;
-}
-
-/** A group at work. */
-export interface GroupRuntime extends Disposable {
-  readonly name: string;
-  policy: GroupPolicy;
-  readonly links: ReadonlyMap<string, EndpointLink>;
-  readonly primary: EndpointLink | undefined;
-  /** The last endpoint that was the primary, listed or not; '' for none. */
-  readonly lastPrimary: string;
-  /** Since when there has been no primary; undefined while there is one. */
-  readonly missingSince: number | undefined;
-  /** Whether the primary lives but can't be reached from here. */
-  readonly isOutOfReach: boolean;
-  /** Waits for a place; undefined when there was none in time. */
-  place(req: PlaceRequest): Promise<Lease | undefined>;
-  /** The newest position that this instance has confirmed itself. */
-  ownConfirmed(): ConfirmedPosition | undefined;
-  /** Takes a position that another instance has confirmed. */
-  takeConfirmed(confirmed: ConfirmedPosition, askedAt: number): void;
-  /** What a log must hold; undefined when no sample tells. */
-  required(
-    maxStalenessMs: number,
-    floor: Position | undefined,
-  ): Position | undefined;
-  /** Notes an answer of a statement that was sent at `sentAt`. */
-  answered(link: EndpointLink, answer: Answer, sentAt: number): void;
-  /** Notes an answer that only a primary gives. */
-  confirmed(link: EndpointLink, answer: Answer, sentAt: number): void;
-  /** Notes that an endpoint said that it is not the primary. */
-  denied(link: EndpointLink, sentAt: number): void;
-  listed(endpoints: readonly ListedEndpoint[]): void;
-  /** Whether an endpoint answers now; asks it if it was not heard of. '' asks
-   * for the primary, whichever it is. */
-  reaches(endpoint: string, withinMs: number): Promise<boolean>;
-  /** Looks at time: probes, connections, requests that waited too long. */
-  tick(): void;
-}
-
-/** No need but an endpoint. */
-export const ANY: Need = {
-  primaryOnly: false,
-  atLeast: undefined,
-  avoid: new Set(),
-};
-
-/** The need of what only the primary can serve. */
-export const PRIMARY_NEED: Need = {
-  primaryOnly: true,
-  atLeast: undefined,
-  avoid: new Set(),
-};
-
 /** A group of which nothing is known yet. */
 export function groupRuntime(
   policy: GroupPolicy,
@@ -145,17 +48,10 @@
     ask: endpoint => context.askOthers(context.name, endpoint),
     onFound: link => link.open(mostConnections()),
   });
-  const samples = sampleBook(
-    context.guard,
-    () => clock.now(),
-    () => {
-      own = undefined;
-      log.warn({event: 'clocksApart', group: group.name});
-    },
-  );
-  /** The newest sample that this instance took itself. */
-  let own: Sample | undefined;
-  let askedConfirmedAt = -Infinity;
+  const positions = confirmedPositions({
+    ...context,
+    askOthers: () => context.askConfirmed(context.name),
+  });
   let primaryId: string | undefined;
   let lastPrimary = '';
   let missingSince: number | undefined = clock.now();
@@ -300,7 +196,7 @@
     if (facts.running > 0 && silentMs > TIMES.suspectMs) return true;
     if (!primaryId) return true;
     if (listed.id !== primaryId) return false;
-    return samples.age() > TIMES.sampleEveryMs;
+    return positions.age() > TIMES.sampleEveryMs;
   }
 
   function probeEndpoint(link: EndpointLink): void {
@@ -342,15 +238,7 @@
       if (lease || isOutOfReach(req.need())) return lease;
       return wait(req);
     },
-    required(maxStalenessMs, floor) {
-      const now = clock.now();
-      const found = samples.required(maxStalenessMs, floor);
-      if (!found && now - askedConfirmedAt > TIMES.askConfirmedMs) {
-        askedConfirmedAt = now;
-        context.askConfirmed(group.name);
-      }
-      return found;
-    },
+    required: positions.required,
     answered(link, answer, sentAt) {
       link.heard(answer);
       const {facts, listed} = link;
@@ -365,19 +253,15 @@
       link.facts.ledAt = Math.max(link.facts.ledAt, sentAt);
       if (link.listed.id !== primaryId) findPrimary();
       if (!position || link.listed.id !== primaryId) return;
-      const sample = {sentAt, position};
-      if (samples.add(sample)) own = sample;
+      positions.noteOwn({sentAt, position});
     },
     ownConfirmed() {
-      const newest = samples.newest();
-      if (!own || !newest || primaryId === undefined) return undefined;
-      const {sentAt, position} = own;
-      return {endpoint: primaryId, position, ageMs: clock.now() - sentAt};
+      const own = positions.own();
+      if (!own || primaryId === undefined) return undefined;
+      return {endpoint: primaryId, ...own};
     },
     takeConfirmed({endpoint, position}, askedAt) {
-      const newest = samples.newest();
-      if (newest && newest.sentAt >= askedAt) return;
-      if (!samples.add({sentAt: askedAt, position})) return;
+      if (!positions.noteOfOther({sentAt: askedAt, position})) return;
       const link = links.get(endpoint);
       if (link) {
         link.facts.ledAt = Math.max(link.facts.ledAt, askedAt);
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -3,7 +3,7 @@
 import type {Disposable} from '@quetzalreel/common';
 import type {Answer} from '@quetzalreel/exchange';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
-import type {GroupRuntime} from './group.js';
+import type {GroupRuntime} from './group-types.js';
 import type {ReadRule} from './routes.js';
 
 /** What sessions report. */
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -13,7 +13,7 @@
 import {Verdict, type Witnesses} from '@quetzalreel/witness';
 import {PATIENCE, TIMES} from './defaults.js';
 import type {EndpointLink} from './endpoint-link.js';
-import {ANY, type GroupRuntime} from './group.js';
+import {ANY, type GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import {sendWithin} from './probe.js';
 
--- a/packages/proxy/src/probe.ts
+++ b/packages/proxy/src/probe.ts
@@ -11,7 +11,7 @@
   type EndpointRequest,
   SessionState,
 } from '@quetzalreel/exchange';
-import type {GroupRuntime, Lease} from './group.js';
+import type {GroupRuntime, Lease} from './group-types.js';
 import type {Log} from './log.js';
 
 /** What a probe works with. */
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -30,7 +30,8 @@
   stepDirectory,
 } from './directory.js';
 import {followKind} from './follow.js';
-import {type GroupRuntime, groupRuntime} from './group.js';
+import {type GroupRuntime} from './group-types.js';
+import {groupRuntime} from './group.js';
 import type {Log} from './log.js';
 import {type Metrics, proxyMetrics} from './metrics.js';
 import {watchPrimary} from './primary-watch.js';
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -14,7 +14,7 @@
   type Lease,
   PRIMARY_NEED,
   type PlaceRequest,
-} from './group.js';
+} from './group-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -12,7 +12,7 @@
   ownAnswer,
   ownError,
 } from '@quetzalreel/exchange';
-import type {GroupRuntime} from './group.js';
+import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import {withValue} from './pooled.js';
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -10,7 +10,7 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
-import {type Lease, PRIMARY_NEED} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group-types.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -15,7 +15,7 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS} from './defaults.js';
-import {type Lease, PRIMARY_NEED} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group-types.js';
 import {endTransaction} from './single.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
