Write logs without waiting for their reader

Cause: writes to a pipe are synchronous, so a reader that stalls would stop the process, and bunyan's stream has no bound.

Change: log-writer.ts gathers lines in a bounded buffer beside one write under way, drops what does not fit, counts it, and says so when the reader is back (test 'never block, and never grow, while their reader stalls').

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,5 +1,6 @@
 /** Public exports of `@quetzalreel/proxy`. */
-export {type Log, createLog} from './log.js';
+export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
+export {type Log, type LogTarget, createLog} from './log.js';
 export {type Metrics, serveMetrics} from './metrics.js';
 export {type Proxy, type ProxyOptions, startProxy} from './proxy.js';
 export {
--- a/packages/proxy/src/log.ts
+++ b/packages/proxy/src/log.ts
@@ -1,4 +1,4 @@
-/** Structured logs: one JSON line for each event, on standard output. */
+/** Structured logs: one JSON line for each event. */
 import bunyan from 'bunyan';
 
 /** What the daemon logs to. */
@@ -10,10 +10,7 @@
 }
 
 /** A log of this instance to `target`. */
-export function createLog(
-  instance: string,
-  target: LogTarget = process.stdout,
-): Log {
+export function createLog(instance: string, target: LogTarget): Log {
   return bunyan.createLogger({
     name: 'quetzalreeld',
     instance,
