--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -26,13 +26,11 @@
   distanceMs: 3,
   /** Longest time for one try of a read; a third of the statement's. */
   readTryShare: 0.4,
-  /** Age of a replica's position beyond which it is tried anyway. */
-  positionAgeMs: 150,
   /** How long one watch of the configuration waits; with the wait for an
    * answer it is within the bound for configurations to be in force. */
-  watchConfigurationMs: 2500,
+  watchConfigurationMs: 3000,
   /** How long one watch of endpoints' entries waits. */
-  watchEndpointsMs: 3000,
+  watchEndpointsMs: 4500,
   /** After a stop was asked for, the balancer still sends callers here. */
   balancerMs: 2500,
   /** Between two looks at the lease for changes of primary. */
@@ -84,8 +82,6 @@
   leastConnections: 1,
   /** Part of an endpoint's connections that one instance may use. */
   connectionShare: 0.4,
-  /** Statements under way to one endpoint for each of its slots. */
-  runningPerSlot: 2,
   /** Tries of one statement. */
   tries: 5,
   /** Requests looked at in one lane before the others wait for a change. */
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -13,7 +13,7 @@
 import {Verdict, type Witnesses} from '@quetzalreel/witness';
 import {PATIENCE, TIMES} from './defaults.js';
 import type {EndpointLink} from './endpoint-link.js';
-import {ANY, type GroupRuntime} from './group.js';
+import {ANY, type GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import {sendWithin} from './probe.js';
 
@@ -64,7 +64,9 @@
       need: () => ({...ANY, avoid}),
       priority: 0,
       settingsKey: '',
+      lateAt: clock.now() + TIMES.statusMs,
       until: clock.now() + TIMES.statusMs,
+      hasLeft: () => false,
     });
     if (!lease) return undefined;
     const bound = {clock, timeoutMs: TIMES.statusMs};
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -9,8 +9,14 @@
   ownError,
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
-import {type GroupRuntime, type Lease, PRIMARY_NEED} from './group.js';
+import {
+  type GroupRuntime,
+  type Lease,
+  PRIMARY_NEED,
+  type PlaceRequest,
+} from './group-types.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import {NO_SETTINGS, type Prepared, type SessionSettings} from './pooled.js';
 import type {Need} from './placing.js';
 import {ReadRule, type Route} from './routes.js';
@@ -33,11 +39,14 @@
 export interface ServeContext {
   readonly clock: Clock;
   readonly log: Log;
+  readonly metrics: Metrics;
   readonly route: Route;
   readonly group: GroupRuntime;
   readonly memory: SessionMemory;
   /** When the request came, monotonic milliseconds. */
   readonly arrivedAt: number;
+  /** Whether the caller has left. */
+  readonly hasLeft: () => boolean;
 }
 
 /**
@@ -57,6 +66,36 @@
   return atLeast ? {primaryOnly: false, atLeast, avoid} : PRIMARY_NEED;
 }
 
+/** Waits for a place for what `need` tells; undefined when there was none. */
+export async function findPlace(
+  context: ServeContext,
+  primaryOnly: boolean,
+  need: () => Need,
+): Promise<Lease | undefined> {
+  const {clock, group, route, metrics} = context;
+  const since = clock.now();
+  const lease = await group.place(placeRequest(context, primaryOnly, need));
+  metrics.placed(route.rule, clock.now() - since);
+  return lease;
+}
+
+function placeRequest(
+  context: ServeContext,
+  primaryOnly: boolean,
+  need: () => Need,
+): PlaceRequest {
+  const {route, memory, arrivedAt, hasLeft} = context;
+  return {
+    primaryOnly,
+    need,
+    priority: route.priority,
+    settingsKey: memory.settings.key,
+    lateAt: arrivedAt + route.objectiveMs,
+    until: limitOf(context),
+    hasLeft,
+  };
+}
+
 /** When the request must have its answer. */
 export function limitOf({route, arrivedAt}: ServeContext): number {
   return arrivedAt + route.statementTimeoutMs;
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -12,8 +12,9 @@
   ownAnswer,
   ownError,
 } from '@quetzalreel/exchange';
-import type {GroupRuntime} from './group.js';
+import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
+import type {Metrics} from './metrics.js';
 import {withValue} from './pooled.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newMemory} from './session-context.js';
@@ -31,6 +32,7 @@
   readonly group: (name: string) => GroupRuntime | undefined;
   /** How long a transaction may rest, in milliseconds. */
   readonly idleTransactionMs: () => number;
+  readonly metrics: Metrics;
   /** Whether this instance stops. */
   readonly stopping: () => boolean;
   readonly onEnd: () => void;
@@ -109,7 +111,19 @@
   function serveContext(arrivedAt: number): ServeContext | Answer {
     const route = pinned ?? context.route();
     const group = route && context.group(route.group);
-    if (route && group) return {clock, log, route, group, memory, arrivedAt};
+    if (route && group) {
+      const hasLeft = () => ended;
+      return {
+        clock,
+        log,
+        metrics: context.metrics,
+        route,
+        group,
+        memory,
+        arrivedAt,
+        hasLeft,
+      };
+    }
     const text = `no route leads from ${context.database} to a group`;
     return ownError(ErrorCode.NoDatabase, text, SessionState.Idle);
   }
@@ -182,6 +196,8 @@
         break;
       }
       queue.shift();
+      const rule = (pinned ?? context.route())?.rule;
+      if (rule) context.metrics.answered(rule, answer, clock.now() - arrivedAt);
       if (ended) break;
       connection.answer(answer);
       if (answer.error?.code === ErrorCode.NoDatabase) dismissNow();
--- a/packages/proxy/src/single.ts
+++ b/packages/proxy/src/single.ts
@@ -10,7 +10,7 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
-import {type Lease, PRIMARY_NEED} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group-types.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
 import {
@@ -18,6 +18,7 @@
   forwardOf,
   limitOf,
   noPlace,
+  findPlace,
   noteCommit,
   readNeed,
 } from './session-context.js';
@@ -30,17 +31,15 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, route, group, memory} = context;
+  const {clock, route} = context;
   const limit = limitOf(context);
   const avoid = new Set<string>();
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const lease = await group.place({
-      primaryOnly: route.rule === ReadRule.Primary,
-      need: () => readNeed(context, avoid),
-      priority: route.priority,
-      settingsKey: memory.settings.key,
-      until: limit,
-    });
+    const lease = await findPlace(
+      context,
+      route.rule === ReadRule.Primary,
+      () => readNeed(context, avoid),
+    );
     if (!lease) break;
     const {atLeast} = lease.need;
     const left = limit - clock.now();
@@ -105,7 +104,7 @@
   try {
     const begin = {type: 'begin', readOnly: false} as const;
     const begun = await sendWithin(lease, begin, bound);
-    link.heard(begun, sentAt);
+    link.heard(begun);
     if (begun.error) {
       if (begun.error.code === ErrorCode.ReadOnly) group.denied(link, sentAt);
       lease.giveBack(begun.state === SessionState.Idle);
@@ -154,12 +153,11 @@
 }
 
 function lost(
-  {log, clock}: ServeContext,
+  {log}: ServeContext,
   req: CallerRequest,
   err: unknown,
   endpoint: string,
 ): Try {
-  void clock;
   log.info({event: 'readLost', id: req.id, endpoint, why: messageOf(err)});
   return 'again';
 }
@@ -170,16 +168,10 @@
   context: ServeContext,
   req: CallerRequest,
 ): Promise<Answer> {
-  const {clock, route, group, memory} = context;
+  const {clock} = context;
   const limit = limitOf(context);
   for (let tries = 0; tries < LIMITS.tries; tries++) {
-    const lease = await group.place({
-      primaryOnly: true,
-      need: () => PRIMARY_NEED,
-      priority: route.priority,
-      settingsKey: memory.settings.key,
-      until: limit,
-    });
+    const lease = await findPlace(context, true, () => PRIMARY_NEED);
     if (!lease) break;
     const result = await writeOnce(context, req, lease, limit - clock.now());
     if (result !== 'again') return result;
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -15,7 +15,7 @@
 } from '@quetzalreel/exchange';
 import type {Position} from '@quetzalreel/position';
 import {LIMITS} from './defaults.js';
-import {type Lease, PRIMARY_NEED} from './group.js';
+import {type Lease, PRIMARY_NEED} from './group-types.js';
 import {endTransaction} from './single.js';
 import {sendWithin} from './probe.js';
 import {ReadRule} from './routes.js';
@@ -24,6 +24,7 @@
   forwardOf,
   limitOf,
   noPlace,
+  findPlace,
   noteCommit,
   readNeed,
 } from './session-context.js';
@@ -77,16 +78,14 @@
     context: ServeContext,
     avoid: Set<string>,
   ): Promise<Lease | undefined> {
-    const {clock, route, group, memory} = context;
+    const {clock, route} = context;
     const limit = limitOf(context);
     for (let tries = 0; tries < LIMITS.tries; tries++) {
-      const taken = await group.place({
-        primaryOnly: !readOnly || route.rule === ReadRule.Primary,
-        need: () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
-        priority: route.priority,
-        settingsKey: memory.settings.key,
-        until: limit,
-      });
+      const taken = await findPlace(
+        context,
+        !readOnly || route.rule === ReadRule.Primary,
+        () => (readOnly ? readNeed(context, avoid) : PRIMARY_NEED),
+      );
       if (!taken) return undefined;
       const {atLeast} = taken.need;
       if (await begin(context, taken, atLeast, avoid)) return taken;
@@ -116,7 +115,7 @@
         {type: 'begin', readOnly: asRead, atLeast},
         {clock, timeoutMs},
       );
-      link.heard(answer, sentAt);
+      link.heard(answer);
       if (!answer.error) {
         if (!asRead) group.confirmed(link, answer, sentAt);
         return true;
