Let both instances know each other before one leaves, in a test

Change: the test waits until both know each other. It is as strict: the same stand is asked for, and the leaving is now what tells it.

--- a/packages/daemon/test/test-config-actor.ts
+++ b/packages/daemon/test/test-config-actor.ts
@@ -179,7 +179,10 @@
   await put(server, 1);
   const a = await instance(server.port, []);
   const b = await instance(server.port, [a.fleet.address]);
-  await until(() => a.fleet.members.length === 2);
+  // Who leaves tells those it knows, so both must know each other first.
+  await until(
+    () => a.fleet.members.length === 2 && b.fleet.members.length === 2,
+  );
   b.fleet.leave();
   await until(() => a.fleet.members.length === 1);
   const stands = [...a.fleet.state.members.values()];
