--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -1,9 +1,30 @@
 /** Public exports of `@quetzalreel/failover`. */
+export {
+  type ChangeRecord,
+  type ChangeRecords,
+  NO_CHANGES,
+  digestOf,
+  highestFence,
+  isChangeRecord,
+  withChanges,
+} from './change-records.js';
+export {
+  type Confirmations,
+  type OrderTime,
+  type Permission,
+  type PermissionLimits,
+  NO_PERMISSION,
+  isMajority,
+  orderTime,
+  permittedUntil,
+} from './permission.js';
 export {
   type ChangeContext,
   type ChangeEvent,
   type ChangeLimits,
   ChangeOutcome,
+  type LeaseTerm,
+  type PrepareChange,
   type PrimaryChanger,
   primaryChanger,
 } from './primary-changer.js';
--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -9,6 +9,7 @@
   type KindStore,
   RevisionConflictError,
 } from '@quetzalreel/object-store';
+import {type ChangeRecord, isChangeRecord} from './change-records.js';
 
 /** A change of primary that the holder has begun. */
 export interface PlannedChange {
@@ -24,6 +25,11 @@
   readonly fence: number;
   /** The latest change that was begun; undefined if there is none. */
   readonly change: PlannedChange | undefined;
+  /**
+   * The newest change of each group, as far as the holder knew; missing in a
+   * record of an instance that runs an older build.
+   */
+  readonly changes?: readonly ChangeRecord[] | undefined;
 }
 
 /** The lease at one revision. */
@@ -43,7 +49,11 @@
   if (typeof value !== 'object' || value === null) return undefined;
   const {holder, fence, change} = value;
   if (typeof holder !== 'string' || !Number.isInteger(fence)) return undefined;
-  const record = {holder, fence: fence!, change};
+  const listed: readonly unknown[] = Array.isArray(value.changes)
+    ? value.changes
+    : [];
+  const changes = listed.filter(isChangeRecord);
+  const record = {holder, fence: fence!, change, changes};
   return {record, revision: object.revision};
 }
 
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -4,6 +4,13 @@
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
 import {Freshness} from '@quetzalreel/object-store';
+import {
+  type ChangeRecord,
+  type ChangeRecords,
+  NO_CHANGES,
+  highestFence,
+  withChanges,
+} from './change-records.js';
 import type {
   LeaseRecord,
   LeaseStore,
@@ -24,6 +31,8 @@
   Unanswered: 'unanswered',
   /** The store is unreachable, and no fence may be used without it. */
   NoFence: 'noFence',
+  /** The preparation failed: the old primary may still be in use. */
+  NotPrepared: 'notPrepared',
 } as const;
 
 /** One of the values of `ChangeOutcome`. */
@@ -55,8 +64,31 @@
   readonly orders: PromotionOrders;
   readonly limits: ChangeLimits;
   readonly onEvent: (event: ChangeEvent) => void;
+  /** Called when a newer change of a group became known. */
+  readonly onChanges?: () => void;
 }
 
+/** The state of the lease in which a change is prepared. */
+export interface LeaseTerm {
+  /**
+   * When the store acknowledged the lease with the change; undefined if the
+   * held fence is used without the store. Monotonic milliseconds.
+   */
+  readonly writtenAt: number | undefined;
+  /** When the last order may be sent. Monotonic milliseconds. */
+  readonly orderUntil: number;
+}
+
+/**
+ * Makes sure that the old primary is no longer used; called after the lease was
+ * acquired and before the order. Resolves to false if it can't be ensured; no
+ * order is sent then.
+ */
+export type PrepareChange = (
+  change: ChangeRecord,
+  term: LeaseTerm,
+) => Promise<boolean>;
+
 /** Changes primaries on behalf of one instance, one change at a time. */
 export interface PrimaryChanger {
   /** Whether this instance was the holder when the lease was last read. */
@@ -64,7 +96,21 @@
   /** Reads the lease, and acquires it if it does not exist: an instance must
    * hold it before the store becomes unreachable. */
   refreshLease(): Promise<void>;
-  change(planned: PlannedChange): Promise<ChangeOutcome>;
+  /**
+   * Reads the lease from the store itself, not from a copy that may be out of
+   * date. Rejects with the store's errors.
+   */
+  readLease(): Promise<void>;
+  /** The newest known change of each group. */
+  readonly changes: ChangeRecords;
+  /** Adds changes that other instances reported. */
+  addChanges(changes: Iterable<ChangeRecord>): void;
+  /** `isPlanned`: the replaced primary still serves. */
+  change(
+    planned: PlannedChange,
+    isPlanned: boolean,
+    prepare?: PrepareChange,
+  ): Promise<ChangeOutcome>;
 }
 
 /** Creates a changer that holds no fence yet. */
@@ -77,7 +123,16 @@
   /** The latest known lease, and when its revision was first seen. */
   let lastSeen: {readonly seen: LeaseSnapshot; readonly at: number} | undefined;
 
+  let changes: ChangeRecords = NO_CHANGES;
+
+  function addChanges(added: Iterable<ChangeRecord>): void {
+    const before = changes;
+    changes = withChanges(changes, added);
+    if (changes !== before) context.onChanges?.();
+  }
+
   function recordSeen(seen: LeaseSnapshot): void {
+    addChanges(seen.record.changes ?? []);
     if (lastSeen && lastSeen.seen.revision >= seen.revision) return;
     lastSeen = {seen, at: clock.now()};
   }
@@ -121,11 +176,19 @@
 
   async function acquireLease(
     planned: PlannedChange,
+    isPlanned: boolean,
   ): Promise<LeaseSnapshot | ChangeOutcome> {
     const seen = await readLease(Freshness.Current);
     if (mayOtherHolderAct()) return ChangeOutcome.Deferred;
-    const fence = (seen?.record.fence ?? 0) + 1;
-    const record = {holder: instance, fence, change: planned};
+    const fence = Math.max(seen?.record.fence ?? 0, highestFence(changes)) + 1;
+    const record = {
+      holder: instance,
+      fence,
+      change: planned,
+      changes: [
+        ...withChanges(changes, [{...planned, fence, isPlanned}]).values(),
+      ],
+    };
     const taken = await writeRecord(record, seen);
     if (taken) recordSeen(taken);
     return taken ?? ChangeOutcome.Deferred;
@@ -143,10 +206,12 @@
     return mayReuse ? heldLease : undefined;
   }
 
-  async function sendOrder(planned: PlannedChange): Promise<ChangeOutcome> {
+  async function sendOrder(
+    planned: PlannedChange,
+    orderUntil: number,
+  ): Promise<ChangeOutcome> {
     const {group, to: endpoint} = planned;
-    const deadline = clock.now() + limits.orderWindowMs;
-    while (clock.now() < deadline) {
+    while (clock.now() < orderUntil) {
       if (!heldLease) return ChangeOutcome.Refused;
       const {fence} = heldLease.record;
       pendingTarget = endpoint;
@@ -167,13 +232,16 @@
     return ChangeOutcome.Unanswered;
   }
 
+  /** The lease with which a change may go on, or why it may not. */
   async function acquireOrReuseLease(
     planned: PlannedChange,
-  ): Promise<LeaseSnapshot | ChangeOutcome> {
+    isPlanned: boolean,
+  ): Promise<{lease: LeaseSnapshot; isWritten: boolean} | ChangeOutcome> {
     try {
-      const taken = await acquireLease(planned);
-      if (typeof taken !== 'string') pendingTarget = undefined;
-      return taken;
+      const taken = await acquireLease(planned, isPlanned);
+      if (typeof taken === 'string') return taken;
+      pendingTarget = undefined;
+      return {lease: taken, isWritten: true};
     } catch (err) {
       const reusable = leaseWithoutStore(planned);
       onEvent({
@@ -182,8 +250,30 @@
         why: messageOf(err),
         fence: reusable?.record.fence,
       });
-      return reusable ?? ChangeOutcome.NoFence;
+      if (!reusable) return ChangeOutcome.NoFence;
+      return {lease: reusable, isWritten: false};
+    }
+  }
+
+  async function change(
+    planned: PlannedChange,
+    isPlanned: boolean,
+    prepare?: PrepareChange,
+  ): Promise<ChangeOutcome> {
+    const acquired = await acquireOrReuseLease(planned, isPlanned);
+    if (typeof acquired === 'string') return acquired;
+    heldLease = acquired.lease;
+    const {fence} = heldLease.record;
+    onEvent({event: 'changeBegun', ...planned, fence});
+    const begunAt = clock.now();
+    const orderUntil = begunAt + limits.orderWindowMs;
+    if (prepare) {
+      const record = {...planned, fence, isPlanned};
+      const writtenAt = acquired.isWritten ? begunAt : undefined;
+      if (!(await prepare(record, {writtenAt, orderUntil})))
+        return ChangeOutcome.NotPrepared;
     }
+    return sendOrder(planned, orderUntil);
   }
 
   return {
@@ -203,19 +293,13 @@
       recordSeen(heldLease);
       onEvent({event: 'leaseTaken', group: '', fence: 1});
     },
-    async change(planned) {
-      const acquired = await acquireOrReuseLease(planned);
-      if (typeof acquired === 'string') return acquired;
-      heldLease = acquired;
-      const {group, from, to} = planned;
-      onEvent({
-        event: 'changeBegun',
-        group,
-        from,
-        to,
-        fence: acquired.record.fence,
-      });
-      return sendOrder(planned);
+    async readLease() {
+      await readLease(Freshness.Current);
+    },
+    get changes() {
+      return changes;
     },
+    addChanges,
+    change,
   };
 }
--- a/packages/failover/test/test-primary-changer.ts
+++ b/packages/failover/test/test-primary-changer.ts
@@ -90,10 +90,10 @@
     const {clock, orders, instance} = setUp();
     const one = instance('one');
     await one.refreshLease();
-    await runUntilSettled(clock, one.change(PLANNED));
+    await runUntilSettled(clock, one.change(PLANNED, true));
     await runUntilSettled(
       clock,
-      one.change({...PLANNED, from: 'e-2', to: 'e-3'}),
+      one.change({...PLANNED, from: 'e-2', to: 'e-3'}, true),
     );
     assert.deepEqual(
       orders.sent.map(order => order.fence),
@@ -105,14 +105,14 @@
     const {clock, orders, instance} = setUp();
     const one = instance('one');
     const two = instance('two');
-    await runUntilSettled(clock, one.change(PLANNED));
+    await runUntilSettled(clock, one.change(PLANNED, true));
     assert.equal(
-      await runUntilSettled(clock, two.change(PLANNED)),
+      await runUntilSettled(clock, two.change(PLANNED, true)),
       ChangeOutcome.Deferred,
     );
     clock.advance(LIMITS.handoverDelayMs + LIMITS.orderWindowMs);
     assert.equal(
-      await runUntilSettled(clock, two.change(PLANNED)),
+      await runUntilSettled(clock, two.change(PLANNED, true)),
       ChangeOutcome.Ordered,
     );
     const fences = orders.sent.map(order => order.fence);
@@ -124,7 +124,7 @@
     state.loseAnswers = 1;
     const outcome = await runUntilSettled(
       clock,
-      instance('one').change(PLANNED),
+      instance('one').change(PLANNED, true),
     );
     assert.equal(outcome, ChangeOutcome.Ordered);
     assert.equal(orders.sent[0]!.fence, 1);
@@ -135,7 +135,7 @@
     orders.results = [OrderResult.Unanswered, OrderResult.NotDone];
     const outcome = await runUntilSettled(
       clock,
-      instance('one').change(PLANNED),
+      instance('one').change(PLANNED, true),
     );
     assert.equal(outcome, ChangeOutcome.Ordered);
     assert.deepEqual(
@@ -149,13 +149,13 @@
     const one = instance('one');
     orders.results = [OrderResult.Refused];
     assert.equal(
-      await runUntilSettled(clock, one.change(PLANNED)),
+      await runUntilSettled(clock, one.change(PLANNED, true)),
       ChangeOutcome.Refused,
     );
     // No new fence can be acquired without the store.
     state.down = true;
     assert.equal(
-      await runUntilSettled(clock, one.change(PLANNED)),
+      await runUntilSettled(clock, one.change(PLANNED, true)),
       ChangeOutcome.NoFence,
     );
     assert.equal(orders.sent.length, 1);
@@ -167,7 +167,7 @@
     await one.refreshLease();
     state.down = true;
     assert.equal(
-      await runUntilSettled(clock, one.change(PLANNED)),
+      await runUntilSettled(clock, one.change(PLANNED, true)),
       ChangeOutcome.Ordered,
     );
     assert.equal(orders.sent[0]!.fence, 1);
@@ -180,12 +180,12 @@
     state.down = true;
     orders.results = Array.from({length: 40}, () => OrderResult.Unanswered);
     assert.equal(
-      await runUntilSettled(clock, one.change(PLANNED)),
+      await runUntilSettled(clock, one.change(PLANNED, true)),
       ChangeOutcome.Unanswered,
     );
     const sent = orders.sent.length;
     assert.equal(
-      await runUntilSettled(clock, one.change({...PLANNED, to: 'e-3'})),
+      await runUntilSettled(clock, one.change({...PLANNED, to: 'e-3'}, true)),
       ChangeOutcome.NoFence,
     );
     assert.equal(orders.sent.length, sent);
--- a/packages/peer-queries/src/index.ts
+++ b/packages/peer-queries/src/index.ts
@@ -1,5 +1,16 @@
 /** Public exports of `@quetzalreel/peer-queries`. */
-export {type PeerQueryMessage, isPeerQueryMessage} from './messages.js';
+export {
+  type ChangeQueries,
+  type ChangeQueryContext,
+  type ChangeSource,
+  type PeerAddress,
+  changeQueries,
+} from './change-queries.js';
+export {
+  type ChangeMessage,
+  type PeerQueryMessage,
+  isPeerQueryMessage,
+} from './messages.js';
 export {
   NO_INSTANCES,
   type Presence,
--- a/packages/peer-queries/src/messages.ts
+++ b/packages/peer-queries/src/messages.ts
@@ -1,5 +1,6 @@
 /** Messages between instances: queries, and the answers to them. */
 
+import {type ChangeRecord, isChangeRecord} from '@quetzalreel/failover';
 import type {Position} from '@quetzalreel/position';
 
 /** Fields of every message. */
@@ -43,8 +44,42 @@
         /** In the store's format; undefined if there is no higher one. */
         readonly value: unknown;
       }
+    /** Asks a witness to confirm the sender's change records. */
+    | {
+        readonly type: 'changesWanted';
+        readonly instance: string;
+        readonly digest: number;
+      }
+    | {
+        readonly type: 'changes';
+        /** The witness's records; undefined if the digests are equal. */
+        readonly changes: readonly ChangeRecord[] | undefined;
+      }
+    /** Announces a change before it is ordered. */
+    | {
+        readonly type: 'changeAnnounced';
+        readonly instance: string;
+        readonly change: ChangeRecord;
+      }
+    | {
+        readonly type: 'changeNoted';
+        readonly instance: string;
+        /** The highest fence that the sender knows. */
+        readonly fence: number;
+        /** Instances whose records the sender confirmed a short time ago. */
+        readonly renewed: readonly string[];
+      }
   );
 
+/** A message about changes of primary. */
+export type ChangeMessage = Extract<
+  PeerQueryMessage,
+  {
+    readonly type:
+      'changesWanted' | 'changes' | 'changeAnnounced' | 'changeNoted';
+  }
+>;
+
 type Checks = {
   readonly [T in PeerQueryMessage['type']]: (
     message: Readonly<Record<string, unknown>>,
@@ -65,6 +100,18 @@
     ageMs >= 0,
   configurationAbove: ({generation}) => typeof generation === 'number',
   configuration: ({generation}) => typeof generation === 'number',
+  changesWanted: ({instance, digest}) =>
+    typeof instance === 'string' && typeof digest === 'number',
+  changes: ({changes}) =>
+    changes === undefined ||
+    (Array.isArray(changes) && changes.every(isChangeRecord)),
+  changeAnnounced: ({instance, change}) =>
+    typeof instance === 'string' && isChangeRecord(change),
+  changeNoted: ({instance, fence, renewed}) =>
+    typeof instance === 'string' &&
+    Number.isSafeInteger(fence) &&
+    Array.isArray(renewed) &&
+    renewed.every(name => typeof name === 'string'),
 };
 
 function isPosition(value: unknown): value is Position {
--- a/packages/peer-queries/src/peer-queries.ts
+++ b/packages/peer-queries/src/peer-queries.ts
@@ -2,6 +2,7 @@
 import type {Clock, Disposable} from '@quetzalreel/common';
 import type {PeerTransport} from '@quetzalreel/peer';
 import type {Position} from '@quetzalreel/position';
+import type {ChangeQueries} from './change-queries.js';
 import type {PeerQueryMessage} from './messages.js';
 import {type Verdict, verdictOf} from './verdict.js';
 
@@ -38,6 +39,8 @@
   /** Most peers to ask about an endpoint, in a fleet of any size. */
   readonly maxQueriedPeers: number;
   readonly onConfiguration: (value: unknown) => void;
+  /** Handles the messages about changes of primary. */
+  readonly changeQueries: ChangeQueries;
   /** Called with a position from a peer. `askedAt` is the earliest time, by
    * this instance's clock, at which the peer can have asked the primary. */
   readonly onConfirmed: (
@@ -211,6 +214,12 @@
         case 'configuration':
           context.onConfiguration(message.value);
           return;
+        case 'changesWanted':
+        case 'changes':
+        case 'changeAnnounced':
+        case 'changeNoted':
+          context.changeQueries.receive(message);
+          return;
       }
     },
     queryReachability(group, endpoint) {
--- /dev/null
+++ b/packages/proxy/src/change-preparation.ts
@@ -0,0 +1,76 @@
+/**
+ * Prepares a change of primary on a platform where a replaced primary goes on
+ * acknowledging: before the order it has stepped down, or no instance uses it
+ * any more.
+ */
+import type {Clock} from '@quetzalreel/common';
+import {
+  type ChangeRecord,
+  type Confirmations,
+  type PrepareChange,
+  type PrimaryChanger,
+  orderTime,
+} from '@quetzalreel/failover';
+import {PERMISSION_LIMITS} from './defaults.js';
+import type {EndpointControl} from './endpoint-control.js';
+import type {Log} from './log.js';
+
+/** Dependencies of a preparation. */
+export interface PreparationContext {
+  readonly instance: string;
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly changer: PrimaryChanger;
+  readonly control: EndpointControl;
+  /**
+   * Announces a change to all instances; undefined while they are not known.
+   */
+  readonly announce: (
+    change: ChangeRecord,
+  ) => Promise<Confirmations | undefined>;
+}
+
+/** Creates the preparation of one group's changes. */
+export function changePreparation(context: PreparationContext): PrepareChange {
+  const {instance, clock, log, changer, control} = context;
+
+  async function announce(
+    change: ChangeRecord,
+  ): Promise<Confirmations | undefined> {
+    const sentAt = clock.now();
+    changer.addChanges([change]);
+    const answers = await context.announce(change);
+    log.info({
+      event: 'changeAnnounced',
+      ...change,
+      told: answers?.told,
+      confirmed: answers && [...answers.confirmed],
+      renewed: answers && [...answers.renewed],
+      tookMs: Math.round(clock.now() - sentAt),
+    });
+    return answers;
+  }
+
+  /** Whether the old primary has stepped down with its log at the successor. */
+  async function handOver({from, to}: ChangeRecord): Promise<boolean> {
+    const end = await control.stepDown(from);
+    if (end) await control.waitUntilReceived(to, end);
+    return end !== undefined;
+  }
+
+  return async (change, {writtenAt, orderUntil}) => {
+    if (change.isPlanned) {
+      const answers = await announce(change);
+      if (!answers || answers.isOutdated) return false;
+      if (await handOver(change)) return true;
+    }
+    const unplanned = {...change, isPlanned: false};
+    const answers = await announce(unplanned);
+    if (!answers) return false;
+    const order = orderTime(instance, answers, writtenAt, PERMISSION_LIMITS);
+    log.info({event: 'orderTime', ...unplanned, ...order, now: clock.now()});
+    if (order.type === 'never' || order.at >= orderUntil) return false;
+    await clock.sleep(Math.max(0, order.at - clock.now()));
+    return true;
+  };
+}
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -173,6 +173,22 @@
    * unreachable.
    */
   askConfigurationIntervalMs: 500,
+  /** Interval at which the witnesses are asked to confirm change records. */
+  askWitnessesMs: 400,
+  /** Without their answers for this long, the store is asked as well. */
+  askStoreAfterMs: 700,
+  /** Interval at which the store is asked then. */
+  askStoreMs: 250,
+  /** Timeout for the confirmations of an announced change. */
+  announceTimeoutMs: 350,
+  /** How long open transactions may go on at a primary that is replaced. */
+  finishTransactionsMs: 250,
+  /** Timeout for the answer to a request to step down. */
+  stepDownTimeoutMs: 300,
+  /** How long the successor may take to receive the last commits. */
+  receiveLastCommitMs: 400,
+  /** Interval at which its position is asked for meanwhile. */
+  receivePollMs: 15,
   /** How long to wait for an ordered change of primary to be observed. */
   primaryChangeTimeoutMs: 3000,
   /** Share of the grace period that open transactions have to finish. */
@@ -197,6 +213,10 @@
    * change.
    */
   laneLookAhead: 8,
+  /**
+   * Number of instances that confirm change records, in a fleet of any size.
+   */
+  witnesses: 9,
   /** Maximum number of peers that are asked whether they reach an endpoint. */
   maxQueriedPeers: 9,
 } as const;
@@ -217,6 +237,13 @@
   missingMs: 2500,
 } as const;
 
+/**
+ * How long permission to use primaries lasts, in milliseconds, on platforms
+ * where a replaced primary does not stop by itself. Both times fit, one after
+ * the other, in the time in which a change may be ordered.
+ */
+export const PERMISSION_LIMITS = {witnessMs: 1000, storeMs: 600} as const;
+
 /** Times for carrying out a change of primary, in milliseconds. */
 export const CHANGE_LIMITS = {
   /** The platform's minimum time between the calls of two lease holders. */
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -89,6 +89,8 @@
    * detected otherwise.
    */
   closeIdle(): void;
+  /** Closes all connections, those in use as well; their requests are lost. */
+  closeAll(): void;
   /** Uses another instance's relay for a limited time. */
   startDetour(relay: RelayAddress): void;
   /** Whether the endpoint is unresponsive here and reached through a relay. */
@@ -351,6 +353,9 @@
     closeIdle() {
       for (const {pooled} of [...idle]) pooled.connection.dispose();
     },
+    closeAll() {
+      for (const pooled of [...all.keys()]) pooled.connection.dispose();
+    },
     startDetour(relay) {
       path.startDetour(relay);
       retryAt = -Infinity;
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -11,6 +11,7 @@
 import type {Log} from './log.js';
 import type {Need} from './placement.js';
 import type {PooledConnection} from './pooled-connection.js';
+import type {PrimaryUse} from './primary-use.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
 import type {SharedEndpoint, SharingPlan} from './connection-sharing.js';
 
@@ -76,6 +77,7 @@
    * Plans how the connections to an endpoint are shared among the instances.
    */
   readonly planFor: (endpoint: SharedEndpoint) => SharingPlan;
+  readonly primaryUse: PrimaryUse;
 }
 
 /** A group of endpoints with its runtime state. */
@@ -95,6 +97,22 @@
    * confirm it as down.
    */
   readonly isUnreachableLocally: boolean;
+  /**
+   * Whether new work that only the primary may serve can be sent to the
+   * endpoint now.
+   */
+  mayStartOnPrimary(endpoint: string): boolean;
+  /**
+   * Whether work that was sent to the endpoint as the primary may go on, and its
+   * answer may be used.
+   */
+  mayContinueOnPrimary(endpoint: string): boolean;
+  /** Applies a change of primary that has become known. */
+  noteChange(): void;
+  /** Statements and transactions in progress here that need the primary. */
+  readonly primaryWork: number;
+  /** Counts such work until the returned function is called. */
+  countPrimaryWork(): () => void;
   /** Whether some endpoint can serve a need, now or once it has capacity. */
   canServe(need: Need): boolean;
   /**
@@ -102,6 +120,11 @@
    * none was available before the deadline.
    */
   acquire(req: ConnectionRequest): Promise<ConnectionLease | undefined>;
+  /**
+   * Takes an idle connection to the endpoint whatever its role and load, for
+   * requests that control it; opens one if there is none.
+   */
+  acquireForControl(endpoint: string): ConnectionLease | undefined;
   /** The newest position that this instance has confirmed itself. */
   ownConfirmed(): ConfirmedPosition | undefined;
   /** Adds a position that a peer has confirmed. */
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -43,7 +43,7 @@
   policy: GroupPolicy,
   context: GroupContext,
 ): GroupRuntime {
-  const {clock, log, dataCentre} = context;
+  const {clock, log, dataCentre, primaryUse} = context;
   const links = new Map<string, EndpointLink>();
   /** When the role in each endpoint's entry last changed. */
   const roleListedAt = new Map<string, number>();
@@ -67,9 +67,25 @@
   let lastPrimary = '';
   let missingSince: number | undefined = clock.now();
   let askedHoldersAt = -Infinity;
+  let primaryWork = 0;
+  /** Fence of the newest change that was applied. */
+  let appliedChange = '';
+
+  function isReplaced(endpoint: string): boolean {
+    return primaryUse.replacementOf(context.name, endpoint) !== undefined;
+  }
+
+  function mayContinueOnPrimary(endpoint: string): boolean {
+    if (!primaryUse.isPermitted) return false;
+    const change = primaryUse.replacementOf(context.name, endpoint);
+    return change === undefined || change.isPlanned;
+  }
 
   function findPrimary(): void {
-    const evidence = [...links.values()].map(({listed, facts}) => ({
+    const current = [...links.values()].filter(
+      ({listed}) => !isReplaced(listed.id),
+    );
+    const evidence = current.map(({listed, facts}) => ({
       id: listed.id,
       term: facts.position?.term ?? 0,
       saysPrimary: listed.saysPrimary,
@@ -99,7 +115,10 @@
   }
 
   function optionOf(link: EndpointLink): PlacementOption {
-    const isPrimary = link.listed.id === primaryId;
+    // A holder checks its permission for the instances that relay through it.
+    const isPrimary =
+      link.listed.id === primaryId &&
+      (primaryUse.isPermitted || !link.plan.isHolder);
     return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
   }
 
@@ -150,7 +169,9 @@
   function isOutOfReach(need: Need): boolean {
     if (!need.primaryOnly || primaryId === undefined) return false;
     const link = links.get(primaryId);
-    return link !== undefined && reachability.isUnreachableLocally(link);
+    if (!link) return false;
+    if (link.plan.isHolder && primaryUse.hasLapsed) return true;
+    return reachability.isUnreachableLocally(link);
   }
 
   function serveWaiting(): void {
@@ -268,6 +289,33 @@
     get isUnreachableLocally() {
       return isOutOfReach(PRIMARY_NEED);
     },
+    mayStartOnPrimary: endpoint =>
+      primaryUse.isPermitted && !isReplaced(endpoint),
+    mayContinueOnPrimary,
+    get primaryWork() {
+      return primaryWork;
+    },
+    countPrimaryWork() {
+      primaryWork++;
+      let counted = true;
+      return () => {
+        if (counted) primaryWork--;
+        counted = false;
+      };
+    },
+    noteChange() {
+      for (const {listed, closeAll} of links.values()) {
+        const change = primaryUse.replacementOf(context.name, listed.id);
+        if (!change) continue;
+        const key = `${change.fence} ${change.isPlanned}`;
+        if (key === appliedChange) continue;
+        appliedChange = key;
+        log.info({event: 'primaryReplaced', ...change});
+        // Its answers could no longer be used: the caller is told so at once.
+        if (!change.isPlanned) closeAll();
+      }
+      findPrimary();
+    },
     canServe: need =>
       [...links.values()].some(link => canServe(optionOf(link), need)),
     async acquire(req) {
@@ -275,6 +323,13 @@
       if (lease || isOutOfReach(req.need())) return lease;
       return wait(req);
     },
+    acquireForControl(endpoint) {
+      const link = links.get(endpoint);
+      if (!link) return undefined;
+      const lease = leaseOf(link, '', ANY_ENDPOINT);
+      if (!lease) link.open();
+      return lease;
+    },
     requiredPosition: positions.requiredPosition,
     noteAnswer,
     noteStatementAnswer(link, answer, sentAt) {
@@ -288,6 +343,8 @@
       noteAnswerTime(facts, clock.now() - sentAt);
     },
     notePrimaryAnswer(link, {position}, sentAt) {
+      // A replaced primary may still answer as one.
+      if (isReplaced(link.listed.id)) return;
       link.facts.provenPrimaryAt = Math.max(link.facts.provenPrimaryAt, sentAt);
       if (link.listed.id !== primaryId) findPrimary();
       if (!position || link.listed.id !== primaryId) return;
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -6,8 +6,10 @@
   type Clock,
   type Disposable,
   disposableStore,
+  hashOf,
   messageOf,
 } from '@quetzalreel/common';
+import type {ChangeRecord, Confirmations} from '@quetzalreel/failover';
 import type {KindStore} from '@quetzalreel/object-store';
 import {tcpTransport} from '@quetzalreel/peer';
 import {
@@ -17,12 +19,16 @@
   startRelay,
 } from '@quetzalreel/relay';
 import {
+  type ChangeQueries,
+  type ChangeSource,
   type ListedInstance,
   NO_INSTANCES,
+  type PeerAddress,
   type PeerQueryContext,
   type PeerQueryMessage,
   type PeerQuerySource,
   type PeerQueries,
+  changeQueries,
   updatePresence,
   instanceRegistration,
   isPeerQueryMessage,
@@ -32,7 +38,7 @@
   entriesToRemove,
   peerQueries,
 } from '@quetzalreel/peer-queries';
-import {LIMITS, TIMES} from './defaults.js';
+import {LIMITS, PERMISSION_LIMITS, TIMES} from './defaults.js';
 import type {Log} from './log.js';
 import {
   NO_CONNECTIONS_PLAN,
@@ -59,6 +65,7 @@
   readonly log: Log;
   readonly store: KindStore;
   readonly source: PeerQuerySource;
+  readonly changeSource: ChangeSource;
   /** Whether the store does not serve this instance its configuration. */
   readonly isStoreUnavailable: () => boolean;
   /** Generation of the configuration in force; 0 for none. */
@@ -67,9 +74,24 @@
   readonly onConfirmed: PeerQueryContext['onConfirmed'];
 }
 
+/** The instances that confirm change records; the same on every instance. */
+export interface Witnesses {
+  /** Without this instance. */
+  readonly peers: readonly PeerAddress[];
+  readonly includesSelf: boolean;
+  readonly confirmChanges: ChangeQueries['confirmChanges'];
+}
+
 /** The peers of this instance. */
 export interface Peers extends Disposable {
   readonly peerQueries: PeerQueries | undefined;
+  /** Undefined until the list of instances was read. */
+  readonly witnesses: Witnesses | undefined;
+  /**
+   * Announces a change to all listed instances; undefined until the list of
+   * instances was read.
+   */
+  announce(change: ChangeRecord): Promise<Confirmations | undefined>;
   /** Requesters with a request in flight or an open transaction here. */
   readonly activeRequesters: number;
   /**
@@ -111,6 +133,7 @@
   let presence = NO_INSTANCES;
   let present: readonly ListedInstance[] = [];
   let current: PeerQueries | undefined;
+  let changes: ChangeQueries | undefined;
   let renewedAt = -Infinity;
   /**
    * Whether the list of instances was requested at least once, with or without
@@ -140,6 +163,14 @@
       onEnd: (target, why) => log.info({event: 'relayEnded', ...target, why}),
     });
     owned.add(relay);
+    changes = changeQueries({
+      instance,
+      transport,
+      clock,
+      source: context.changeSource,
+      answerTimeoutMs: TIMES.announceTimeoutMs,
+      renewedMs: PERMISSION_LIMITS.witnessMs,
+    });
     current = peerQueries({
       transport,
       clock,
@@ -148,11 +179,22 @@
       peerAddresses: () => present.map(entry => entry.address),
       answerTimeoutMs: TIMES.peerQueryTimeoutMs,
       maxQueriedPeers: LIMITS.maxQueriedPeers,
+      changeQueries: changes,
       onConfiguration: context.onConfiguration,
       onConfirmed: context.onConfirmed,
     });
   }
 
+  /** The names of the witnesses, by rendezvous hash over the instances. */
+  function witnessNames(): string[] {
+    const names = [instance, ...present.map(entry => entry.instance)];
+    return names
+      .map(name => ({name, hash: hashOf(`witness/${name}`)}))
+      .sort((a, b) => a.hash - b.hash || (a.name < b.name ? -1 : 1))
+      .slice(0, LIMITS.witnesses)
+      .map(({name}) => name);
+  }
+
   function relayAddress(): string {
     return relay ? `${context.relay.host}:${relay.port}` : '';
   }
@@ -245,6 +287,19 @@
     get peerQueries() {
       return current;
     },
+    get witnesses() {
+      if (!wasRead || !changes) return undefined;
+      const names = new Set(witnessNames());
+      return {
+        peers: present.filter(entry => names.has(entry.instance)),
+        includesSelf: names.has(instance),
+        confirmChanges: changes.confirmChanges,
+      };
+    },
+    async announce(change) {
+      if (!wasRead) return undefined;
+      return changes?.announce(change, present, witnessNames());
+    },
     get activeRequesters() {
       return relay?.activeRequesters ?? 0;
     },
--- /dev/null
+++ b/packages/proxy/src/primary-use.ts
@@ -0,0 +1,162 @@
+/**
+ * Decides whether this instance may use a primary. A platform that checks
+ * fences makes a replaced primary stop by itself. Elsewhere it goes on
+ * acknowledging commits until it is told to step down, so an instance needs
+ * permission, and stops using a primary that a known change replaces.
+ */
+import {type Clock, messageOf} from '@quetzalreel/common';
+import {
+  type ChangeRecord,
+  type Permission,
+  NO_PERMISSION,
+  type PrimaryChanger,
+  isMajority,
+  permittedUntil,
+} from '@quetzalreel/failover';
+import type {SuspensionDetector} from '@quetzalreel/freshness';
+import {PERMISSION_LIMITS, TIMES} from './defaults.js';
+import type {Log} from './log.js';
+import type {Witnesses} from './peers.js';
+
+/** Whether the primaries of groups may be used. */
+export interface PrimaryUse {
+  /** Whether permission is held; always true if replaced primaries stop. */
+  readonly isPermitted: boolean;
+  /** Whether permission was held before and is not now. */
+  readonly hasLapsed: boolean;
+  /** The known change that replaces the endpoint; undefined if none does. */
+  replacementOf(group: string, endpoint: string): ChangeRecord | undefined;
+}
+
+/** A use that is renewed until the proxy stops. */
+export interface RenewedPrimaryUse extends PrimaryUse {
+  /** Renews the permission when it is due. */
+  tick(): void;
+}
+
+/** For platforms that make a replaced primary stop. */
+export const ALWAYS_PERMITTED: RenewedPrimaryUse = {
+  isPermitted: true,
+  hasLapsed: false,
+  replacementOf: () => undefined,
+  tick() {},
+};
+
+/** Dependencies of a renewed use. */
+export interface PrimaryUseContext {
+  readonly clock: Clock;
+  readonly log: Log;
+  readonly suspensionDetector: SuspensionDetector;
+  readonly changer: PrimaryChanger;
+  /** Undefined until the list of instances was read. */
+  readonly witnesses: () => Witnesses | undefined;
+  /** Whether this instance holds connections to a primary. */
+  readonly usesPrimary: () => boolean;
+}
+
+/** Starts without permission. */
+export function renewedPrimaryUse(
+  context: PrimaryUseContext,
+): RenewedPrimaryUse {
+  const {clock, log, suspensionDetector: guard, changer} = context;
+  let permission: Permission = NO_PERMISSION;
+  let seenSuspensions = guard.suspensionCount();
+  let wasPermitted = false;
+  let wasEverPermitted = false;
+  let askedWitnessesAt = -Infinity;
+  let askedStoreAt = -Infinity;
+
+  /** Drops the permission after a suspension: its age is not known then. */
+  function checkClock(): void {
+    const suspensions = guard.suspensionCount();
+    if (suspensions === seenSuspensions) return;
+    seenSuspensions = suspensions;
+    permission = NO_PERMISSION;
+    askedWitnessesAt = -Infinity;
+    askedStoreAt = -Infinity;
+  }
+
+  function isPermitted(): boolean {
+    checkClock();
+    return clock.now() < permittedUntil(permission, PERMISSION_LIMITS);
+  }
+
+  /** Runs `renew` unless the process was suspended since `suspensions`. */
+  function renewUnlessSuspended(suspensions: number, renew: () => void): void {
+    checkClock();
+    if (seenSuspensions === suspensions) renew();
+    noteChange();
+  }
+
+  function askWitnesses(): void {
+    const witnesses = context.witnesses();
+    if (!witnesses) return;
+    const sentAt = clock.now();
+    const suspensions = seenSuspensions;
+    const {peers, includesSelf} = witnesses;
+    const total = peers.length + Number(includesSelf);
+    const renew = () => {
+      const byWitnessesAt = Math.max(permission.byWitnessesAt, sentAt);
+      permission = {...permission, byWitnessesAt};
+    };
+    askedWitnessesAt = sentAt;
+    const onAnswer = (answers: number) => {
+      const agreeing = answers + Number(includesSelf);
+      if (!isMajority(agreeing, total)) return;
+      renewUnlessSuspended(suspensions, renew);
+    };
+    if (peers.length === 0) onAnswer(0);
+    else witnesses.confirmChanges(peers, onAnswer);
+  }
+
+  async function readStore(): Promise<void> {
+    const sentAt = clock.now();
+    const suspensions = seenSuspensions;
+    askedStoreAt = sentAt;
+    try {
+      await changer.readLease();
+      renewUnlessSuspended(suspensions, () => {
+        permission = {...permission, byStoreAt: sentAt};
+      });
+    } catch (err) {
+      log.info({event: 'leaseNotReadForUse', why: messageOf(err)});
+    }
+  }
+
+  /** Logs when the permission was lost or is back, with what it rested on. */
+  function noteChange(): void {
+    const now = clock.now();
+    const permitted = isPermitted();
+    if (permitted === wasPermitted) return;
+    wasPermitted = permitted;
+    wasEverPermitted ||= permitted;
+    log.info({
+      event: permitted ? 'primaryUsePermitted' : 'primaryUseLapsed',
+      witnessesMsAgo: Math.round(now - permission.byWitnessesAt),
+      storeMsAgo: Math.round(now - permission.byStoreAt),
+      changes: [...changer.changes.values()],
+    });
+  }
+
+  return {
+    get isPermitted() {
+      return isPermitted();
+    },
+    get hasLapsed() {
+      return wasEverPermitted && !isPermitted();
+    },
+    replacementOf(group, endpoint) {
+      const change = changer.changes.get(group);
+      return change?.from === endpoint ? change : undefined;
+    },
+    tick() {
+      noteChange();
+      if (!context.usesPrimary()) return;
+      const now = clock.now();
+      if (now - askedWitnessesAt >= TIMES.askWitnessesMs) askWitnesses();
+      const sinceWitnesses = now - permission.byWitnessesAt;
+      if (sinceWitnesses < TIMES.askStoreAfterMs) return;
+      if (now - askedStoreAt >= TIMES.askStoreMs) void readStore();
+    },
+  };
+}
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -7,6 +7,8 @@
 import {
   type Candidate,
   ChangeOutcome,
+  type ChangeRecord,
+  type Confirmations,
   type PrimaryChanger,
   type PrimaryView,
   ChangeReason,
@@ -14,12 +16,11 @@
   reasonToChange,
 } from '@quetzalreel/failover';
 import {Verdict, type PeerQueries} from '@quetzalreel/peer-queries';
+import {changePreparation} from './change-preparation.js';
 import {FAILOVER_THRESHOLDS, TIMES} from './defaults.js';
-import type {EndpointLink} from './endpoint-link.js';
+import {endpointControl} from './endpoint-control.js';
 import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
-import {ANY_ENDPOINT} from './placement.js';
-import {sendWithTimeout} from './run-request.js';
 
 /** Dependencies of a watch. */
 export interface PrimaryWatchContext {
@@ -29,6 +30,14 @@
   readonly changer: PrimaryChanger;
   readonly peerQueries: () => PeerQueries | undefined;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
+  /** Whether a replaced primary stops by itself when the order takes effect. */
+  readonly replacedPrimaryStops: boolean;
+  /**
+   * Announces a change to all instances; undefined while they are not known.
+   */
+  readonly announce: (
+    change: ChangeRecord,
+  ) => Promise<Confirmations | undefined>;
 }
 
 /**
@@ -52,54 +61,38 @@
   };
 }
 
+/** Outcomes after which the old primary is out of use and none is ordered. */
+const UNFINISHED: ReadonlySet<ChangeOutcome> = new Set([
+  ChangeOutcome.NotPrepared,
+  ChangeOutcome.Refused,
+  ChangeOutcome.Unanswered,
+]);
+
 /** Watches the primary until disposed. */
 export function watchPrimary(
   group: GroupRuntime,
   context: PrimaryWatchContext,
 ): Disposable {
   const {clock, log, changer, instance} = context;
+  const control = endpointControl(group, context);
+  const prepare = context.replacedPrimaryStops
+    ? undefined
+    : changePreparation({...context, control});
   /** Spreads the attempts of instances over time. */
   const delayMs = hashFraction(instance + group.name) * TIMES.changeJitterMs;
   let disposed = false;
+  /** Whether a change was begun here that no order completed. */
+  let isUnfinished = false;
 
-  async function requestStatus(
-    link: EndpointLink,
-  ): Promise<Candidate | undefined> {
-    const only = link.listed.id;
-    const lease = await group.acquire({
-      primaryOnly: false,
-      need: () => ({...ANY_ENDPOINT, only}),
-      priority: 0,
-      settingsKey: '',
-      objectiveAt: clock.now() + TIMES.statusTimeoutMs,
-      deadline: clock.now() + TIMES.statusTimeoutMs,
-      hasDisconnected: () => false,
-    });
-    if (!lease) return undefined;
-    try {
-      const answer = await sendWithTimeout(
-        clock,
-        lease,
-        {type: 'status'},
-        TIMES.statusTimeoutMs,
-      );
-      lease.release(true);
-      const status = context.readStatus(answer);
-      const received = status?.received ?? link.facts.position;
-      return received && {endpoint: link.listed.id, received};
-    } catch (err) {
-      lease.release(false);
-      const endpoint = link.listed.id;
-      log.info({event: 'statusLost', endpoint, why: messageOf(err)});
-      return undefined;
-    }
-  }
-
+  /**
+   * The endpoints that may become the primary. Where a replaced primary goes
+   * on, one that still claims the role steps down first.
+   */
   async function candidates(from: string | undefined): Promise<Candidate[]> {
     const requests: Array<Promise<Candidate | undefined>> = [];
-    for (const link of group.links.values()) {
-      if (link.listed.id === from || link.listed.leaving) continue;
-      requests.push(requestStatus(link));
+    for (const {listed} of group.links.values()) {
+      if (listed.id === from || listed.leaving) continue;
+      requests.push(candidateOf(listed.id));
     }
     const found: Candidate[] = [];
     for (const candidate of await Promise.all(requests)) {
@@ -108,6 +101,15 @@
     return found;
   }
 
+  async function candidateOf(endpoint: string): Promise<Candidate | undefined> {
+    const state = await control.requestState(endpoint);
+    if (!state) return undefined;
+    if (!state.isPrimary || context.replacedPrimaryStops)
+      return {endpoint, received: state.received};
+    const received = await control.stepDown(endpoint);
+    return received && {endpoint, received};
+  }
+
   /**
    * The peers' verdict on a primary that this instance does not reach or that
    * is no longer listed: an entry may expire while its endpoint still serves.
@@ -117,11 +119,25 @@
     if (!witnesses) return Verdict.Inconclusive;
     const {verdict} = await witnesses.queryReachability(
       group.name,
-      from ?? group.lastPrimary,
+      from ?? missingPrimary(),
     );
     return verdict;
   }
 
+  /**
+   * The endpoint to ask about when no primary is known: the last one, since an
+   * entry may expire while its endpoint serves; '' stands for whichever the
+   * peers know, once the last one has denied the role or was replaced.
+   */
+  function missingPrimary(): string {
+    const {lastPrimary} = group;
+    const facts = group.links.get(lastPrimary)?.facts;
+    const hasDenied =
+      facts !== undefined && facts.provenNotPrimaryAt > facts.provenPrimaryAt;
+    const isReplaced = changer.changes.get(group.name)?.from === lastPrimary;
+    return hasDenied || isReplaced ? '' : lastPrimary;
+  }
+
   async function changeFor(reason: ChangeReason): Promise<void> {
     const from = group.primary?.listed.id;
     const isPlanned = reason === ChangeReason.Leaving;
@@ -140,8 +156,9 @@
     });
     if (!best || verdict !== Verdict.Unreached) return;
     const planned = {group: group.name, from: from ?? '', to: best.endpoint};
-    const outcome = await changer.change(planned);
+    const outcome = await changer.change(planned, isPlanned, prepare);
     log.info({event: 'changeEnded', group: group.name, outcome});
+    isUnfinished = UNFINISHED.has(outcome);
     if (outcome === ChangeOutcome.Ordered) await waitForNewPrimary(from);
   }
 
@@ -154,21 +171,23 @@
     }
   }
 
+  function reasonNow(): ChangeReason | undefined {
+    // The instances no longer use the old primary, so there is nothing to wait
+    // for.
+    if (isUnfinished && !group.primary) return ChangeReason.Missing;
+    return reasonToChange(viewOf(group), FAILOVER_THRESHOLDS, clock.now());
+  }
+
   async function run(): Promise<void> {
     while (!disposed) {
       await clock.sleep(TIMES.tickMs);
-      const reason = reasonToChange(
-        viewOf(group),
-        FAILOVER_THRESHOLDS,
-        clock.now(),
-      );
+      const reason = reasonNow();
       if (!reason) continue;
       const waitMs = changer.isHolder
         ? 0
         : TIMES.leaseHolderHeadStartMs + delayMs;
       await clock.sleep(waitMs);
-      if (!reasonToChange(viewOf(group), FAILOVER_THRESHOLDS, clock.now()))
-        continue;
+      if (!reasonNow()) continue;
       try {
         await changeFor(reason);
       } catch (err) {
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -15,6 +15,7 @@
 import {suspensionDetector} from '@quetzalreel/freshness';
 import type {KindStore} from '@quetzalreel/object-store';
 import {
+  type ChangeRecord,
   type PromotionOrders,
   leaseStore,
   primaryChanger,
@@ -26,6 +27,7 @@
 import {serveRelayedRequests} from './relayed-requests.js';
 import type {Log} from './log.js';
 import {type Metrics, proxyMetrics} from './metrics.js';
+import {ALWAYS_PERMITTED, renewedPrimaryUse} from './primary-use.js';
 import {watchPrimary} from './primary-watch.js';
 import type {StoreFormat, GroupPolicy, RoutingTable} from './routes.js';
 import {joinPeers} from './peers.js';
@@ -51,6 +53,11 @@
   readonly driver: EndpointDriver;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
   readonly orders: PromotionOrders;
+  /**
+   * Whether a replaced primary stops acknowledging by itself when the order to
+   * replace it takes effect.
+   */
+  readonly replacedPrimaryStops: boolean;
 }
 
 /** A running proxy. */
@@ -113,6 +120,13 @@
       confirmed: group => groups.get(group)?.ownConfirmed(),
       configuration: () => view.rawConfiguration,
     },
+    changeSource: {
+      get changes() {
+        return changer.changes;
+      },
+      addChanges: changes => changer.addChanges(changes),
+      finishTransactions,
+    },
     onConfiguration: value => view.offerConfiguration(value),
     onConfirmed: (group, confirmed, askedAt) =>
       groups.get(group)?.addPeerConfirmed(confirmed, askedAt),
@@ -126,8 +140,35 @@
     orders: options.orders,
     limits: CHANGE_LIMITS,
     onEvent: event => log.info(event),
+    onChanges: () => {
+      for (const group of groups.values()) group.noteChange();
+    },
   });
 
+  const primaryUse = options.replacedPrimaryStops
+    ? ALWAYS_PERMITTED
+    : renewedPrimaryUse({
+        clock,
+        log,
+        suspensionDetector: guard,
+        changer,
+        witnesses: () => peers.witnesses,
+        usesPrimary: () => {
+          for (const {primary} of groups.values()) {
+            if (!primary || primary.plan.isHolder) return true;
+          }
+          return false;
+        },
+      });
+
+  async function finishTransactions({group}: ChangeRecord): Promise<void> {
+    const until = clock.now() + TIMES.finishTransactionsMs;
+    while (clock.now() < until) {
+      if ((groups.get(group)?.primaryWork ?? 0) === 0) return;
+      await clock.sleep(TIMES.receivePollMs);
+    }
+  }
+
   function applyTable(next: RoutingTable): void {
     for (const policy of next.groups.values()) {
       const known = groups.get(policy.name);
@@ -155,12 +196,18 @@
       requestConfirmedPosition: (name, addresses) =>
         peers.peerQueries?.requestConfirmedPosition(name, addresses),
       planFor: peers.planFor,
+      primaryUse,
     });
     groups.set(policy.name, group);
     owned.add(group);
     const witnesses = () => peers.peerQueries;
     owned.add(
-      watchPrimary(group, {...options, changer, peerQueries: witnesses}),
+      watchPrimary(group, {
+        ...options,
+        changer,
+        peerQueries: witnesses,
+        announce: peers.announce,
+      }),
     );
   }
 
@@ -194,6 +241,7 @@
 
   function tick(): void {
     view.tick();
+    primaryUse.tick();
     for (const group of groups.values()) group.tick();
     for (const session of sessions) session.tick();
     if (!owned.disposed) clock.after(TIMES.tickMs, tick);
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -42,6 +42,25 @@
 const IDLE_TOO_LONG =
   'the transaction was idle for too long and was rolled back';
 
+/** Reason sent when the endpoint may no longer be the primary. */
+const REPLACED = 'the endpoint may have been replaced as the primary';
+
+/**
+ * Whether a request outside of a transaction needs the primary: opening one
+ * that is not read-only, or a write. Reads carry a position.
+ */
+function needsPrimary(req: EndpointRequest): boolean {
+  switch (req.type) {
+    case 'begin':
+      return !req.readOnly;
+    case 'forward':
+    case 'execute':
+      return req.atLeast === undefined;
+    default:
+      return false;
+  }
+}
+
 /** Dependencies of relayed requests. */
 export interface RelayedRequestsContext extends RunContext {
   readonly endpoint: string;
@@ -63,6 +82,8 @@
   let hasDisconnected = false;
   let isServing = false;
   let idleTimer: Disposable | undefined;
+  /** Set while `lease` is used as a connection to the primary. */
+  let endPrimaryWork: (() => void) | undefined;
   /**
    * Whether a transaction was rolled back here that is still open for the
    * requester. Until the requester ends it too, none of its statements may run
@@ -83,9 +104,22 @@
     });
   }
 
+  function forgetLease(): void {
+    lease = undefined;
+    endPrimaryWork?.();
+    endPrimaryWork = undefined;
+  }
+
   function release(reusable: boolean): void {
     lease?.release(reusable);
-    lease = undefined;
+    forgetLease();
+  }
+
+  /** Why a request may not be sent to the endpoint; undefined if it may. */
+  function whyRefused(req: EndpointRequest): string | undefined {
+    if (lease || !needsPrimary(req)) return undefined;
+    if (group.mayStartOnPrimary(endpoint)) return undefined;
+    return 'not run: the endpoint may have been replaced as the primary';
   }
 
   /** Replaces the statement name by the one in use on this connection. */
@@ -115,7 +149,8 @@
       case 'execute': {
         const named = withLocalName(held, req);
         // Only the requester knows which commits wrote, and records it.
-        const bounds = {timeoutMs, commits: false};
+        const onPrimary = endPrimaryWork !== undefined;
+        const bounds = {timeoutMs, commits: false, onPrimary};
         return runStatement(context, held, named, bounds);
       }
       default:
@@ -126,11 +161,19 @@
   async function forward(req: EndpointRequest): Promise<Answer> {
     if (wasRolledBack)
       throw new ConnectionLostError(endpoint, IDLE_TOO_LONG, false);
+    const refusal = whyRefused(req);
+    if (refusal) return localError(ErrorCode.Busy, refusal, SessionState.Idle);
+    if (endPrimaryWork && !group.mayContinueOnPrimary(endpoint)) {
+      release(false);
+      throw new ConnectionLostError(endpoint, REPLACED, false);
+    }
+    const isFirst = lease === undefined;
     lease ??= await acquire();
     if (!lease) {
       const text = 'not run: no connection to the endpoint is free';
       return localError(ErrorCode.Busy, text, SessionState.Idle);
     }
+    if (isFirst && needsPrimary(req)) endPrimaryWork = group.countPrimaryWork();
     idleTimer?.dispose();
     isServing = true;
     try {
@@ -152,7 +195,7 @@
   function rollBack(): void {
     wasRolledBack = true;
     if (lease) rollBackAndRelease(lease);
-    lease = undefined;
+    forgetLease();
   }
 
   /**
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -10,6 +10,7 @@
   type EndpointRequest,
   SessionState,
 } from '@quetzalreel/requests';
+import type {EndpointLink} from './endpoint-link.js';
 import type {GroupRuntime, ConnectionLease} from './group-types.js';
 
 /** Dependencies for running a request. */
@@ -70,24 +71,52 @@
   return answer;
 }
 
+/** How a statement is run. */
+export interface RunBounds {
+  readonly timeoutMs: number;
+  /** Whether it commits writes; success then proves the primary role. */
+  readonly commits: boolean;
+  /** Whether only the answer of the primary may be used. */
+  readonly onPrimary: boolean;
+}
+
 /**
- * Runs a statement; a successful commit of writes proves that the endpoint is
- * the primary.
+ * Runs a statement. Rejects with ConnectionLostError when there is no answer,
+ * or when the endpoint may have been replaced as the primary meanwhile: its
+ * answer proves nothing then.
  */
 export async function runStatement(
   {clock, group}: RunContext,
   lease: ConnectionLease,
   req: EndpointRequest,
-  {timeoutMs, commits}: {readonly timeoutMs: number; readonly commits: boolean},
+  {timeoutMs, commits, onPrimary}: RunBounds,
 ): Promise<Answer> {
   const sentAt = clock.now();
   const answer = await sendWithTimeout(clock, lease, req, timeoutMs);
+  const {id} = lease.link.listed;
+  if (onPrimary && isUnusable(group, lease.link, answer)) {
+    const what = 'it may have been replaced as the primary before it answered';
+    throw new ConnectionLostError(id, what, false);
+  }
   group.noteStatementAnswer(lease.link, answer, sentAt);
   if (commits && !answer.error)
     group.notePrimaryAnswer(lease.link, answer, sentAt);
   return answer;
 }
 
+/**
+ * Whether a success can't be used since the endpoint may have been replaced. An
+ * instance that goes through a holder leaves this check to the holder.
+ */
+function isUnusable(
+  group: GroupRuntime,
+  link: EndpointLink,
+  answer: Answer,
+): boolean {
+  if (answer.error || !link.plan.isHolder) return false;
+  return !group.mayContinueOnPrimary(link.listed.id);
+}
+
 /** Counts `work` as a statement in flight at the lease's endpoint. */
 export async function countInFlight<T>(
   {link}: ConnectionLease,
--- a/packages/proxy/src/single-statement.ts
+++ b/packages/proxy/src/single-statement.ts
@@ -82,7 +82,7 @@
   const endpoint = lease.link.listed.id;
   lease.pooled.applySettings(context.sessionData.settings);
   const forward = forwardRequest(context, lease, req, atLeast);
-  const bounds = {timeoutMs, commits: false};
+  const bounds = {timeoutMs, commits: false, onPrimary: false};
   try {
     const answer = await countInFlight(lease, () =>
       runStatement(context, lease, forward, bounds),
@@ -109,6 +109,7 @@
 ): Promise<AttemptResult> {
   const endpoint = lease.link.listed.id;
   lease.pooled.applySettings(context.sessionData.settings);
+  const endWork = context.group.countPrimaryWork();
   try {
     const answer = await countInFlight(lease, () =>
       runInTransaction(context, req, lease, timeoutMs),
@@ -119,6 +120,8 @@
   } catch (err) {
     lease.release(false);
     return lost(context, req, err, endpoint);
+  } finally {
+    endWork();
   }
 }
 
@@ -139,7 +142,7 @@
     return undefined;
   }
   const forward = forwardRequest(context, lease, req);
-  const bounds = {timeoutMs, commits: false};
+  const bounds = {timeoutMs, commits: false, onPrimary: true};
   const answer = await runStatement(context, lease, forward, bounds);
   rollBackAndRelease(lease);
   return answer;
@@ -213,7 +216,8 @@
   }
   lease.pooled.applySettings(context.sessionData.settings);
   const forward = forwardRequest(context, lease, req);
-  const bounds = {timeoutMs, commits: true};
+  const bounds = {timeoutMs, commits: true, onPrimary: true};
+  const endWork = context.group.countPrimaryWork();
   try {
     const answer = await countInFlight(lease, () =>
       runStatement(context, lease, forward, bounds),
@@ -235,5 +239,7 @@
       'the write was sent and has no answer; read it back before sending it again',
       SessionState.Idle,
     );
+  } finally {
+    endWork();
   }
 }
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -71,15 +71,23 @@
   let restsSince = now;
   let serving = false;
   let abandoned = false;
+  /** Set while the transaction is open at an endpoint as the primary. */
+  let endPrimaryWork: (() => void) | undefined;
+
+  function forgetLease(): void {
+    lease = undefined;
+    endPrimaryWork?.();
+    endPrimaryWork = undefined;
+  }
 
   function release(reusable: boolean): void {
     lease?.release(reusable);
-    lease = undefined;
+    forgetLease();
   }
 
   function rollBack(): void {
     if (lease) rollBackAndRelease(lease);
-    lease = undefined;
+    forgetLease();
   }
 
   function failWith(code: ErrorCode, text: string): Answer {
@@ -132,7 +140,10 @@
     const timeoutMs = deadlineOf(context) - clock.now();
     try {
       const answer = await openTransaction(context, taken, req, timeoutMs);
-      if (!answer.error) return true;
+      if (!answer.error) {
+        if (!readOnly) endPrimaryWork = context.group.countPrimaryWork();
+        return true;
+      }
       const {code} = answer.error;
       log.info({event: 'beginRefused', endpoint, code});
       taken.release(answer.state === SessionState.Idle);
@@ -188,12 +199,21 @@
     const held = lease!;
     const isCommit = req.statement.type === 'commit';
     const commits = isCommit && wrote;
+    const unusable = whyUnusable(context, held);
+    if (unusable) {
+      release(false);
+      return abort(context, req, isCommit, unusable);
+    }
     held.pooled.applySettings(memory.settings);
     const forward = forwardRequest(context, held, req);
     const timeoutMs = Math.max(1, deadlineOf(context) - clock.now());
     try {
       const answer = await countInFlight(held, () =>
-        runStatement(context, held, forward, {timeoutMs, commits}),
+        runStatement(context, held, forward, {
+          timeoutMs,
+          commits,
+          onPrimary: endPrimaryWork !== undefined,
+        }),
       );
       if (!isCommit) {
         if (isWrite(context, req)) wrote = true;
@@ -209,28 +229,44 @@
   }
 
   function lost(
-    {log}: ServeContext,
+    context: ServeContext,
     req: CallerRequest,
     isCommit: boolean,
     why: string,
   ): Answer {
+    const {log} = context;
     const endpoint = lease?.link.listed.id;
     release(false);
     const inDoubt = isCommit && wrote;
-    log.warn({
-      event: inDoubt ? 'commitInDoubt' : 'transactionLost',
-      id: req.id,
-      endpoint,
-      why,
-    });
-    if (inDoubt) {
-      state = SessionState.Idle;
-      return localError(
-        ErrorCode.Unknown,
-        'COMMIT was sent and has no answer; read back what it was to change',
-        state,
-      );
-    }
+    if (!inDoubt) return abort(context, req, isCommit, why);
+    log.warn({event: 'commitInDoubt', id: req.id, endpoint, why});
+    state = SessionState.Idle;
+    return localError(
+      ErrorCode.Unknown,
+      'COMMIT was sent and has no answer; read back what it was to change',
+      state,
+    );
+  }
+
+  /** Why the open transaction can't go on; undefined if it can. */
+  function whyUnusable(
+    {group}: ServeContext,
+    {link, pooled}: ConnectionLease,
+  ): string | undefined {
+    if (!pooled.connection.isOpen) return 'the connection is closed';
+    if (!endPrimaryWork || !link.plan.isHolder) return undefined;
+    if (group.mayContinueOnPrimary(link.listed.id)) return undefined;
+    return 'the endpoint may have been replaced as the primary';
+  }
+
+  /** Answers a request that was not sent, or whose loss keeps nothing. */
+  function abort(
+    {log}: ServeContext,
+    req: CallerRequest,
+    isCommit: boolean,
+    why: string,
+  ): Answer {
+    log.warn({event: 'transactionLost', id: req.id, why});
     const text = 'the connection to the endpoint was lost; nothing is kept';
     if (!isCommit) return failWith(ErrorCode.Aborted, text);
     state = SessionState.Idle;
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -57,6 +57,7 @@
     noteStatementAnswer() {},
     noteAnswer() {},
     notePrimaryAnswer() {},
+    countPrimaryWork: () => () => {},
     canServe: ({avoid}: Need) => ENDPOINTS.some(id => !avoid.has(id)),
     async acquire(req: ConnectionRequest) {
       const need = req.need();
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -73,6 +73,7 @@
   'prepare',
   'discard',
   'status',
+  'stepDown',
 ]);
 
 const OBSERVATION_REQUEST_TYPES: ReadonlySet<string> = new Set<
--- a/packages/requests/src/endpoint.ts
+++ b/packages/requests/src/endpoint.ts
@@ -83,7 +83,11 @@
     }
   /** Clears session variables and prepared statements. */
   | {readonly type: 'discard'}
-  | {readonly type: 'status'};
+  | {readonly type: 'status'}
+  /**
+   * Makes a primary of a term below `term` a replica; answered like `status`.
+   */
+  | {readonly type: 'stepDown'; readonly term: number};
 
 /** One connection to an endpoint. Requests are answered in the order sent. */
 export abstract class EndpointConnection implements Disposable {
