--- /dev/null
+++ b/packages/facts/test/fleet.ts
@@ -0,0 +1,274 @@
+/** A fleet of feeds on a simulated clock, network and store, for tests. */
+import {
+  type Disposable,
+  type ManualClock,
+  hashOf,
+  manualClock,
+} from '@quetzalreel/common';
+import {
+  type KindChanges,
+  type KindEvent,
+  type KindObject,
+  type KindSnapshot,
+  KindStore,
+  StoreUnavailableError,
+} from '@quetzalreel/object-store';
+import {uniformInt} from 'pure-rand/distribution/uniformInt';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type FactMessage, type Feed, linksOf, startFeed} from '../src/index.js';
+
+/** The kind that the feeds follow. */
+export const KIND = 'things';
+const STEP_MS = 5;
+const WATCH_MS = 3000;
+const MAX_DELAY_MS = 20;
+const HASH_RANGE = 2 ** 32;
+const PERCENT = 100;
+
+/** Times and limits as on the platform. */
+const TIMES = {beatMs: 1000, firstReadMs: 200, lateMs: 150};
+const LIMITS = {readers: 3, mostReaders: 8, heardMs: 2200, spreadMs: 500};
+
+/** One simulated instance. */
+export interface SimulatedInstance {
+  readonly name: string;
+  readonly dataCentre: string;
+  feed: Feed;
+  /** Receives, sends and runs nothing while it is false. */
+  isRunning: boolean;
+  /** Whether the store answers it. */
+  isServed: boolean;
+  /** Revision of each object that the feed has reported. */
+  readonly known: Map<string, number>;
+  /** Number of times an object went back to a lower revision. */
+  wentBack: number;
+  isReader: boolean;
+  suspensions: number;
+}
+
+/** A simulated fleet. */
+export interface SimulatedFleet extends Disposable {
+  readonly instances: readonly SimulatedInstance[];
+  readonly clock: ManualClock;
+  /** Calls that the store received. */
+  readonly calls: number;
+  /** Messages that were sent. */
+  readonly messages: number;
+  /** Whether messages from one instance to another are lost. */
+  isCut: (from: SimulatedInstance, to: SimulatedInstance) => boolean;
+  /** Messages in a hundred that are lost. */
+  lossPercent: number;
+  put(name: string): void;
+  remove(name: string): void;
+  /** Whether all running instances that are reached know the store's state. */
+  isCurrent(instance: SimulatedInstance): boolean;
+  run(forMs: number): Promise<void>;
+}
+
+interface Watcher {
+  check(): void;
+}
+
+/** Starts `count` instances in three data centres. */
+export function simulatedFleet(count: number, seed: number): SimulatedFleet {
+  const clock = manualClock();
+  const random = xoroshiro128plus(seed);
+  const objects = new Map<string, KindObject>();
+  const history: KindEvent[] = [];
+  const watchers = new Set<Watcher>();
+  let revision = 1;
+  let calls = 0;
+  let messages = 0;
+
+  function record(object: KindObject, deleted: boolean): void {
+    history.push({object, deleted});
+    for (const watcher of [...watchers]) watcher.check();
+  }
+
+  class SimulatedStore extends KindStore {
+    constructor(private readonly owner: () => SimulatedInstance) {
+      super();
+    }
+
+    private check(): void {
+      calls++;
+      if (!this.owner().isServed)
+        throw new StoreUnavailableError('turned away', true);
+    }
+
+    async list(): Promise<KindSnapshot> {
+      this.check();
+      return {objects: [...objects.values()], revision};
+    }
+
+    async watch(
+      _kind: string,
+      since: number,
+      waitMs: number,
+    ): Promise<KindChanges> {
+      this.check();
+      const changes = () => ({
+        events: history.filter(({object}) => object.revision > since),
+        revision,
+      });
+      return new Promise((resolve, reject) => {
+        const end = () => {
+          watchers.delete(watcher);
+          timer.dispose();
+          if (this.owner().isServed) resolve(changes());
+          else reject(new StoreUnavailableError('cut off', false));
+        };
+        const watcher = {
+          check: () => {
+            if (changes().events.length > 0) end();
+          },
+        };
+        const timer = clock.after(waitMs, end);
+        watchers.add(watcher);
+        watcher.check();
+      });
+    }
+
+    async get(): Promise<KindObject | undefined> {
+      throw new Error('not used');
+    }
+    async create(): Promise<KindObject> {
+      throw new Error('not used');
+    }
+    async replace(): Promise<KindObject> {
+      throw new Error('not used');
+    }
+    async remove(): Promise<void> {
+      throw new Error('not used');
+    }
+  }
+
+  const byName = new Map<string, SimulatedInstance>();
+  const instances: SimulatedInstance[] = [];
+  const fleet: SimulatedFleet = {
+    instances,
+    clock,
+    get calls() {
+      return calls;
+    },
+    get messages() {
+      return messages;
+    },
+    isCut: () => false,
+    lossPercent: 0,
+    put(name) {
+      revision++;
+      const object = {name, revision, value: revision};
+      objects.set(name, object);
+      record(object, false);
+    },
+    remove(name) {
+      revision++;
+      objects.delete(name);
+      record({name, revision, value: undefined}, true);
+    },
+    isCurrent({known}) {
+      if (known.size !== objects.size) return false;
+      for (const [name, object] of objects) {
+        if (known.get(name) !== object.revision) return false;
+      }
+      return true;
+    },
+    async run(forMs) {
+      for (let ms = 0; ms < forMs; ms += STEP_MS) {
+        clock.advance(STEP_MS);
+        for (const {feed, isRunning} of instances) if (isRunning) feed.tick();
+        await new Promise(resolve => setImmediate(resolve));
+      }
+    },
+    dispose() {
+      for (const {feed} of instances) feed.dispose();
+    },
+  };
+
+  function deliver(
+    from: SimulatedInstance,
+    to: SimulatedInstance,
+    message: FactMessage,
+  ): void {
+    messages++;
+    if (uniformInt(random, 0, PERCENT - 1) < fleet.lossPercent) return;
+    clock.after(uniformInt(random, 0, MAX_DELAY_MS), () => {
+      if (!to.isRunning || !from.isRunning || fleet.isCut(from, to)) return;
+      to.feed.receive(message);
+    });
+  }
+
+  for (let i = 0; i < count; i++) {
+    const instance: SimulatedInstance = {
+      name: `n-${i}`,
+      dataCentre: `dc-${i % 3}`,
+      feed: undefined as unknown as Feed,
+      isRunning: true,
+      isServed: true,
+      known: new Map(),
+      wentBack: 0,
+      isReader: false,
+      suspensions: 0,
+    };
+    instances.push(instance);
+    byName.set(instance.name, instance);
+  }
+  const listed = instances.map(({name, dataCentre}) => ({
+    instance: name,
+    dataCentre,
+  }));
+  for (const instance of instances) {
+    const {name, dataCentre} = instance;
+    const links = linksOf(
+      {instance: name, dataCentre},
+      listed.filter(item => item.instance !== name),
+    ).map(item => item.instance);
+    instance.feed = startFeed({
+      instance: name,
+      clock,
+      store: new SimulatedStore(() => instance),
+      kinds: [
+        {
+          kind: KIND,
+          watchMs: WATCH_MS,
+          onEvents(events) {
+            for (const {object, deleted} of events)
+              note(instance, object, deleted);
+          },
+          onReach: () => {},
+        },
+      ],
+      times: TIMES,
+      limits: () => LIMITS,
+      preferenceOf: text => hashOf(`${seed}/${text}`) / HASH_RANGE,
+      suspensions: () => instance.suspensions,
+      life: 1,
+      links: () => links,
+      send: (address, message) =>
+        deliver(instance, byName.get(address)!, {
+          ...message,
+          from: name,
+        } as FactMessage),
+      onEvent({event}) {
+        if (event === 'readerBegun') instance.isReader = true;
+        if (event === 'readerEnded') instance.isReader = false;
+      },
+    });
+  }
+  return fleet;
+}
+
+function note(
+  instance: SimulatedInstance,
+  {name, revision}: KindObject,
+  deleted: boolean,
+): void {
+  const {known} = instance;
+  if (deleted) {
+    known.delete(name);
+    return;
+  }
+  if ((known.get(name) ?? 0) > revision) instance.wentBack++;
+  known.set(name, revision);
+}
--- /dev/null
+++ b/packages/facts/test/test-kind-copy.ts
@@ -0,0 +1,140 @@
+/** Copies of a kind that get the same changes from several readers. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import type {KindEvent} from '@quetzalreel/object-store';
+import {
+  type KindCopy,
+  type KindDelta,
+  deltaOf,
+  mergeDelta,
+  wholeCopy,
+} from '../src/index.js';
+
+/** A change in the store: the name, and whether it removes the object. */
+interface Change {
+  readonly name: string;
+  readonly removes: boolean;
+}
+
+const change: fc.Arbitrary<Change> = fc.record({
+  name: fc.constantFrom('a', 'b', 'c'),
+  removes: fc.boolean(),
+});
+
+/** Revision of the empty store, at which every copy starts. */
+const FIRST = 1;
+const EMPTY: KindCopy = {revision: FIRST, objects: new Map()};
+
+/** The store's events, the first one above `FIRST`. */
+function eventsOf(changes: readonly Change[]): KindEvent[] {
+  return changes.map(({name, removes}, i) => ({
+    object: {name, revision: FIRST + i + 1, value: i},
+    deleted: removes,
+  }));
+}
+
+/** The objects in the store at `revision`. */
+function objectsAt(
+  events: readonly KindEvent[],
+  revision: number,
+): Map<string, number> {
+  const objects = new Map<string, number>();
+  for (const {object, deleted} of events.slice(0, revision - FIRST)) {
+    if (deleted) objects.delete(object.name);
+    else objects.set(object.name, object.revision);
+  }
+  return objects;
+}
+
+function revisionsIn(copy: KindCopy): Map<string, number> {
+  return new Map(
+    [...copy.objects].map(([name, object]) => [name, object.revision]),
+  );
+}
+
+function sorted(objects: Map<string, number>): Array<[string, number]> {
+  return [...objects].sort(([a], [b]) => (a < b ? -1 : 1));
+}
+
+/** The deltas of a reader that reads after each of the revisions `stops`. */
+function deltasOf(
+  events: readonly KindEvent[],
+  stops: readonly number[],
+): KindDelta[] {
+  const deltas: KindDelta[] = [];
+  let copy = EMPTY;
+  let read = 0;
+  for (const stop of [...stops].sort((a, b) => a - b)) {
+    const batch = events.slice(read, stop);
+    if (batch.length === 0) continue;
+    read = stop;
+    const got = {isAll: false, revision: FIRST + stop, events: batch};
+    const delta = deltaOf('k', copy, got);
+    deltas.push(delta);
+    const merged = mergeDelta(copy, delta);
+    if (merged.type === 'merged') copy = merged.copy;
+  }
+  return deltas;
+}
+
+const history = fc.array(change, {minLength: 1, maxLength: 12});
+const stops = fc.array(fc.integer({min: 1, max: 12}), {maxLength: 6});
+
+describe('a copy', () => {
+  it('is the state of the store at its revision, whatever arrives', () => {
+    const order = fc.array(fc.nat(), {maxLength: 30});
+    fc.assert(
+      fc.property(history, stops, stops, order, (changes, one, two, picks) => {
+        const events = eventsOf(changes);
+        const deltas = [...deltasOf(events, one), ...deltasOf(events, two)];
+        if (deltas.length === 0) return;
+        let copy = EMPTY;
+        for (const pick of picks) {
+          const delta = deltas[pick % deltas.length]!;
+          const merged = mergeDelta(copy, delta);
+          if (merged.type !== 'merged') continue;
+          assert.ok(merged.copy.revision > copy.revision);
+          copy = merged.copy;
+          const expected = objectsAt(events, copy.revision);
+          assert.deepEqual(sorted(revisionsIn(copy)), sorted(expected));
+        }
+      }),
+      {seed: 3, numRuns: 500},
+    );
+  });
+
+  it('is repaired by a whole copy after a gap', () => {
+    const events = eventsOf([
+      {name: 'a', removes: false},
+      {name: 'b', removes: false},
+      {name: 'a', removes: true},
+      {name: 'c', removes: false},
+    ]);
+    const [first, , third] = deltasOf(events, [1, 2, 3, 4]);
+    const start = mergeDelta(undefined, {...first!, since: 0});
+    assert.ok(start.type === 'merged');
+    assert.equal(mergeDelta(start.copy, third!).type, 'gap');
+    const objects = new Map([
+      ['b', events[1]!.object],
+      ['c', events[3]!.object],
+    ]);
+    const whole = wholeCopy('k', {revision: 5, objects});
+    const repaired = mergeDelta(start.copy, whole);
+    assert.ok(repaired.type === 'merged');
+    assert.deepEqual(
+      repaired.events.map(({object, deleted}) => [object.name, deleted]),
+      [
+        ['a', true],
+        ['b', false],
+        ['c', false],
+      ],
+    );
+  });
+
+  it('does not go back to a list that the store answered late', () => {
+    const objects = new Map([['a', {name: 'a', revision: 9, value: 1}]]);
+    const late = wholeCopy('k', {revision: 7, objects: new Map()});
+    assert.equal(mergeDelta({revision: 9, objects}, late).type, 'known');
+  });
+});
