Model changes of primary on platforms that do not check fences

The instance that changes the primary, one that uses the old one and a further witness; cuts between them and from the store, a suspension, answers in flight, the order at any later time. When it may be sent and how long permission lasts is computed by the production code.

--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -22,6 +22,14 @@
   type Violation,
   search,
 } from './search.js';
+export {
+  CHANGE_INVARIANTS,
+  type ChangeBounds,
+  ChangeOmission,
+  type ChangeState,
+  changeSteps,
+  initialChangeState,
+} from './unfenced-change.js';
 export {OMISSIONS, type OmissionCase} from './omissions.js';
 export {INVARIANTS} from './spec.js';
 export {type Bounds, Omission, type State} from './state.js';
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -16,6 +16,12 @@
 import {OMISSIONS} from './omissions.js';
 import {search} from './search.js';
 import {INVARIANTS} from './spec.js';
+import {
+  CHANGE_INVARIANTS,
+  ChangeOmission,
+  changeSteps,
+  initialChangeState,
+} from './unfenced-change.js';
 
 const {values} = parseArgs({
   options: {
@@ -59,6 +65,7 @@
 }
 
 const ORDER_BOUNDS = {changes: 3};
+const CHANGE_BOUNDS = {ticks: 2};
 const READ_BOUNDS = {commits: 1, ticks: 3};
 /** Bounds within which each disabled rule leads to a violation. */
 const OMITTED_READ_BOUNDS = {commits: 2, ticks: 3};
@@ -83,11 +90,26 @@
   );
 }
 
+function searchChanges(omit?: ChangeOmission) {
+  const bounds = omit ? {...CHANGE_BOUNDS, omit} : CHANGE_BOUNDS;
+  return search(
+    initialChangeState(),
+    state => changeSteps(state, bounds),
+    PLATFORM_STATES,
+  );
+}
+
+const changes = searchChanges();
 const orders = searchOrders();
 const reads = searchReads();
 print({...ORDER_BOUNDS, invariants: ORDER_INVARIANTS, ...orders});
 print({...READ_BOUNDS, invariants: READ_INVARIANTS, ...reads});
-if (orders.violation || reads.violation) process.exitCode = 1;
+print({...CHANGE_BOUNDS, invariants: CHANGE_INVARIANTS, ...changes});
+if (orders.violation || reads.violation || changes.violation)
+  process.exitCode = 1;
+for (const omit of Object.values(ChangeOmission)) {
+  print({omitted: omit, ...searchChanges(omit)});
+}
 for (const omit of Object.values(OrderOmission)) {
   print({omitted: omit, ...searchOrders(omit)});
 }
--- a/packages/model/test/test-platform-model.ts
+++ b/packages/model/test/test-platform-model.ts
@@ -11,9 +11,16 @@
 } from '../src/fenced-orders.js';
 import {ReadOmission, initialReadState, readSteps} from '../src/fresh-reads.js';
 import {search} from '../src/search.js';
+import {
+  ChangeOmission,
+  changeSteps,
+  initialChangeState,
+} from '../src/unfenced-change.js';
 
 const MAX_STATES = 400_000;
 const ORDERS = {changes: 3};
+/** Bounds of the changes without fences. */
+const CHANGES = {ticks: 2};
 /** Bounds of the exhaustive search. */
 const READS = {commits: 1, ticks: 3};
 /** Bounds within which each disabled rule leads to a violation. */
@@ -41,6 +48,29 @@
   }
 });
 
+describe('changes of primary without fences', () => {
+  const explore = (omit?: ChangeOmission) => {
+    const bounds = omit ? {...CHANGES, omit} : CHANGES;
+    return search(
+      initialChangeState(),
+      state => changeSteps(state, bounds),
+      MAX_STATES,
+    );
+  };
+
+  it('acknowledge no commit of the replaced primary', () => {
+    const {violation, complete} = explore();
+    assert.equal(violation, undefined);
+    assert.equal(complete, true);
+  });
+
+  for (const omit of Object.values(ChangeOmission)) {
+    it(`break an invariant with: ${omit}`, () => {
+      assert.ok(explore(omit).violation);
+    });
+  }
+});
+
 describe('replica reads by samples', () => {
   it('break no invariant across suspensions and changes of primary', () => {
     const steps = (state: ReturnType<typeof initialReadState>) =>
