--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -15,7 +15,7 @@
   mergeDelta,
   wholeCopy,
 } from './kind-copy.js';
-import {type KindRead, kindReader} from './kind-reader.js';
+import {type KindRead, type KindReader, kindReader} from './kind-reader.js';
 import type {FactMessage, KindReading, ReaderBeat} from './messages.js';
 import {
   type HeardReader,
@@ -44,10 +44,12 @@
   /** Interval between the beats of a reader. */
   readonly beatMs: number;
   /**
-   * How long an instance that starts waits for a copy of its peers before it
+   * How long an instance that starts waits until it knows its links before it
    * reads the store itself.
    */
   readonly firstReadMs: number;
+  /** How long it waits for a copy from them. */
+  readonly firstCopyMs: number;
   /** How long a change that a beat shows may be on its way. */
   readonly lateMs: number;
 }
@@ -71,8 +73,11 @@
   readonly suspensions: () => number;
   /** Distinguishes this life of the instance from earlier ones. */
   readonly life: number;
-  /** Addresses of the linked instances, `host:port`. */
-  readonly links: () => readonly string[];
+  /**
+   * Addresses of the linked instances, `host:port`; undefined until the list of
+   * instances was read.
+   */
+  readonly links: () => readonly string[] | undefined;
   /** Sends a message to an address; it may be lost. */
   readonly send: (address: string, message: FeedMessage) => void;
   readonly onEvent: (event: FeedEvent) => void;
@@ -99,6 +104,7 @@
 
 interface KindState {
   readonly followed: FollowedKind;
+  reader: KindReader;
   copy: KindCopy | undefined;
   /** Since when the store answers this instance; undefined while it does not. */
   ownReachedSince: number | undefined;
@@ -119,7 +125,7 @@
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, times, preferenceOf, send} = context;
   const owned = disposableStore();
-  const startedAt = clock.now();
+  let firstReadAt = clock.now() + times.firstReadMs;
   const states = new Map<string, KindState>();
   const readers = new Map<string, KnownReader>();
   let role: ReaderRole = {isReader: false, missingSince: undefined};
@@ -134,6 +140,7 @@
     const {kind} = followed;
     const state: KindState = {
       followed,
+      reader: undefined as unknown as KindReader,
       copy: undefined,
       ownReachedSince: undefined,
       isReached: undefined,
@@ -141,7 +148,7 @@
       waiting: new Set(),
     };
     states.set(kind, state);
-    owned.add(
+    state.reader = owned.add(
       kindReader({
         ...context,
         ...followed,
@@ -164,7 +171,7 @@
   }
 
   function needsFirstRead({copy}: KindState): boolean {
-    return copy === undefined && clock.now() - startedAt >= times.firstReadMs;
+    return copy === undefined && clock.now() >= firstReadAt;
   }
 
   function isBehind(): boolean {
@@ -173,7 +180,7 @@
   }
 
   function sendToLinks(message: FeedMessage, except?: string): void {
-    for (const address of context.links()) {
+    for (const address of context.links() ?? []) {
       if (address !== except) send(address, message);
     }
   }
@@ -331,18 +338,29 @@
     state.followed.onReach(isReached, forMs ?? 0);
   }
 
+  /** Asks the links for copies as soon as they are known. */
+  function askForFirstCopies(): void {
+    const links = context.links();
+    if (hasAskedForCopies || !links) return;
+    hasAskedForCopies = true;
+    if (!isBehind()) return;
+    const waitMs = links.length === 0 ? 0 : times.firstCopyMs;
+    firstReadAt = Math.min(firstReadAt, clock.now() + waitMs);
+    for (const address of links) askForCopies(address);
+  }
+
   function checkSuspension(): void {
     const suspensions = context.suspensions();
     if (suspensions === seenSuspensions) return;
     seenSuspensions = suspensions;
     // The age of what was heard is not known any more.
     readers.clear();
-    for (const address of context.links()) askForCopies(address);
+    for (const address of context.links() ?? []) askForCopies(address);
   }
 
   function updateRole(): void {
     const now = clock.now();
-    if (isBehind() && now - startedAt < times.firstReadMs) return;
+    if (isBehind() && now < firstReadAt) return;
     const isServed = [...states.values()].every(
       ({ownReachedSince}) => ownReachedSince !== undefined,
     );
@@ -386,12 +404,9 @@
     },
     tick() {
       checkSuspension();
-      const links = context.links();
-      if (!hasAskedForCopies && links.length > 0) {
-        hasAskedForCopies = true;
-        if (isBehind()) for (const address of links) askForCopies(address);
-      }
+      askForFirstCopies();
       updateRole();
+      for (const {reader} of states.values()) reader.check();
       repair();
       for (const state of states.values()) noteReach(state);
     },
--- a/packages/facts/src/kind-reader.ts
+++ b/packages/facts/src/kind-reader.ts
@@ -47,15 +47,20 @@
  * succession, as at a start, are then billed as one call.
  */
 const BATCH_MS = 100;
-/** Interval at which it is checked whether reading is wanted, milliseconds. */
-const IDLE_MS = 50;
+
+/** A running reader. */
+export interface KindReader extends Disposable {
+  /** Begins to read if that has become wanted. */
+  check(): void;
+}
 
 /** Reads the kind until disposed. */
-export function kindReader(context: KindReaderContext): Disposable {
+export function kindReader(context: KindReaderContext): KindReader {
   const {store, kind, clock, watchMs, onRead} = context;
   let disposed = false;
   let isReached: boolean | undefined;
   let failures = 0;
+  let isReading = false;
 
   function note(reached: boolean, why?: string): void {
     failures = reached ? 0 : failures + 1;
@@ -96,27 +101,19 @@
     }
   }
 
-  async function run(): Promise<void> {
-    let since: number | undefined;
-    let wasReading = false;
-    while (!disposed) {
-      if (!context.isWanted()) {
-        wasReading = false;
-        await clock.sleep(IDLE_MS);
-        continue;
-      }
-      if (!wasReading) {
-        // What the others reported meanwhile needs no reading again.
-        isReached = undefined;
-        since = context.copyRevision();
-      }
-      wasReading = true;
-      since = await step(since);
-    }
+  async function readWhileWanted(): Promise<void> {
+    isReading = true;
+    // What the others reported meanwhile needs no reading again.
+    let since = context.copyRevision();
+    isReached = undefined;
+    while (!disposed && context.isWanted()) since = await step(since);
+    isReading = false;
   }
 
-  void run();
   return {
+    check() {
+      if (!isReading && !disposed && context.isWanted()) void readWhileWanted();
+    },
     dispose() {
       disposed = true;
     },
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -26,7 +26,12 @@
 const PERCENT = 100;
 
 /** Times and limits as on the platform. */
-const TIMES = {beatMs: 1000, firstReadMs: 200, lateMs: 150};
+const TIMES = {
+  beatMs: 1000,
+  firstReadMs: 150,
+  firstCopyMs: 40,
+  lateMs: 150,
+};
 const LIMITS = {readers: 3, mostReaders: 8, heardMs: 2200, spreadMs: 500};
 
 /** One simulated instance. */
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -49,10 +49,12 @@
   /** Interval between the beats of an instance that reads the store. */
   readerBeatMs: 1000,
   /**
-   * How long an instance that starts waits for what its peers know before it
-   * reads the store.
+   * How long an instance that starts waits for the list of instances before it
+   * reads the configuration from the store.
    */
-  firstReadMs: 200,
+  firstReadMs: 150,
+  /** How long it then waits for what its peers know. */
+  firstCopyMs: 40,
   /**
    * The same when the whole fleet starts for the first time: all are listed by
    * then, and there are no callers yet.
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -101,8 +101,11 @@
    * instances was read.
    */
   announce(change: ChangeRecord): Promise<Confirmations | undefined>;
-  /** Addresses of the instances that facts are spread to. */
-  readonly links: readonly string[];
+  /**
+   * Addresses of the instances that facts are spread to; undefined until the
+   * list of instances was read.
+   */
+  readonly links: readonly string[] | undefined;
   /** Number of known instances, with this one. */
   readonly fleetSize: number;
   /** Sends a message about facts; it may be lost. */
@@ -359,7 +362,7 @@
       return changes?.announce(change, present, witnessNames());
     },
     get links() {
-      return links;
+      return wasRead ? links : undefined;
     },
     get fleetSize() {
       return present.length + 1;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -109,6 +109,7 @@
     serveRelayed: serveOthers,
     onChange: () => {
       for (const group of groups.values()) group.replan();
+      view.tick();
     },
     isStoreUnavailable: () => !view.isConfigurationReachable,
     generation: () => view.table?.generation ?? 0,
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -25,7 +25,8 @@
 
 /** The instances with which a view shares what it reads. */
 export interface FactPeers {
-  readonly links: readonly string[];
+  /** Undefined until the list of instances was read. */
+  readonly links: readonly string[] | undefined;
   readonly fleetSize: number;
   sendFact(address: string, message: FeedMessage): void;
 }
@@ -76,6 +77,15 @@
   tick(): void;
 }
 
+const RESTART_TIMES = {
+  firstReadMs: TIMES.firstReadMs,
+  firstCopyMs: TIMES.firstCopyMs,
+} as const;
+const FIRST_START_TIMES = {
+  firstReadMs: TIMES.firstStartReadMs,
+  firstCopyMs: TIMES.firstStartReadMs,
+} as const;
+
 /** Number of values that `hashOf` returns. */
 const HASH_RANGE = 2 ** 32;
 
@@ -163,9 +173,7 @@
       ],
       times: {
         beatMs: TIMES.readerBeatMs,
-        firstReadMs: context.isFirstStart
-          ? TIMES.firstStartReadMs
-          : TIMES.firstReadMs,
+        ...(context.isFirstStart ? FIRST_START_TIMES : RESTART_TIMES),
         lateMs: TIMES.lateFactMs,
       },
       limits: () => ({
