Ask peers about silent endpoints less often, and from fewer instances

Cause: each instance asked up to nine peers about each silent endpoint every 400 ms without end, and began a change of primary every 50 ms while the peers' verdict was against it: 26,059 questions in a soak of 60 instances, most of the machine's processor time.

Change: the interval doubles while no path is found; an instance that goes through holders asks seldom, as the holders look for a path; only the holder of the lease and instances with connections to the group begin a change, the others three seconds later; a change that was not begun is considered again after 50 to 400 ms. In ten seconds of silence: 9 questions instead of 25, 4 from an instance without connections (test-backoff).

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -75,6 +75,17 @@
   leasePollMs: 10_000,
   /** Head start of the lease holder when the primary is to be changed. */
   leaseHolderHeadStartMs: 150,
+  /**
+   * Head start of the instances that hold connections to the group's endpoints:
+   * longer than a change takes, so that the rest of a large fleet asks nobody.
+   */
+  holderHeadStartMs: 3000,
+  /**
+   * Delay before a change of primary that was not begun is considered again;
+   * grows to the maximum.
+   */
+  changeRetryMs: 50,
+  changeRetryMaxMs: 400,
   /**
    * Instances start a change of primary at different moments within this time.
    */
@@ -108,8 +119,15 @@
    * is this old.
    */
   askPeersAfterMs: 60,
-  /** Interval between two requests to peers for a path to one endpoint. */
+  /**
+   * Interval between two requests to peers for a path to one endpoint; grows to
+   * the maximum while none is found, which is within the time that the answers
+   * stay valid.
+   */
   askPeersIntervalMs: 400,
+  askPeersMaxIntervalMs: 1400,
+  /** The maximum for an instance that goes through holders. */
+  nonHolderAskMaxIntervalMs: 5600,
   /** How long the peers' answers about an unresponsive endpoint stay valid. */
   reachabilityMaxAgeMs: 1500,
   /**
--- a/packages/proxy/src/endpoint-reachability.ts
+++ b/packages/proxy/src/endpoint-reachability.ts
@@ -7,6 +7,7 @@
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
 import {type ReachabilityResult, Verdict} from '@quetzalreel/peer-queries';
+import {type BackoffBounds, backoffMs} from './backoff.js';
 import {TIMES} from './defaults.js';
 import type {EndpointLink} from './endpoint-link.js';
 import type {Log} from './log.js';
@@ -43,8 +44,24 @@
   /** The last answer of the peers; `foundAt` is its time. */
   readonly finding: ReachabilityResult | undefined;
   readonly foundAt: number;
+  /** Queries in a row that found no relay, while the endpoint was silent. */
+  readonly misses: number;
 }
 
+/** Interval between two queries of an instance that holds connections. */
+const HOLDER_INTERVAL: BackoffBounds = {
+  firstMs: TIMES.askPeersIntervalMs,
+  mostMs: TIMES.askPeersMaxIntervalMs,
+};
+/**
+ * The same of an instance without connections: it goes through holders, which
+ * look for a path themselves.
+ */
+const NON_HOLDER_INTERVAL: BackoffBounds = {
+  firstMs: TIMES.askPeersMaxIntervalMs,
+  mostMs: TIMES.nonHolderAskMaxIntervalMs,
+};
+
 /** Starts without findings. */
 export function endpointReachability(
   context: ReachabilityContext,
@@ -56,20 +73,39 @@
     const {id} = link.listed;
     const askedAt = clock.now();
     const before = known.get(id);
+    const silentSince = link.facts.unansweredSince ?? askedAt;
+    const isSameSilence = before !== undefined && before.askedAt >= silentSince;
+    const misses = isSameSilence ? before.misses : 0;
     known.set(id, {
       askedAt,
       finding: before?.finding,
       foundAt: before?.foundAt ?? -Infinity,
+      misses,
     });
     const finding = await ask(id);
     if (!known.has(id)) return;
-    known.set(id, {askedAt, finding, foundAt: clock.now()});
+    known.set(id, {
+      askedAt,
+      finding,
+      foundAt: clock.now(),
+      misses: finding?.relay ? 0 : misses + 1,
+    });
     log.info({event: 'othersAsked', endpoint: id, ...finding});
     if (!finding?.relay || link.facts.unansweredSince === undefined) return;
     link.startDetour(finding.relay);
     onFound(link);
   }
 
+  function nextQueryAt({listed, plan, facts}: EndpointLink): number {
+    const last = known.get(listed.id);
+    const bounds = plan.isHolder ? HOLDER_INTERVAL : NON_HOLDER_INTERVAL;
+    const since = facts.unansweredSince ?? -Infinity;
+    // The first query of an instance without connections waits as well.
+    if (!last || last.askedAt < since)
+      return plan.isHolder ? -Infinity : since + bounds.firstMs;
+    return last.askedAt + backoffMs(last.misses, bounds);
+  }
+
   return {
     askPeersIfDue(link) {
       const now = clock.now();
@@ -79,8 +115,7 @@
         now - unansweredSince < TIMES.askPeersAfterMs
       )
         return;
-      const last = known.get(link.listed.id)?.askedAt ?? -Infinity;
-      if (link.isOnDetour || now - last < TIMES.askPeersIntervalMs) return;
+      if (link.isOnDetour || now < nextQueryAt(link)) return;
       askPeersAbout(link).catch(err =>
         log.warn({
           event: 'othersNotAsked',
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -16,6 +16,7 @@
   reasonToChange,
 } from '@quetzalreel/failover';
 import {Verdict, type PeerQueries} from '@quetzalreel/peer-queries';
+import {backoffMs} from './backoff.js';
 import {changePreparation} from './change-preparation.js';
 import {FAILOVER_THRESHOLDS, TIMES} from './defaults.js';
 import {endpointControl} from './endpoint-control.js';
@@ -68,6 +69,11 @@
   ChangeOutcome.Unanswered,
 ]);
 
+const RETRY_BOUNDS = {
+  firstMs: TIMES.changeRetryMs,
+  mostMs: TIMES.changeRetryMaxMs,
+} as const;
+
 /** Watches the primary until disposed. */
 export function watchPrimary(
   group: GroupRuntime,
@@ -81,6 +87,8 @@
   /** Spreads the attempts of instances over time. */
   const delayMs = hashFraction(instance + group.name) * TIMES.changeJitterMs;
   let disposed = false;
+  /** Times in a row that a change was not begun or not completed. */
+  let failures = 0;
   /** Whether a change was begun here that no order completed. */
   let isUnfinished = false;
 
@@ -146,6 +154,7 @@
       isPlanned ? Verdict.Unreached : verdictOfPeers(from),
     ]);
     const best = mostAdvanced(found);
+    failures++;
     log.warn({
       event: 'primaryToChange',
       group: group.name,
@@ -159,6 +168,7 @@
     const outcome = await changer.change(planned, isPlanned, prepare);
     log.info({event: 'changeEnded', group: group.name, outcome});
     isUnfinished = UNFINISHED.has(outcome);
+    if (outcome === ChangeOutcome.Ordered) failures = 0;
     if (outcome === ChangeOutcome.Ordered) await waitForNewPrimary(from);
   }
 
@@ -178,15 +188,29 @@
     return reasonToChange(viewOf(group), FAILOVER_THRESHOLDS, clock.now());
   }
 
+  /** Delay of this instance before it begins a change. */
+  function startDelayMs(): number {
+    const retryMs = failures === 0 ? 0 : backoffMs(failures, RETRY_BOUNDS);
+    if (changer.isHolder) return retryMs;
+    const delay = TIMES.leaseHolderHeadStartMs + delayMs + retryMs;
+    return holdsConnections() ? delay : delay + TIMES.holderHeadStartMs;
+  }
+
+  /** Whether this instance holds connections to an endpoint of the group. */
+  function holdsConnections(): boolean {
+    for (const {plan} of group.links.values()) if (plan.isHolder) return true;
+    return false;
+  }
+
   async function run(): Promise<void> {
     while (!disposed) {
       await clock.sleep(TIMES.tickMs);
       const reason = reasonNow();
-      if (!reason) continue;
-      const waitMs = changer.isHolder
-        ? 0
-        : TIMES.leaseHolderHeadStartMs + delayMs;
-      await clock.sleep(waitMs);
+      if (!reason) {
+        failures = 0;
+        continue;
+      }
+      await clock.sleep(startDelayMs());
       if (!reasonNow()) continue;
       try {
         await changeFor(reason);
