--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -19,7 +19,7 @@
   ConnectionLease,
   ConnectionRequest,
 } from './group-types.js';
-import {primaryOf} from './leadership.js';
+import {groupPrimary} from './group-primary.js';
 import {placementOf} from './link-placement.js';
 import {
   ANY_ENDPOINT,
@@ -45,8 +45,6 @@
 ): GroupRuntime {
   const {clock, log, dataCentre, primaryUse} = context;
   const links = new Map<string, EndpointLink>();
-  /** When the role in each endpoint's entry last changed. */
-  const roleListedAt = new Map<string, number>();
   const queue = waitQueue<Waiter>();
   const probing = new Set<string>();
   const reachability = endpointReachability({
@@ -63,50 +61,8 @@
         addressesOf(group.primary),
       ),
   });
-  let primaryId: string | undefined;
-  let lastPrimary = '';
-  let missingSince: number | undefined = clock.now();
+  const primary = groupPrimary({...context, links, onChange: serveWaiting});
   let askedHoldersAt = -Infinity;
-  let primaryWork = 0;
-  /** Fence of the newest change that was applied. */
-  let appliedChange = '';
-
-  function isReplaced(endpoint: string): boolean {
-    return primaryUse.replacementOf(context.name, endpoint) !== undefined;
-  }
-
-  function mayContinueOnPrimary(endpoint: string): boolean {
-    if (!primaryUse.isPermitted) return false;
-    const change = primaryUse.replacementOf(context.name, endpoint);
-    return change === undefined || change.isPlanned;
-  }
-
-  function findPrimary(): void {
-    const current = [...links.values()].filter(
-      ({listed}) => !isReplaced(listed.id),
-    );
-    const evidence = current.map(({listed, facts}) => ({
-      id: listed.id,
-      term: facts.position?.term ?? 0,
-      saysPrimary: listed.saysPrimary,
-      saidAt: roleListedAt.get(listed.id) ?? -Infinity,
-      ledAt: facts.provenPrimaryAt,
-      deniedAt: facts.provenNotPrimaryAt,
-    }));
-    const found = primaryOf(evidence);
-    if (found === primaryId) return;
-    log.info({
-      event: 'primaryChanged',
-      group: group.name,
-      from: primaryId,
-      to: found,
-      evidence,
-    });
-    primaryId = found;
-    lastPrimary = found ?? lastPrimary;
-    missingSince = found ? undefined : clock.now();
-    serveWaiting();
-  }
 
   function replan(link: EndpointLink): void {
     const {id, dataCentre} = link.listed;
@@ -117,7 +73,7 @@
   function optionOf(link: EndpointLink): PlacementOption {
     // A holder checks its permission for the instances that relay through it.
     const isPrimary =
-      link.listed.id === primaryId &&
+      link.listed.id === primary.id &&
       (primaryUse.isPermitted || !link.plan.isHolder);
     return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
   }
@@ -167,8 +123,8 @@
    * while peers did not confirm it as down.
    */
   function isOutOfReach(need: Need): boolean {
-    if (!need.primaryOnly || primaryId === undefined) return false;
-    const link = links.get(primaryId);
+    if (!need.primaryOnly || primary.id === undefined) return false;
+    const link = links.get(primary.id);
     if (!link) return false;
     if (link.plan.isHolder && primaryUse.hasLapsed) return true;
     return reachability.isUnreachableLocally(link);
@@ -216,8 +172,8 @@
   function needsProbe({facts, listed, plan}: EndpointLink): boolean {
     return isProbeDue({
       isHolder: plan.isHolder,
-      hasPrimary: primaryId !== undefined,
-      isPrimary: listed.id === primaryId,
+      hasPrimary: primary.id !== undefined,
+      isPrimary: listed.id === primary.id,
       inFlight: facts.inFlight,
       sinceContactMs: clock.now() - facts.lastContactAt,
       sampleAgeMs: positions.age(),
@@ -226,7 +182,7 @@
 
   /** Requests a sample of the primary from the holders of connections to it. */
   function askHolders(): void {
-    const link = primaryId === undefined ? undefined : links.get(primaryId);
+    const link = group.primary;
     if (!link || link.plan.isHolder) return;
     const now = clock.now();
     if (positions.age() <= TIMES.askHolderSampleAgeMs) return;
@@ -270,7 +226,7 @@
       link.facts.provenNotPrimaryAt,
       sentAt,
     );
-    if (link.listed.id === primaryId) findPrimary();
+    if (link.listed.id === primary.id) primary.find();
   }
 
   const group: GroupRuntime = {
@@ -278,44 +234,24 @@
     policy,
     links,
     get primary() {
-      return primaryId === undefined ? undefined : links.get(primaryId);
+      return primary.id === undefined ? undefined : links.get(primary.id);
     },
     get lastPrimary() {
-      return lastPrimary;
+      return primary.lastId;
     },
     get missingSince() {
-      return missingSince;
+      return primary.missingSince;
     },
     get isUnreachableLocally() {
       return isOutOfReach(PRIMARY_NEED);
     },
-    mayStartOnPrimary: endpoint =>
-      primaryUse.isPermitted && !isReplaced(endpoint),
-    mayContinueOnPrimary,
+    mayStartOnPrimary: primary.mayStart,
+    mayContinueOnPrimary: primary.mayContinue,
+    noteChange: primary.noteChange,
     get primaryWork() {
-      return primaryWork;
-    },
-    countPrimaryWork() {
-      primaryWork++;
-      let counted = true;
-      return () => {
-        if (counted) primaryWork--;
-        counted = false;
-      };
-    },
-    noteChange() {
-      for (const {listed, closeAll} of links.values()) {
-        const change = primaryUse.replacementOf(context.name, listed.id);
-        if (!change) continue;
-        const key = `${change.fence} ${change.isPlanned}`;
-        if (key === appliedChange) continue;
-        appliedChange = key;
-        log.info({event: 'primaryReplaced', ...change});
-        // Its answers could no longer be used: the caller is told so at once.
-        if (!change.isPlanned) closeAll();
-      }
-      findPrimary();
+      return primary.work;
     },
+    countPrimaryWork: primary.countWork,
     canServe: need =>
       [...links.values()].some(link => canServe(optionOf(link), need)),
     async acquire(req) {
@@ -344,16 +280,16 @@
     },
     notePrimaryAnswer(link, {position}, sentAt) {
       // A replaced primary may still answer as one.
-      if (isReplaced(link.listed.id)) return;
+      if (primary.isReplaced(link.listed.id)) return;
       link.facts.provenPrimaryAt = Math.max(link.facts.provenPrimaryAt, sentAt);
-      if (link.listed.id !== primaryId) findPrimary();
-      if (!position || link.listed.id !== primaryId) return;
+      if (link.listed.id !== primary.id) primary.find();
+      if (!position || link.listed.id !== primary.id) return;
       positions.addOwn({sentAt, position});
     },
     ownConfirmed() {
       const own = positions.own();
-      if (!own || primaryId === undefined) return undefined;
-      return {endpoint: primaryId, ...own};
+      if (!own || primary.id === undefined) return undefined;
+      return {endpoint: primary.id, ...own};
     },
     addPeerConfirmed({endpoint, position}, askedAt) {
       if (!positions.addFromPeer({sentAt: askedAt, position})) return;
@@ -363,12 +299,12 @@
           link.facts.provenPrimaryAt,
           askedAt,
         );
-        findPrimary();
+        primary.find();
       }
       serveWaiting();
     },
     async checkReachable(wanted, withinMs) {
-      const endpoint = wanted === '' ? (primaryId ?? '') : wanted;
+      const endpoint = wanted === '' ? (primary.id ?? '') : wanted;
       const askedAt = clock.now();
       const hasContact = () => {
         const link = links.get(endpoint);
@@ -394,11 +330,11 @@
         log.info({event: 'endpointGone', group: group.name, endpoint: id});
         link.dispose();
         links.delete(id);
-        roleListedAt.delete(id);
+        primary.forget(id);
         reachability.forget(id);
       }
       for (const endpoint of endpoints) updateEntry(endpoint);
-      findPrimary();
+      primary.find();
     },
     replan() {
       for (const link of links.values()) replan(link);
@@ -426,7 +362,7 @@
       known.listed.host === endpoint.host &&
       known.listed.port === endpoint.port;
     if (known?.listed.saysPrimary !== endpoint.saysPrimary || !isSame) {
-      roleListedAt.set(id, clock.now());
+      primary.noteListedRole(id);
     }
     if (known && isSame) {
       if (known.listed.leaving !== endpoint.leaving) logListed(endpoint);
