Let a fleet that starts for the first time wait until it is listed

Cause: an instance without links read the store at once.

Change: at the first start an instance without links waits like one with links.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -50,6 +50,8 @@
   readonly firstReadMs: number;
   /** How long it waits for a copy from them. */
   readonly firstCopyMs: number;
+  /** How long it waits if it has no links. */
+  readonly firstAloneMs: number;
   /** How long a change that a beat shows may be on its way. */
   readonly lateMs: number;
 }
@@ -344,7 +346,7 @@
     if (hasAskedForCopies || !links) return;
     hasAskedForCopies = true;
     if (!isBehind()) return;
-    const waitMs = links.length === 0 ? 0 : times.firstCopyMs;
+    const waitMs = links.length === 0 ? times.firstAloneMs : times.firstCopyMs;
     firstReadAt = Math.min(firstReadAt, clock.now() + waitMs);
     for (const address of links) askForCopies(address);
   }
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -30,6 +30,7 @@
   beatMs: 1000,
   firstReadMs: 150,
   firstCopyMs: 40,
+  firstAloneMs: 0,
   lateMs: 150,
 };
 const LIMITS = {readers: 3, mostReaders: 8, heardMs: 2200, spreadMs: 500};
@@ -74,8 +75,20 @@
   check(): void;
 }
 
+/** How a fleet starts. */
+export interface FleetOptions {
+  /** When the list of instances is known, in milliseconds; empty before. */
+  readonly listedAfterMs: number;
+  /** Times of the start other than after a restart. */
+  readonly times: Partial<typeof TIMES>;
+}
+
 /** Starts `count` instances in three data centres. */
-export function simulatedFleet(count: number, seed: number): SimulatedFleet {
+export function simulatedFleet(
+  count: number,
+  seed: number,
+  {listedAfterMs, times}: FleetOptions = {listedAfterMs: 0, times: {}},
+): SimulatedFleet {
   const clock = manualClock();
   const random = xoroshiro128plus(seed);
   const objects = new Map<string, KindObject>();
@@ -244,12 +257,12 @@
           onReach: () => {},
         },
       ],
-      times: TIMES,
+      times: {...TIMES, ...times},
       limits: () => LIMITS,
       preferenceOf: text => hashOf(`${seed}/${text}`) / HASH_RANGE,
       suspensions: () => instance.suspensions,
       life: 1,
-      links: () => links,
+      links: () => (clock.now() < listedAfterMs ? [] : links),
       send: (address, message) =>
         deliver(instance, byName.get(address)!, {
           ...message,
--- a/packages/facts/test/test-feed.ts
+++ b/packages/facts/test/test-feed.ts
@@ -165,6 +165,26 @@
     }
   });
 
+  it('is read by few when it starts for the first time, unlisted', async () => {
+    const waitMs = 3500;
+    const fleet = simulatedFleet(30, 11, {
+      listedAfterMs: 2600,
+      times: {
+        firstReadMs: waitMs,
+        firstCopyMs: waitMs,
+        firstAloneMs: waitMs,
+      },
+    });
+    fleet.put('a');
+    await fleet.run(8000);
+    for (const instance of fleet.instances) {
+      assert.ok(fleet.isCurrent(instance));
+    }
+    // A list by each, and the watches of few.
+    assert.ok(fleet.calls <= 30 + 25, `${fleet.calls} calls`);
+    fleet.dispose();
+  });
+
   it('tells a change once over each link, not without end', async () => {
     const fleet = simulatedFleet(30, 8);
     fleet.put('a');
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -80,10 +80,12 @@
 const RESTART_TIMES = {
   firstReadMs: TIMES.firstReadMs,
   firstCopyMs: TIMES.firstCopyMs,
+  firstAloneMs: 0,
 } as const;
 const FIRST_START_TIMES = {
   firstReadMs: TIMES.firstStartReadMs,
   firstCopyMs: TIMES.firstStartReadMs,
+  firstAloneMs: TIMES.firstStartReadMs,
 } as const;
 
 /** Number of values that `hashOf` returns. */
