--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -30,9 +30,10 @@
   inFlightProbeMs: 120,
   /**
    * Added to the expected statement time of an endpoint in another data centre
-   * when statements are placed.
+   * when statements are placed: the way there, and as much as the averages of
+   * equally loaded endpoints differ by chance.
    */
-  otherDataCentreMs: 3,
+  otherDataCentreMs: 10,
   /**
    * Maximum time for one attempt of a read, as a share of the statement
    * timeout.
