Play the soak on a platform that does not check fences as well

--unfenced: stand-ins and daemons without fences, so that a replaced primary goes on; an acknowledged commit of it is counted as lost.

--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -33,6 +33,8 @@
   readonly instances: number;
   /** Connections that an endpoint takes from all instances together. */
   readonly maxConnections: number;
+  /** Whether the platform checks fences, so that a replaced primary stops. */
+  readonly checksFences: boolean;
 }
 
 /** A running fleet. */
@@ -108,6 +110,7 @@
     maxConnections: options.maxConnections,
     lagMs: LAG_MS,
     idleTransactionMs: REST_MS,
+    checksFences: options.checksFences,
     addressOf: (id, port) => `127.0.0.1:${links.get(id)?.port ?? port}`,
   });
   for (const [id, {port}] of platform.endpoints) {
@@ -126,6 +129,7 @@
       ip: nextAddress(),
       dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
       storePort: platform.store.port,
+      checksFences: options.checksFences,
       folder,
       onUnexpectedExit: name => ownEnds.push(name),
     });
--- a/packages/soak/src/instance.ts
+++ b/packages/soak/src/instance.ts
@@ -33,6 +33,7 @@
   readonly ip: string;
   readonly dataCentre: string;
   readonly storePort: number;
+  readonly checksFences: boolean;
   /** Folder for the settings file and the log. */
   readonly folder: string;
   /** Called when the process exits without a request to stop it. */
@@ -90,6 +91,7 @@
       ip,
       store: {host: HOST, port: store.port},
       graceMs: GRACE_MS,
+      checksFences: options.checksFences,
     };
     writeFileSync(settingsPath, formatSettings(settings));
   }
--- a/packages/soak/src/judge.ts
+++ b/packages/soak/src/judge.ts
@@ -104,11 +104,15 @@
   return [...newest.values(), ...twice];
 }
 
+/** The primary of the highest term; replaced ones may still claim the role. */
 function leaderOf(group: GroupModel) {
-  for (const member of group.members.values()) {
-    if (member.isPrimary) return member;
-  }
-  throw new Error(`${group.name} has no primary`);
+  const primaries = [...group.members.values()].filter(
+    ({isPrimary}) => isPrimary,
+  );
+  primaries.sort((a, b) => b.term - a.term);
+  const [leader] = primaries;
+  if (!leader) throw new Error(`${group.name} has no primary`);
+  return leader;
 }
 
 /** Statements of this instance's own have this id. */
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,5 +1,5 @@
 /** The command `npm run soak`. */
-import {command, number, option, run} from 'cmd-ts';
+import {command, flag, number, option, run} from 'cmd-ts';
 import {type Counts, NO_COUNTS} from './judge.js';
 import {type RunResult, playRun} from './run.js';
 
@@ -74,8 +74,12 @@
       defaultValue: () => SECONDS,
       description: 'how long faults come in each run',
     }),
+    unfenced: flag({
+      long: 'unfenced',
+      description: 'replaced primaries go on, as no fences are checked',
+    }),
   },
-  handler: async ({seed, seeds, minutes, processes, seconds}) => {
+  handler: async ({seed, seeds, minutes, processes, seconds, unfenced}) => {
     const until = performance.now() + minutes * MS_PER_MINUTE;
     let next = minutes > 0 && seed === 1 ? Date.now() % 1e9 : seed;
     const last = next + seeds;
@@ -89,6 +93,7 @@
           callers: Math.min(MOST_CALLERS, processes * CALLERS_EACH),
           lengthMs: seconds * MS_PER_SECOND,
           maxConnections: MAX_CONNECTIONS,
+          checksFences: !unfenced,
         });
         results.push(result);
         print(lineOf(result));
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -16,6 +16,7 @@
   /** How long faults come, in milliseconds. */
   readonly lengthMs: number;
   readonly maxConnections: number;
+  readonly checksFences: boolean;
 }
 
 /** A run and what it came to. */
--- a/packages/soak/test/test-soak.ts
+++ b/packages/soak/test/test-soak.ts
@@ -43,6 +43,11 @@
     assert.deepEqual(counts, CLEAN, printed);
   });
 
+  it('is clean where replaced primaries go on', async () => {
+    const {counts, printed} = await soak([...SHORT, '--unfenced']);
+    assert.deepEqual(counts, CLEAN, printed);
+  });
+
   for (const {seed, cause} of KEPT_SEEDS) {
     it(`is clean in seed ${seed}: ${cause}`, async () => {
       const {counts, printed} = await soak(['--seed', String(seed)]);
