Pass over facts from the future, and fuzz the messages about facts

A delta far above the copy's revision would keep all later changes out: it is dropped and logged with its sender. Malformed messages in a table, arbitrary values and arbitrary valid messages by fast-check.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -123,6 +123,12 @@
   readonly from: string;
 }
 
+/**
+ * Highest step of a copy's revision. A copy from the future would keep all later
+ * changes out; the store makes a few thousand changes a second at most.
+ */
+const MAX_REVISION_STEP = 100_000_000;
+
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, times, preferenceOf, send} = context;
@@ -220,6 +226,21 @@
     state.followed.onEvents(merged.events);
   }
 
+  function receiveDelta({
+    delta,
+    from,
+  }: Extract<FactMessage, {type: 'delta'}>): void {
+    const {kind, revision} = delta;
+    const state = states.get(kind);
+    if (!state) return;
+    const known = state.copy?.revision ?? revision;
+    if (revision - known > MAX_REVISION_STEP) {
+      context.onEvent({event: 'deltaImplausible', kind, revision, known, from});
+      return;
+    }
+    merge(state, delta, from);
+  }
+
   function sendCopy(address: string, {followed, copy}: KindState): void {
     if (!copy) return;
     send(address, {type: 'delta', delta: wholeCopy(followed.kind, copy)});
@@ -394,11 +415,9 @@
         case 'beat':
           receiveBeat(message);
           return;
-        case 'delta': {
-          const state = states.get(message.delta.kind);
-          if (state) merge(state, message.delta, message.from);
+        case 'delta':
+          receiveDelta(message);
           return;
-        }
         case 'copyWanted':
           answerCopyWanted(message);
           return;
--- /dev/null
+++ b/packages/facts/test/test-messages.ts
@@ -0,0 +1,178 @@
+/** Messages about facts that are malformed or implausible. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {manualClock} from '@quetzalreel/common';
+import {KindStore, StoreUnavailableError} from '@quetzalreel/object-store';
+import {
+  type FactMessage,
+  type FeedEvent,
+  isFactMessage,
+  startFeed,
+} from '../src/index.js';
+
+const FROM = '10.0.0.9:1';
+const DELTA = {kind: 'k', since: 0, revision: 5, events: []};
+const BEAT = {reader: 'a', life: 1, seq: 1, ageMs: 0, kinds: []};
+
+const MALFORMED: ReadonlyArray<readonly [string, unknown]> = [
+  ['no sender', {type: 'beat', beat: BEAT}],
+  ['a negative age', {type: 'beat', from: FROM, beat: {...BEAT, ageMs: -1}}],
+  [
+    'an age that is not a number',
+    {type: 'beat', from: FROM, beat: {...BEAT, ageMs: NaN}},
+  ],
+  [
+    'a negative revision',
+    {type: 'delta', from: FROM, delta: {...DELTA, revision: -1}},
+  ],
+  [
+    'a revision that is no integer',
+    {type: 'delta', from: FROM, delta: {...DELTA, revision: 1.5}},
+  ],
+  [
+    'an event without an object',
+    {type: 'delta', from: FROM, delta: {...DELTA, events: [{deleted: true}]}},
+  ],
+  ['an unknown type', {type: 'other', from: FROM}],
+];
+
+describe('a message is refused', () => {
+  for (const [what, message] of MALFORMED) {
+    it(`with ${what}`, () => assert.equal(isFactMessage(message), false));
+  }
+
+  it('or accepted without an error, whatever it is', () => {
+    fc.assert(
+      fc.property(fc.anything(), value => {
+        isFactMessage(value);
+      }),
+      {seed: 21, numRuns: 2000},
+    );
+  });
+});
+
+class AbsentStore extends KindStore {
+  async list(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+  async get(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+  async create(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+  async replace(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+  async remove(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+  async watch(): Promise<never> {
+    throw new StoreUnavailableError('away', true);
+  }
+}
+
+/** A feed that has one object, at revision 5. */
+function knowingFeed() {
+  const events: FeedEvent[] = [];
+  const known = new Map<string, number>();
+  const feed = startFeed({
+    instance: 'self',
+    clock: manualClock(),
+    store: new AbsentStore(),
+    kinds: [
+      {
+        kind: 'k',
+        watchMs: 1000,
+        onEvents(changes) {
+          for (const {object, deleted} of changes) {
+            if (deleted) known.delete(object.name);
+            else known.set(object.name, object.revision);
+          }
+        },
+        onReach: () => {},
+      },
+    ],
+    times: {
+      beatMs: 1000,
+      firstReadMs: 100,
+      firstCopyMs: 100,
+      firstAloneMs: 100,
+      lateMs: 100,
+    },
+    limits: () => ({readers: 2, mostReaders: 8, heardMs: 2000, spreadMs: 500}),
+    preferenceOf: () => 0.5,
+    suspensions: () => 0,
+    life: 1,
+    links: () => [],
+    send: () => {},
+    onEvent: event => events.push(event),
+  });
+  const object = {name: 'a', revision: 5, value: 1};
+  feed.receive({
+    type: 'delta',
+    from: FROM,
+    delta: {...DELTA, events: [{object, deleted: false}]},
+  });
+  return {feed, events, known};
+}
+
+describe('a feed', () => {
+  it('passes over a copy from the future, and keeps what it knows', () => {
+    const {feed, events, known} = knowingFeed();
+    const revision = Number.MAX_SAFE_INTEGER;
+    feed.receive({type: 'delta', from: FROM, delta: {...DELTA, revision}});
+    assert.deepEqual([...known], [['a', 5]]);
+    assert.equal(events.at(-1)!.event, 'deltaImplausible');
+    assert.equal(events.at(-1)!['from'], FROM);
+    const object = {name: 'b', revision: 6, value: 2};
+    const delta = {...DELTA, since: 5, revision: 6};
+    feed.receive({
+      type: 'delta',
+      from: FROM,
+      delta: {...delta, events: [{object, deleted: false}]},
+    });
+    assert.equal(known.get('b'), 6);
+    feed.dispose();
+  });
+
+  it('takes any valid message without an error', () => {
+    const event = fc.record(
+      {
+        object: fc.record({
+          name: fc.constantFrom('a', 'b'),
+          revision: fc.nat(20),
+          value: fc.anything(),
+        }),
+        deleted: fc.boolean(),
+      },
+      {noNullPrototype: true},
+    );
+    const message: fc.Arbitrary<FactMessage> = fc.oneof(
+      fc.record({
+        type: fc.constant('delta' as const),
+        from: fc.constantFrom(FROM, 'x'),
+        delta: fc.record({
+          kind: fc.constantFrom('k', 'other'),
+          since: fc.nat(20),
+          revision: fc.nat(20),
+          events: fc.array(event, {maxLength: 3}),
+        }),
+      }),
+      fc.record({
+        type: fc.constant('copyWanted' as const),
+        from: fc.constantFrom(FROM, 'x'),
+        revisions: fc.dictionary(fc.constantFrom('k', 'o'), fc.nat(20)),
+      }),
+    );
+    fc.assert(
+      fc.property(fc.array(message, {maxLength: 20}), messages => {
+        const {feed} = knowingFeed();
+        for (const item of messages) feed.receive(item);
+        feed.dispose();
+      }),
+      {seed: 22, numRuns: 300},
+    );
+  });
+});
