--- a/packages/soak/src/caller.ts
+++ b/packages/soak/src/caller.ts
@@ -15,7 +15,7 @@
 /** Operations of one session, least and most. */
 const OPERATIONS = [1, 25] as const;
 /** Pause between two operations, and inside transactions, in milliseconds. */
-const MOST_PAUSE_MS = 12;
+const MAX_PAUSE_MS = 12;
 /** Operations of a hundred that write, and that are transactions; the others
  * read. A session on the bounded database only reads. */
 const WRITES = 25;
@@ -73,7 +73,7 @@
     }
     const operations = OPERATIONS[0] + pick(OPERATIONS[1]);
     for (let i = 0; i < operations && session.isOpen && !stopped(); i++) {
-      await pause(MOST_PAUSE_MS);
+      await pause(MAX_PAUSE_MS);
       const dice = kind === Kind.Bounded ? WRITES + TRANSACTIONS : pick(100);
       if (dice < WRITES) {
         await write(session, group, rows);
@@ -154,7 +154,7 @@
         await session.ask('ROLLBACK');
         return {outcome: 'notRun'};
       }
-      await pause(MOST_PAUSE_MS);
+      await pause(MAX_PAUSE_MS);
     }
     const dice = pick(100);
     if (dice < LEFT_OPEN) {
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -26,7 +26,7 @@
 /** Lag of the replicas, in milliseconds. */
 const LAG_MS = 30;
 /** Instances that an address of four bytes has room for. */
-const MOST_INSTANCES = 250;
+const MAX_INSTANCES = 250;
 
 /** Sizes of a fleet. */
 export interface FleetOptions {
@@ -94,14 +94,14 @@
  * runs of one soak take turns. */
 function nextAddress(): string {
   const {pid} = process;
-  const last = (addressesUsed++ % MOST_INSTANCES) + 1;
+  const last = (addressesUsed++ % MAX_INSTANCES) + 1;
   return `127.${100 + ((pid >> 8) & 127)}.${pid & 255}.${last}`;
 }
 
 /** Starts a fleet and waits until all instances take callers. */
 export async function startFleet(options: FleetOptions): Promise<SoakFleet> {
-  if (options.instances > MOST_INSTANCES) {
-    throw new Error(`no more than ${MOST_INSTANCES} instances; ask for fewer`);
+  if (options.instances > MAX_INSTANCES) {
+    throw new Error(`no more than ${MAX_INSTANCES} instances; ask for fewer`);
   }
   const folder = mkdtempSync(path.join(tmpdir(), 'quetzalreel-soak-'));
   const links = new Map<string, Loopback>();
--- a/packages/soak/src/index.ts
+++ b/packages/soak/src/index.ts
@@ -1,11 +1,11 @@
 /** Public exports of `@quetzalreel/soak`. */
 export {
   type Counts,
-  type Judgement,
+  type RunVerdict,
   NO_COUNTS,
-  judge,
-  judgeRuns,
-} from './judge.js';
+  checkRun,
+  checkExecutions,
+} from './run-verdict.js';
 export {KEPT_SEEDS, type KeptSeed} from './kept-seeds.js';
 export {
   type LinkFaults,
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -1,18 +1,19 @@
 /** The command `npm run soak`. */
 import {command, flag, number, option, run} from 'cmd-ts';
-import {type Counts, NO_COUNTS} from './judge.js';
+import {type Counts, NO_COUNTS} from './run-verdict.js';
 import {type RunResult, playRun} from './run.js';
 
-/** Seeds are played at once while their processes are no more than this. */
+/** Maximum number of daemons at the same time; seeds are played in parallel up to
+ * it. */
 const PROCESSES_AT_ONCE = 24;
 /** Callers for each instance, and of one run: one process plays them, the
  * proxies and the stand-ins. */
 const CALLERS_EACH = 4;
-const MOST_CALLERS = 48;
-/** How long faults come in one run, in seconds: some of each series. */
+const MAX_CALLERS = 48;
+/** How long faults are injected in one run, in seconds: some of each series. */
 const SECONDS = 8;
 const MS_PER_SECOND = 1000;
-/** Connections that an endpoint takes, as on the platform today. */
+/** Connections that an endpoint accepts, as on the platform today. */
 const MAX_CONNECTIONS = 22;
 const MS_PER_MINUTE = 60_000;
 
@@ -21,13 +22,19 @@
 
 /** What is printed of a run. */
 function lineOf(result: RunResult) {
-  const {seed, isClean, counts, troubles, findings, folder, verdict} = result;
+  const {seed, isClean, counts, failures, findings, folder, verdict} = result;
   const {acked, unknown, notRun} = verdict;
   const kinds = result.faults.map(({kind}) => kind).join(' ');
   const line = {seed, isClean, acked, unknown, notRun, kinds};
   return isClean
     ? line
-    : {...line, counts, troubles, findings: findings.slice(0, 5), folder};
+    : {
+        ...line,
+        counts,
+        troubles: failures,
+        findings: findings.slice(0, 5),
+        folder,
+      };
 }
 
 function sum(results: readonly RunResult[]): Counts {
@@ -90,7 +97,7 @@
         const result = await playRun({
           seed: next++,
           instances: processes,
-          callers: Math.min(MOST_CALLERS, processes * CALLERS_EACH),
+          callers: Math.min(MAX_CALLERS, processes * CALLERS_EACH),
           lengthMs: seconds * MS_PER_SECOND,
           maxConnections: MAX_CONNECTIONS,
           checksFences: !unfenced,
--- a/packages/soak/src/judge.ts
+++ b/packages/soak/src/run-verdict.ts
@@ -1,5 +1,5 @@
 /**
- * Judges a run by what callers and endpoints saw: the history by the checker
+ * Checks a run by what callers and endpoints saw: the history by the checker
  * that the experiments use, and the statements by where they ran.
  */
 import {
@@ -38,20 +38,20 @@
   regressed: 0,
 };
 
-/** A judged run. */
-export interface Judgement {
+/** A checked run. */
+export interface RunVerdict {
   readonly counts: Counts;
   readonly verdict: Verdict;
   /** One line for each statement that ran where it must not. */
   readonly findings: readonly string[];
 }
 
-/** Judges a run that has ended. */
-export function judge(
+/** Checks a run that has ended. */
+export function checkRun(
   groups: Iterable<GroupModel>,
   records: Records,
   regressed: number,
-): Judgement {
+): RunVerdict {
   const findings: string[] = [];
   const values: string[] = [];
   const takenBack = new Set<string>();
@@ -60,7 +60,7 @@
   for (const group of groups) {
     values.push(...finalValues(group));
     for (const {data} of group.rolledBack) takenBack.add(data);
-    const ran = judgeRuns(group.runs, records.statements);
+    const ran = checkExecutions(group.runs, records.statements);
     pinned += ran.pinned.length;
     foreign += ran.foreign.length;
     findings.push(...ran.pinned, ...ran.foreign);
@@ -118,8 +118,8 @@
 /** Statements of this instance's own have this id. */
 const OWN_ID = '-';
 
-/** Judges where statements ran. */
-export function judgeRuns(
+/** Checks where statements ran. */
+export function checkExecutions(
   runs: readonly ExecutedStatement[],
   statements: ReadonlyMap<string, SentStatement>,
 ): {readonly pinned: readonly string[]; readonly foreign: readonly string[]} {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -1,8 +1,8 @@
-/** One run: a fleet, callers, the faults of a seed, and the judgement. */
+/** One run: a fleet, callers, the faults of a seed, and its verdict. */
 import {runCaller} from './caller.js';
 import {playFault} from './faults.js';
 import {type SoakFleet, databasesOf, GROUPS, startFleet} from './fleet.js';
-import {type Judgement, judge} from './judge.js';
+import {type RunVerdict, checkRun} from './run-verdict.js';
 import {type Records, noRecords} from './records.js';
 import {type Fault, scheduleOf} from './schedule.js';
 import {openSession} from './session.js';
@@ -13,30 +13,31 @@
   readonly seed: number;
   readonly instances: number;
   readonly callers: number;
-  /** How long faults come, in milliseconds. */
+  /** How long faults are injected, in milliseconds. */
   readonly lengthMs: number;
   readonly maxConnections: number;
   readonly checksFences: boolean;
 }
 
-/** A run and what it came to. */
-export interface RunResult extends Judgement {
+/** A run and its result. */
+export interface RunResult extends RunVerdict {
   readonly seed: number;
   readonly faults: readonly Fault[];
   /** Why the run failed beside broken promises; empty when it did not. */
-  readonly troubles: readonly string[];
+  readonly failures: readonly string[];
   readonly isClean: boolean;
   /** Folder of the logs of a run that failed. */
   readonly folder: string | undefined;
 }
 
-/** Until a fleet without faults must serve again, in milliseconds; the bound
- * of the platform after a loss of power. */
+/** Time within which a fleet must serve again after the last fault, in
+ * milliseconds; the bound of the platform after a loss of power. */
 const RECOVERY_MS = 12_000;
-/** Until the newest configuration is in force everywhere, in milliseconds. */
+/** Time within which a configuration must be in force everywhere, in
+ * milliseconds. */
 const CONFIGURE_MS = 3000;
-/** Callers work on for this long behind the last fault, in milliseconds. */
-const CALM_MS = 500;
+/** Time for which callers continue after the last fault, in milliseconds. */
+const QUIET_PERIOD_MS = 500;
 
 /** Plays one run. */
 export async function playRun(options: RunOptions): Promise<RunResult> {
@@ -58,22 +59,22 @@
     configure: () => (version = fleet.configure()),
   };
   await playAll(playing, faults);
-  const troubles = await settle(fleet, records);
+  const failures = await settle(fleet, records);
   version = fleet.configure();
   const late = await watch.settle(version, CONFIGURE_MS);
-  if (late > 0) troubles.push(`${late} instances lack the last configuration`);
-  await sleep(CALM_MS);
+  if (late > 0) failures.push(`${late} instances lack the last configuration`);
+  await sleep(QUIET_PERIOD_MS);
   isOver = true;
   await Promise.all(callers);
   await watch.stop();
-  for (const name of fleet.ownEnds) troubles.push(`${name} ended by itself`);
+  for (const name of fleet.ownEnds) failures.push(`${name} ended by itself`);
   const groups = fleet.platform.groups.values();
-  const judgement = judge(groups, records, watch.regressed);
-  const broken = Object.values(judgement.counts).some(count => count > 0);
-  const isClean = !broken && troubles.length === 0;
+  const checked = checkRun(groups, records, watch.regressed);
+  const broken = Object.values(checked.counts).some(count => count > 0);
+  const isClean = !broken && failures.length === 0;
   await fleet.end(!isClean);
   const folder = isClean ? undefined : fleet.folder;
-  return {...judgement, seed, faults, troubles, isClean, folder};
+  return {...checked, seed, faults, failures, isClean, folder};
 }
 
 const sleep = (ms: number) => new Promise(resolve => setTimeout(resolve, ms));
@@ -96,7 +97,7 @@
  * by then. */
 async function settle(fleet: SoakFleet, records: Records): Promise<string[]> {
   const until = performance.now() + RECOVERY_MS;
-  const troubles: string[] = [];
+  const failures: string[] = [];
   for (const group of GROUPS) {
     for (const instance of fleet.instances) {
       const name = `settle-${group}-${instance.name}`;
@@ -110,8 +111,8 @@
         if (!served) await sleep(50);
       }
       if (!served)
-        troubles.push(`${instance.name} takes no write for ${group}`);
+        failures.push(`${instance.name} takes no write for ${group}`);
     }
   }
-  return troubles;
+  return failures;
 }
--- a/packages/soak/test/test-judge.ts
+++ b/packages/soak/test/test-run-verdict.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import type {ExecutedStatement} from '@quetzalreel/platform-adapter/standin';
-import {type SentStatement, judgeRuns} from '../src/index.js';
+import {type SentStatement, checkExecutions} from '../src/index.js';
 
 const SENT: readonly SentStatement[] = [
   sent('a1', 'WRITE k d', 't-a'),
@@ -84,11 +84,11 @@
   ['a changed text', [ran('b1', undefined, {text: 'READ other'})], 'foreign'],
 ];
 
-describe('the judgement of', () => {
+describe('the verdict on', () => {
   const statements = new Map(SENT.map(item => [item.id, item]));
   for (const [name, runs, expected] of CASES) {
     it(`${name} is ${expected}`, () => {
-      const {pinned, foreign} = judgeRuns(runs, statements);
+      const {pinned, foreign} = checkExecutions(runs, statements);
       assert.equal(pinned.length > 0, expected === 'pinned');
       assert.equal(foreign.length > 0, expected === 'foreign');
     });
--- a/packages/soak/test/test-soak.ts
+++ b/packages/soak/test/test-soak.ts
@@ -12,7 +12,7 @@
 /** A run that is small enough to stand beside other tests. */
 const SHORT = ['--seed', '4', '--processes', '3', '--seconds', '3'] as const;
 /** Longest time of one run, in milliseconds. */
-const MOST_MS = 60_000;
+const TIMEOUT_MS = 60_000;
 
 /** Runs the command; what its last line says, and all that it printed. */
 async function soak(args: readonly string[]): Promise<{
@@ -23,7 +23,7 @@
     execFile(
       process.execPath,
       [MAIN, ...args],
-      {timeout: MOST_MS},
+      {timeout: TIMEOUT_MS},
       (err, stdout) => {
         // A run that is not clean ends with 1, and says in its lines why.
         if (err && stdout === '') reject(err);
