Answer beats on links that carry nothing else back

Cause: the transport closes a link on which a message had no answer for a second, since it may be broken. Beats that pass over a link in one direction only had none, so such links were closed and opened again each second.

Change: a beat is answered by a message of one field unless something was sent back within the last 0.6 of the interval.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -129,9 +129,17 @@
  */
 const MAX_REVISION_STEP = 100_000_000;
 
+/**
+ * Share of the interval between beats after which a beat is answered: links
+ * without an answer for an interval are closed, as they may be broken.
+ */
+const HEARD_SHARE = 0.6;
+
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
-  const {instance, clock, times, preferenceOf, send} = context;
+  const {instance, clock, times, preferenceOf} = context;
+  /** When something was last sent to each address. */
+  const sentAt = new Map<string, number>();
   const owned = disposableStore();
   let firstReadAt = clock.now() + times.firstReadMs;
   const states = new Map<string, KindState>();
@@ -178,6 +186,17 @@
     );
   }
 
+  function send(address: string, message: FeedMessage): void {
+    sentAt.set(address, clock.now());
+    context.send(address, message);
+  }
+
+  /** Answers on a link that carries beats in one direction only. */
+  function acknowledge(address: string): void {
+    const idleMs = clock.now() - (sentAt.get(address) ?? -Infinity);
+    if (idleMs >= times.beatMs * HEARD_SHARE) send(address, {type: 'heard'});
+  }
+
   function needsFirstRead({copy}: KindState): boolean {
     return copy === undefined && clock.now() >= firstReadAt;
   }
@@ -291,6 +310,7 @@
   }: Extract<FactMessage, {type: 'beat'}>): void {
     const {reader, life, ageMs, kinds} = beat;
     const known = readers.get(reader);
+    acknowledge(from);
     if (reader === instance || (known && !isNewerBeat(beat, known.beat)))
       return;
     const at = clock.now() - ageMs;
@@ -421,6 +441,8 @@
         case 'copyWanted':
           answerCopyWanted(message);
           return;
+        case 'heard':
+          return;
       }
     },
     tick() {
--- a/packages/facts/src/messages.ts
+++ b/packages/facts/src/messages.ts
@@ -30,6 +30,8 @@
 } & (
   | {readonly type: 'beat'; readonly beat: ReaderBeat}
   | {readonly type: 'delta'; readonly delta: KindDelta}
+  /** Answers a beat when nothing else goes back: the link works. */
+  | {readonly type: 'heard'}
   /** Asks for all objects of the kinds of which the receiver knows more. */
   | {readonly type: 'copyWanted'; readonly revisions: RevisionByKind}
 );
@@ -40,6 +42,7 @@
 const FACT_TYPES: ReadonlySet<unknown> = new Set<FactMessage['type']>([
   'beat',
   'delta',
+  'heard',
   'copyWanted',
 ]);
 
@@ -56,6 +59,8 @@
       return isBeat(value['beat']);
     case 'delta':
       return isDelta(value['delta']);
+    case 'heard':
+      return true;
     case 'copyWanted':
       return (
         isRecord(value['revisions']) &&
--- a/packages/facts/test/test-messages.ts
+++ b/packages/facts/test/test-messages.ts
@@ -76,6 +76,7 @@
 /** A feed that has one object, at revision 5. */
 function knowingFeed() {
   const events: FeedEvent[] = [];
+  const sent: string[] = [];
   const known = new Map<string, number>();
   const feed = startFeed({
     instance: 'self',
@@ -106,7 +107,7 @@
     suspensions: () => 0,
     life: 1,
     links: () => [],
-    send: () => {},
+    send: (address, {type}) => sent.push(`${type} to ${address}`),
     onEvent: event => events.push(event),
   });
   const object = {name: 'a', revision: 5, value: 1};
@@ -115,7 +116,7 @@
     from: FROM,
     delta: {...DELTA, events: [{object, deleted: false}]},
   });
-  return {feed, events, known};
+  return {feed, events, known, sent};
 }
 
 describe('a feed', () => {
@@ -137,6 +138,15 @@
     feed.dispose();
   });
 
+  it('answers beats on a link that carries nothing else back', () => {
+    const {feed, sent} = knowingFeed();
+    for (const seq of [1, 2, 3])
+      feed.receive({type: 'beat', from: FROM, beat: {...BEAT, seq}});
+    // The clock stands still: one answer is enough for all three.
+    assert.deepEqual(sent, [`heard to ${FROM}`]);
+    feed.dispose();
+  });
+
   it('takes any valid message without an error', () => {
     const event = fc.record(
       {
