--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -16,9 +16,9 @@
   wholeCopy,
 } from './kind-copy.js';
 import {type KindRead, type KindReader, kindReader} from './kind-reader.js';
-import type {FactMessage, KindReading, ReaderBeat} from './messages.js';
+import {heardReaders} from './heard-readers.js';
+import type {FactMessage, KindReading} from './messages.js';
 import {
-  type HeardReader,
   type PreferenceOf,
   type ReaderLimits,
   type ReaderRole,
@@ -117,12 +117,6 @@
   readonly waiting: Set<string>;
 }
 
-interface KnownReader extends HeardReader {
-  readonly beat: ReaderBeat;
-  /** Address of the instance that passed the beat on. */
-  readonly from: string;
-}
-
 /**
  * Highest step of a copy's revision. A copy from the future would keep all later
  * changes out; the store makes a few thousand changes a second at most.
@@ -143,7 +137,7 @@
   const owned = disposableStore();
   let firstReadAt = clock.now() + times.firstReadMs;
   const states = new Map<string, KindState>();
-  const readers = new Map<string, KnownReader>();
+  const readers = heardReaders(clock);
   let role: ReaderRole = {isReader: false, missingSince: undefined};
   let seenSuspensions = context.suspensions();
   let beatAt = -Infinity;
@@ -308,18 +302,10 @@
     beat,
     from,
   }: Extract<FactMessage, {type: 'beat'}>): void {
-    const {reader, life, ageMs, kinds} = beat;
-    const known = readers.get(reader);
     acknowledge(from);
-    if (reader === instance || (known && !isNewerBeat(beat, known.beat)))
-      return;
-    const at = clock.now() - ageMs;
-    const isServed = kinds.every(({reachedMs}) => reachedMs !== undefined);
-    readers.set(reader, {name: reader, at, isServed, beat, from});
-    if (known && known.beat.life !== life)
-      context.onEvent({event: 'readerRestarted', reader});
+    if (beat.reader === instance || !readers.note(beat, from)) return;
     sendToLinks({type: 'beat', beat}, from);
-    for (const {kind, revision} of kinds) {
+    for (const {kind, revision} of beat.kinds) {
       const state = states.get(kind);
       if (!state) continue;
       noteReach(state);
@@ -335,7 +321,8 @@
       const {behindSince} = state;
       if (behindSince === undefined || now - behindSince < times.lateMs)
         continue;
-      const newest = readerOfNewest(kind);
+      const revision = state.copy?.revision ?? 0;
+      const newest = readers.newestAbove(kind, revision);
       state.behindSince = undefined;
       if (!newest) continue;
       context.onEvent({event: 'copyWanted', kind, from: newest.from});
@@ -343,34 +330,16 @@
     }
   }
 
-  function readerOfNewest(kind: string): KnownReader | undefined {
-    let best: KnownReader | undefined;
-    let highest = states.get(kind)?.copy?.revision ?? 0;
-    for (const known of readers.values()) {
-      const reading = known.beat.kinds.find(item => item.kind === kind);
-      if (!reading || reading.revision <= highest) continue;
-      highest = reading.revision;
-      best = known;
-    }
-    return best;
-  }
-
   /** For how long the store has answered; undefined while it does not. */
   function reachedMs({
     followed,
-    ownReachedSince,
+    ownReachedSince: since,
   }: KindState): number | undefined {
-    const now = clock.now();
-    let longest =
-      ownReachedSince === undefined ? undefined : now - ownReachedSince;
-    for (const {at, beat} of readers.values()) {
-      if (now - at > context.limits().heardMs) continue;
-      for (const {kind, reachedMs: forMs} of beat.kinds) {
-        if (kind !== followed.kind || forMs === undefined) continue;
-        longest = Math.max(longest ?? 0, forMs + (now - at));
-      }
-    }
-    return longest;
+    const own = since === undefined ? undefined : clock.now() - since;
+    const {heardMs} = context.limits();
+    const heard = readers.reachedMs(followed.kind, heardMs);
+    if (own === undefined || heard === undefined) return own ?? heard;
+    return Math.max(own, heard);
   }
 
   function noteReach(state: KindState): void {
@@ -409,16 +378,9 @@
     );
     const self = {name: instance, at: now, isServed};
     const limits = context.limits();
-    const next = nextRole(
-      role,
-      self,
-      readers.values(),
-      preferenceOf,
-      limits,
-      now,
-    );
+    const next = nextRole(role, self, readers.all, preferenceOf, limits, now);
     if (next.isReader !== role.isReader) {
-      const heard = [...readers.keys()];
+      const heard = [...readers.all].map(({name}) => name);
       const event = next.isReader ? 'readerBegun' : 'readerEnded';
       context.onEvent({event, heard});
       if (!next.isReader) {
@@ -459,7 +421,3 @@
     dispose: () => owned.dispose(),
   };
 }
-
-function isNewerBeat(a: ReaderBeat, b: ReaderBeat): boolean {
-  return a.life === b.life ? a.seq > b.seq : a.life > b.life;
-}
--- /dev/null
+++ b/packages/facts/src/heard-readers.ts
@@ -0,0 +1,73 @@
+/** The readers that an instance hears, by their beats. */
+import type {Clock} from '@quetzalreel/common';
+import type {ReaderBeat} from './messages.js';
+import type {HeardReader} from './reader-role.js';
+
+/** A reader with its last beat. */
+export interface KnownReader extends HeardReader {
+  readonly beat: ReaderBeat;
+  /** Address of the instance that passed the beat on. */
+  readonly from: string;
+}
+
+/** The readers that were heard. */
+export interface HeardReaders {
+  readonly all: Iterable<KnownReader>;
+  /** Records a beat; returns false unless it is newer than the known one. */
+  note(beat: ReaderBeat, from: string): boolean;
+  /**
+   * For how long the store has answered a reader about a kind, the longest of
+   * those heard within `heardMs`; undefined if it answers none of them.
+   */
+  reachedMs(kind: string, heardMs: number): number | undefined;
+  /** The reader with the newest copy of a kind, above `revision`. */
+  newestAbove(kind: string, revision: number): KnownReader | undefined;
+  /** Forgets all: the ages are not known any more. */
+  clear(): void;
+}
+
+/** Starts without readers. */
+export function heardReaders(clock: Clock): HeardReaders {
+  const readers = new Map<string, KnownReader>();
+  return {
+    get all() {
+      return readers.values();
+    },
+    note(beat, from) {
+      const {reader: name, ageMs, kinds} = beat;
+      const known = readers.get(name);
+      if (known && !isNewer(beat, known.beat)) return false;
+      const at = clock.now() - ageMs;
+      const isServed = kinds.every(({reachedMs}) => reachedMs !== undefined);
+      readers.set(name, {name, at, isServed, beat, from});
+      return true;
+    },
+    reachedMs(kind, heardMs) {
+      const now = clock.now();
+      let longest: number | undefined;
+      for (const {at, beat} of readers.values()) {
+        if (now - at > heardMs) continue;
+        const forMs = beat.kinds.find(item => item.kind === kind)?.reachedMs;
+        if (forMs === undefined) continue;
+        longest = Math.max(longest ?? 0, forMs + (now - at));
+      }
+      return longest;
+    },
+    newestAbove(kind, revision) {
+      let best: KnownReader | undefined;
+      let highest = revision;
+      for (const known of readers.values()) {
+        const reading = known.beat.kinds.find(item => item.kind === kind);
+        if (!reading || reading.revision <= highest) continue;
+        highest = reading.revision;
+        best = known;
+      }
+      return best;
+    },
+    clear: () => readers.clear(),
+  };
+}
+
+function isNewer(a: ReaderBeat, b: ReaderBeat): boolean {
+  return a.life === b.life ? a.seq > b.seq : a.life > b.life;
+}
