--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -179,6 +179,8 @@
   let changes: ChangeQueries | undefined;
   let transport: PeerTransport<PeerMessage> | undefined;
   let links: readonly string[] = [];
+  /** Names of the witnesses. */
+  let witnesses: readonly string[] = [instance];
   let renewedAt = -Infinity;
   /**
    * Whether the list of instances was requested at least once, with or without
@@ -237,8 +239,8 @@
     });
   }
 
-  /** The names of the witnesses, by rendezvous hash over the instances. */
-  function witnessNames(): string[] {
+  /** Chooses the witnesses, by rendezvous hash over the instances. */
+  function chooseWitnesses(): string[] {
     const names = [instance, ...present.map(entry => entry.instance)];
     return names
       .map(name => ({name, hash: hashOf(`witness/${name}`)}))
@@ -295,6 +297,7 @@
       TIMES.instanceEntryExpiryMs,
     ).filter(entry => entry.instance !== instance);
     if (!isFirst && signatureOf(present) === signatureOf(before)) return;
+    witnesses = chooseWitnesses();
     links = linksOf(
       {instance, dataCentre},
       present.filter(({facts}) => facts === FACTS_VERSION),
@@ -350,16 +353,15 @@
     },
     get witnesses() {
       if (!wasRead || !changes) return undefined;
-      const names = new Set(witnessNames());
       return {
-        peers: present.filter(entry => names.has(entry.instance)),
-        includesSelf: names.has(instance),
+        peers: present.filter(entry => witnesses.includes(entry.instance)),
+        includesSelf: witnesses.includes(instance),
         confirmChanges: changes.confirmChanges,
       };
     },
     async announce(change) {
       if (!wasRead) return undefined;
-      return changes?.announce(change, present, witnessNames());
+      return changes?.announce(change, present, witnesses);
     },
     get links() {
       return wasRead ? links : undefined;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -158,8 +158,9 @@
         changer,
         witnesses: () => peers.witnesses,
         usesPrimary: () => {
-          for (const {primary} of groups.values()) {
-            if (!primary || primary.plan.isHolder) return true;
+          for (const {primary, links} of groups.values()) {
+            const used = primary ? [primary] : links.values();
+            for (const {plan} of used) if (plan.isHolder) return true;
           }
           return false;
         },
