Use no primary but the one that the newest change names

Replayed: the primary was cut off from the store and its entry lapsed; the change was announced with no endpoint as the replaced one, so nobody was kept from using the old primary when its entry came back 250 ms after the order, while the new one was being promoted.

Change: after a change every endpoint but its target counts as replaced, and a change without a known primary names the last one.

--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -53,6 +53,10 @@
     ? value.changes
     : [];
   const changes = listed.filter(isChangeRecord);
+  // An instance of an older build writes the latest change only.
+  const latest = {...change, fence, isPlanned: false};
+  const isListed = changes.some(item => item.fence === fence);
+  if (isChangeRecord(latest) && !isListed) changes.push(latest);
   const record = {holder, fence: fence!, change, changes};
   return {record, revision: object.revision};
 }
--- a/packages/proxy/src/group-primary.ts
+++ b/packages/proxy/src/group-primary.ts
@@ -112,12 +112,14 @@
     mayContinue(endpoint) {
       if (!primaryUse.isPermitted) return false;
       const change = primaryUse.replacementOf(name, endpoint);
-      return change === undefined || change.isPlanned;
+      if (!change) return true;
+      return change.isPlanned && change.from === endpoint;
     },
     noteChange() {
       for (const {listed, closeAll} of links.values()) {
         const change = primaryUse.replacementOf(name, listed.id);
-        if (!change) continue;
+        const wasPrimary = listed.id === lastId || listed.id === change?.from;
+        if (!change || !wasPrimary) continue;
         const key = `${change.fence} ${change.isPlanned}`;
         if (key === appliedChange) continue;
         appliedChange = key;
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -24,7 +24,11 @@
   readonly isPermitted: boolean;
   /** Whether permission was held before and is not now. */
   readonly hasLapsed: boolean;
-  /** The known change that replaces the endpoint; undefined if none does. */
+  /**
+   * The newest change of the group if it makes another endpoint the primary;
+   * undefined if there is none. The endpoint may not be the one that the change
+   * names as replaced: its entry may have lapsed before the change, and be back.
+   */
   replacementOf(group: string, endpoint: string): ChangeRecord | undefined;
 }
 
@@ -147,7 +151,7 @@
     },
     replacementOf(group, endpoint) {
       const change = changer.changes.get(group);
-      return change?.from === endpoint ? change : undefined;
+      return change && change.to !== endpoint ? change : undefined;
     },
     tick() {
       noteChange();
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -142,7 +142,8 @@
     const facts = group.links.get(lastPrimary)?.facts;
     const hasDenied =
       facts !== undefined && facts.provenNotPrimaryAt > facts.provenPrimaryAt;
-    const isReplaced = changer.changes.get(group.name)?.from === lastPrimary;
+    const change = changer.changes.get(group.name);
+    const isReplaced = change !== undefined && change.to !== lastPrimary;
     return hasDenied || isReplaced ? '' : lastPrimary;
   }
 
@@ -164,7 +165,11 @@
       found,
     });
     if (!best || verdict !== Verdict.Unreached) return;
-    const planned = {group: group.name, from: from ?? '', to: best.endpoint};
+    const planned = {
+      group: group.name,
+      from: from ?? group.lastPrimary,
+      to: best.endpoint,
+    };
     const outcome = await changer.change(planned, isPlanned, prepare);
     log.info({event: 'changeEnded', group: group.name, outcome});
     isUnfinished = UNFINISHED.has(outcome);
