--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -26,13 +26,15 @@
 /** Lag of the replicas, in milliseconds. */
 const LAG_MS = 30;
 /** Instances that an address of four bytes has room for. */
-const MOST_INSTANCES = 250;
+const MAX_INSTANCES = 250;
 
 /** Sizes of a fleet. */
 export interface FleetOptions {
   readonly instances: number;
   /** Connections that an endpoint takes from all instances together. */
   readonly maxConnections: number;
+  /** Whether the platform checks fences, so that a replaced primary stops. */
+  readonly checksFences: boolean;
 }
 
 /** A running fleet. */
@@ -92,14 +94,14 @@
  * runs of one soak take turns. */
 function nextAddress(): string {
   const {pid} = process;
-  const last = (addressesUsed++ % MOST_INSTANCES) + 1;
+  const last = (addressesUsed++ % MAX_INSTANCES) + 1;
   return `127.${100 + ((pid >> 8) & 127)}.${pid & 255}.${last}`;
 }
 
 /** Starts a fleet and waits until all instances take callers. */
 export async function startFleet(options: FleetOptions): Promise<SoakFleet> {
-  if (options.instances > MOST_INSTANCES) {
-    throw new Error(`no more than ${MOST_INSTANCES} instances; ask for fewer`);
+  if (options.instances > MAX_INSTANCES) {
+    throw new Error(`no more than ${MAX_INSTANCES} instances; ask for fewer`);
   }
   const folder = mkdtempSync(path.join(tmpdir(), 'quetzalreel-soak-'));
   const links = new Map<string, Loopback>();
@@ -108,6 +110,7 @@
     maxConnections: options.maxConnections,
     lagMs: LAG_MS,
     idleTransactionMs: REST_MS,
+    checksFences: options.checksFences,
     addressOf: (id, port) => `127.0.0.1:${links.get(id)?.port ?? port}`,
   });
   for (const [id, {port}] of platform.endpoints) {
@@ -126,6 +129,7 @@
       ip: nextAddress(),
       dataCentre: DATA_CENTRES[i % DATA_CENTRES.length]!,
       storePort: platform.store.port,
+      checksFences: options.checksFences,
       folder,
       onUnexpectedExit: name => ownEnds.push(name),
     });
