Do not make the new primary step down

Change: a candidate steps down only as the chosen successor, with the lease and after the announcement.

--- a/packages/proxy/src/change-preparation.ts
+++ b/packages/proxy/src/change-preparation.ts
@@ -58,6 +58,16 @@
     return end !== undefined;
   }
 
+  /**
+   * Makes sure that the successor is a replica. It may be an earlier primary
+   * that still claims the role, and must then start a new term.
+   */
+  async function isReplica(endpoint: string): Promise<boolean> {
+    const state = await control.requestState(endpoint);
+    if (!state?.isPrimary) return true;
+    return (await control.stepDown(endpoint)) !== undefined;
+  }
+
   return async (change, {writtenAt, orderUntil}) => {
     if (change.isPlanned) {
       const answers = await announce(change);
@@ -71,6 +81,6 @@
     log.info({event: 'orderTime', ...unplanned, ...order, now: clock.now()});
     if (order.type === 'never' || order.at >= orderUntil) return false;
     await clock.sleep(Math.max(0, order.at - clock.now()));
-    return true;
+    return isReplica(change.to);
   };
 }
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -69,6 +69,11 @@
   ChangeOutcome.Unanswered,
 ]);
 
+/** A candidate, and whether it says that it is the primary. */
+interface StatedCandidate extends Candidate {
+  readonly isPrimary: boolean | undefined;
+}
+
 const RETRY_BOUNDS = {
   firstMs: TIMES.changeRetryMs,
   mostMs: TIMES.changeRetryMaxMs,
@@ -87,35 +92,46 @@
   /** Spreads the attempts of instances over time. */
   const delayMs = hashFraction(instance + group.name) * TIMES.changeJitterMs;
   let disposed = false;
+  /** The newest known change, and when it was first seen here. */
+  let knownChange: {change: ChangeRecord | undefined; since: number} = {
+    change: undefined,
+    since: -Infinity,
+  };
   /** Times in a row that a change was not begun or not completed. */
   let failures = 0;
   /** Whether a change was begun here that no order completed. */
   let isUnfinished = false;
 
-  /**
-   * The endpoints that may become the primary. Where a replaced primary goes
-   * on, one that still claims the role steps down first.
-   */
-  async function candidates(from: string | undefined): Promise<Candidate[]> {
-    const requests: Array<Promise<Candidate | undefined>> = [];
+  /** The endpoints that may become the primary. */
+  async function candidates(
+    from: string | undefined,
+  ): Promise<StatedCandidate[]> {
+    const requests: Array<Promise<StatedCandidate | undefined>> = [];
     for (const {listed} of group.links.values()) {
       if (listed.id === from || listed.leaving) continue;
       requests.push(candidateOf(listed.id));
     }
-    const found: Candidate[] = [];
+    const found: StatedCandidate[] = [];
     for (const candidate of await Promise.all(requests)) {
       if (candidate) found.push(candidate);
     }
     return found;
   }
 
-  async function candidateOf(endpoint: string): Promise<Candidate | undefined> {
+  async function candidateOf(
+    endpoint: string,
+  ): Promise<StatedCandidate | undefined> {
     const state = await control.requestState(endpoint);
-    if (!state) return undefined;
-    if (!state.isPrimary || context.replacedPrimaryStops)
-      return {endpoint, received: state.received};
-    const received = await control.stepDown(endpoint);
-    return received && {endpoint, received};
+    return state && {endpoint, ...state};
+  }
+
+  /**
+   * Whether a candidate already leads as the newest change wants it. It must not
+   * be told to step down, as a replaced primary is.
+   */
+  function leads({endpoint, isPrimary}: StatedCandidate): boolean {
+    const change = changer.changes.get(group.name);
+    return isPrimary === true && change?.to === endpoint;
   }
 
   /**
@@ -164,7 +180,7 @@
       verdict,
       found,
     });
-    if (!best || verdict !== Verdict.Unreached) return;
+    if (!best || verdict !== Verdict.Unreached || found.some(leads)) return;
     const planned = {
       group: group.name,
       from: from ?? group.lastPrimary,
@@ -186,11 +202,28 @@
     }
   }
 
+  /** Whether a change became known that may still take effect. */
+  function isChangeRecent(): boolean {
+    const change = changer.changes.get(group.name);
+    if (change !== knownChange.change)
+      knownChange = {change, since: clock.now()};
+    if (!change) return false;
+    return clock.now() - knownChange.since < TIMES.primaryChangeTimeoutMs;
+  }
+
   function reasonNow(): ChangeReason | undefined {
     // The instances no longer use the old primary, so there is nothing to wait
     // for.
     if (isUnfinished && !group.primary) return ChangeReason.Missing;
-    return reasonToChange(viewOf(group), FAILOVER_THRESHOLDS, clock.now());
+    const reason = reasonToChange(
+      viewOf(group),
+      FAILOVER_THRESHOLDS,
+      clock.now(),
+    );
+    // The primary is missing while the change of another instance takes effect.
+    return reason === ChangeReason.Missing && isChangeRecent()
+      ? undefined
+      : reason;
   }
 
   /** Delay of this instance before it begins a change. */
