--- /dev/null
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -0,0 +1,167 @@
+/** Which endpoints are told to step down when a primary is missing, on a platform
+ * where a replaced primary goes on. */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {manualClock} from '@quetzalreel/common';
+import {
+  ChangeOutcome,
+  type ChangeRecord,
+  type PlannedChange,
+  type PrepareChange,
+  type PrimaryChanger,
+} from '@quetzalreel/failover';
+import {type PeerQueries, Verdict} from '@quetzalreel/peer-queries';
+import {
+  type Answer,
+  type EndpointRequest,
+  type EndpointStatus,
+  SessionState,
+  localAnswer,
+} from '@quetzalreel/requests';
+import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
+import {createLog} from '../src/log.js';
+import {ANY_ENDPOINT} from '../src/placement.js';
+import {watchPrimary} from '../src/primary-watch.js';
+import {listedEndpoint} from './listed.js';
+
+const GROUP = 'g';
+const RECENT_MS = 4000;
+
+/** An endpoint that says it is the primary, with a log up to `offset`. */
+interface Claimant {
+  isPrimary: boolean;
+  readonly offset: number;
+}
+
+/** Watches a group without a known primary; `change` is the newest known one. */
+async function watchMissing(
+  claimants: Readonly<Record<string, Claimant>>,
+  change: ChangeRecord,
+): Promise<{readonly sent: string[]; readonly begun: PlannedChange[]}> {
+  const clock = manualClock();
+  const sent: string[] = [];
+  const begun: PlannedChange[] = [];
+
+  function run(id: string, req: EndpointRequest): Answer {
+    const claimant = claimants[id]!;
+    sent.push(`${req.type} ${id}`);
+    if (req.type === 'stepDown') claimant.isPrimary = false;
+    const status: EndpointStatus = {
+      isPrimary: claimant.isPrimary,
+      term: 2,
+      received: {term: 1, offset: claimant.offset},
+      termHeld: 2,
+      lagMs: 0,
+      busy: 0,
+      connections: 1,
+    };
+    return {...localAnswer(SessionState.Idle), rows: [JSON.stringify(status)]};
+  }
+
+  // Only the members of a group, a link and a lease that are used here.
+  function leaseOf(id: string): ConnectionLease {
+    const connection = {endpoint: id, dispose() {}};
+    return {
+      need: ANY_ENDPOINT,
+      link: links.get(id)!,
+      pooled: {connection, send: async (req: EndpointRequest) => run(id, req)},
+      release() {},
+    } as unknown as ConnectionLease;
+  }
+  const links = new Map(
+    Object.keys(claimants).map(id => [
+      id,
+      {listed: listedEndpoint(id), facts: {}, plan: {isHolder: true}},
+    ]),
+  ) as unknown as GroupRuntime['links'];
+  const group = {
+    name: GROUP,
+    links,
+    primary: undefined,
+    lastPrimary: 'i-1',
+    missingSince: 0,
+    acquire: async ({need}) => leaseOf(need().only!),
+    acquireForControl: leaseOf,
+  } as Partial<GroupRuntime> as GroupRuntime;
+  const changer = {
+    isHolder: true,
+    changes: new Map([[GROUP, change]]),
+    addChanges() {},
+    async change(
+      planned: PlannedChange,
+      isPlanned: boolean,
+      prepare?: PrepareChange,
+    ) {
+      begun.push(planned);
+      const record = {...planned, fence: change.fence + 1, isPlanned};
+      const term = {writtenAt: clock.now(), orderUntil: Infinity};
+      const isPrepared = await prepare!(record, term);
+      if (isPrepared) sent.push(`order ${planned.to}`);
+      return ChangeOutcome.Ordered;
+    },
+  } as Partial<PrimaryChanger> as PrimaryChanger;
+  const watch = watchPrimary(group, {
+    instance: 'self',
+    clock,
+    log: createLog('test', {write: () => {}}),
+    changer,
+    peerQueries: () =>
+      ({
+        queryReachability: async () => ({
+          verdict: Verdict.Unreached,
+          relay: undefined,
+        }),
+      }) as Partial<PeerQueries> as PeerQueries,
+    readStatus: ({rows}) => JSON.parse(rows[0]!) as EndpointStatus,
+    replacedPrimaryStops: false,
+    announce: async () => ({
+      confirmedBy: clock.now(),
+      told: [],
+      confirmed: new Set(),
+      isOutdated: false,
+      witnesses: ['self'],
+      renewed: new Set(),
+    }),
+  });
+  for (let ms = 0; ms < RECENT_MS + 3000; ms += 50) {
+    clock.advance(50);
+    await new Promise(resolve => setImmediate(resolve));
+  }
+  watch.dispose();
+  return {sent, begun};
+}
+
+const CHANGE: ChangeRecord = {
+  group: GROUP,
+  from: 'i-1',
+  to: 'i-2',
+  fence: 4,
+  isPlanned: false,
+};
+
+describe('while a primary is missing', () => {
+  it('the one that the newest change names is not told to step down', async () => {
+    const {sent, begun} = await watchMissing(
+      {
+        'i-2': {isPrimary: true, offset: 5},
+        'i-3': {isPrimary: false, offset: 5},
+      },
+      CHANGE,
+    );
+    assert.deepEqual(begun, []);
+    assert.ok(!sent.some(text => text.startsWith('stepDown')), sent.join());
+  });
+
+  it('a replaced one that is chosen steps down before the order', async () => {
+    const {sent, begun} = await watchMissing(
+      {
+        'i-1': {isPrimary: true, offset: 9},
+        'i-3': {isPrimary: false, offset: 5},
+      },
+      CHANGE,
+    );
+    assert.equal(begun[0]?.to, 'i-1');
+    const steppedDown = sent.indexOf('stepDown i-1');
+    assert.ok(steppedDown >= 0 && steppedDown < sent.indexOf('order i-1'));
+  });
+});
