Check permission on every direct connection to a primary

An instance that is to go through holders, and whose holders are cut off, opens connections of its own; permission was checked by the plan, so such an instance used the old primary without any.

Change: what counts is the connection. A direct one needs this instance's own permission, for statements, transactions and as proof of the primary's role; without it only relayed ones serve what needs the primary. An instance with direct connections to a primary asks the witnesses.

--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -61,6 +61,18 @@
   concurrency: ConcurrencyLimit;
 }
 
+/** Which connections may be used. */
+export const ConnectionWay = {
+  Any: 'any',
+  /** Without relay. */
+  Direct: 'direct',
+  /** Through the relay of another instance. */
+  Relayed: 'relayed',
+} as const;
+
+/** One of the values of `ConnectionWay`. */
+export type ConnectionWay = (typeof ConnectionWay)[keyof typeof ConnectionWay];
+
 /** One endpoint with its connections. */
 export interface EndpointLink extends Disposable {
   listed: ListedEndpoint;
@@ -74,8 +86,10 @@
   readonly plan: SharingPlan;
   /** Replaces the sharing plan. */
   applyPlan(plan: SharingPlan): void;
+  /** Number of direct connections, open or being opened. */
+  readonly directConnections: number;
   /** Takes an idle connection, preferably one whose settings have `key`. */
-  acquire(key: string, directOnly?: boolean): PooledConnection | undefined;
+  acquire(key: string, way?: ConnectionWay): PooledConnection | undefined;
   release(connection: PooledConnection, reusable: boolean): void;
   /** Opens another connection if the limits allow it now. */
   open(directOnly?: boolean): void;
@@ -129,6 +143,10 @@
   readonly relay: RelayAddress | undefined;
 }
 
+function wayOf(relay: RelayAddress | undefined): ConnectionWay {
+  return relay ? ConnectionWay.Relayed : ConnectionWay.Direct;
+}
+
 /** Creates a link without connections. */
 export function endpointLink(
   listed: ListedEndpoint,
@@ -313,11 +331,14 @@
       }
       path.plan = plan;
     },
-    acquire(key, directOnly = false) {
+    get directConnections() {
+      return count(false);
+    },
+    acquire(key, way = ConnectionWay.Any) {
       let at = -1;
       for (let i = idle.length - 1; i >= 0; i--) {
         const {pooled, relay} = idle[i]!;
-        if (directOnly && relay) continue;
+        if (way !== ConnectionWay.Any && way !== wayOf(relay)) continue;
         if (at < 0) at = i;
         if (pooled.settingsKey !== key) continue;
         at = i;
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -8,6 +8,7 @@
 import {endpointReachability} from './endpoint-reachability.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {
+  ConnectionWay,
   type EndpointLink,
   endpointLink,
   noteAnswerTime,
@@ -71,19 +72,27 @@
   }
 
   function optionOf(link: EndpointLink): PlacementOption {
-    // A holder checks its permission for the instances that relay through it.
-    const isPrimary =
-      link.listed.id === primary.id &&
-      (primaryUse.isPermitted || !link.plan.isHolder);
+    const isPrimary = link.listed.id === primary.id;
     return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
   }
 
+  /**
+   * The connections that serve a need. Without permission to use primaries only
+   * relayed ones do: the instance that relays checks its own.
+   */
+  function wayFor({directOnly, primaryOnly}: Need): ConnectionWay {
+    if (directOnly) return ConnectionWay.Direct;
+    return primaryOnly && !primaryUse.isPermitted
+      ? ConnectionWay.Relayed
+      : ConnectionWay.Any;
+  }
+
   function leaseOf(
     link: EndpointLink,
     settingsKey: string,
     need: Need,
   ): ConnectionLease | undefined {
-    const pooled = link.acquire(settingsKey, need.directOnly);
+    const pooled = link.acquire(settingsKey, wayFor(need));
     if (!pooled) return undefined;
     let returned = false;
     return {
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -160,7 +160,9 @@
         usesPrimary: () => {
           for (const {primary, links} of groups.values()) {
             const used = primary ? [primary] : links.values();
-            for (const {plan} of used) if (plan.isHolder) return true;
+            for (const {plan, directConnections} of used) {
+              if (plan.isHolder || directConnections > 0) return true;
+            }
           }
           return false;
         },
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -10,7 +10,7 @@
   type EndpointRequest,
   SessionState,
 } from '@quetzalreel/requests';
-import type {EndpointLink} from './endpoint-link.js';
+import {RelayedConnection} from '@quetzalreel/relay';
 import type {GroupRuntime, ConnectionLease} from './group-types.js';
 
 /** Dependencies for running a request. */
@@ -66,7 +66,8 @@
   const sentAt = clock.now();
   const answer = await sendWithTimeout(clock, lease, req, timeoutMs);
   group.noteAnswer(lease.link, answer, sentAt);
-  const provesPrimary = !req.readOnly && !answer.error;
+  const provesPrimary =
+    !req.readOnly && !answer.error && isUsableAsPrimary(group, lease);
   if (provesPrimary) group.notePrimaryAnswer(lease.link, answer, sentAt);
   return answer;
 }
@@ -94,7 +95,7 @@
   const sentAt = clock.now();
   const answer = await sendWithTimeout(clock, lease, req, timeoutMs);
   const {id} = lease.link.listed;
-  if (onPrimary && isUnusable(group, lease.link, answer)) {
+  if (onPrimary && !answer.error && !isUsableAsPrimary(group, lease)) {
     const what = 'it may have been replaced as the primary before it answered';
     throw new ConnectionLostError(id, what, false);
   }
@@ -105,16 +106,15 @@
 }
 
 /**
- * Whether a success can't be used since the endpoint may have been replaced. An
- * instance that goes through a holder leaves this check to the holder.
+ * Whether the endpoint may be used as the primary on this connection. On a
+ * relayed one the instance that relays checks its own permission.
  */
-function isUnusable(
+export function isUsableAsPrimary(
   group: GroupRuntime,
-  link: EndpointLink,
-  answer: Answer,
+  {link, pooled}: ConnectionLease,
 ): boolean {
-  if (answer.error || !link.plan.isHolder) return false;
-  return !group.mayContinueOnPrimary(link.listed.id);
+  if (pooled.connection instanceof RelayedConnection) return true;
+  return group.mayContinueOnPrimary(link.listed.id);
 }
 
 /** Counts `work` as a statement in flight at the lease's endpoint. */
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -19,6 +19,7 @@
 import {PRIMARY_NEED} from './placement.js';
 import {ReadRule} from './routes.js';
 import {
+  isUsableAsPrimary,
   rollBackAndRelease,
   openTransaction,
   runStatement,
@@ -251,11 +252,10 @@
   /** Why the open transaction can't go on; undefined if it can. */
   function whyUnusable(
     {group}: ServeContext,
-    {link, pooled}: ConnectionLease,
+    held: ConnectionLease,
   ): string | undefined {
-    if (!pooled.connection.isOpen) return 'the connection is closed';
-    if (!endPrimaryWork || !link.plan.isHolder) return undefined;
-    if (group.mayContinueOnPrimary(link.listed.id)) return undefined;
+    if (!held.pooled.connection.isOpen) return 'the connection is closed';
+    if (!endPrimaryWork || isUsableAsPrimary(group, held)) return undefined;
     return 'the endpoint may have been replaced as the primary';
   }
 
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -58,6 +58,7 @@
     noteAnswer() {},
     notePrimaryAnswer() {},
     countPrimaryWork: () => () => {},
+    mayContinueOnPrimary: () => true,
     canServe: ({avoid}: Need) => ENDPOINTS.some(id => !avoid.has(id)),
     async acquire(req: ConnectionRequest) {
       const need = req.need();
