Tell the past of the store that an answer belongs to

When the store came back from an older copy, nothing in logs or metrics told which revision an answer had, which of two pasts it belonged to, or that it was passed over. The era of each answer is decoded in the adapter and carried with revisions; no decision uses it yet. New: the gauge quetzalreel_store_era, the lines storeRestored, kindListed, storeBehindCopy and configurationPassedOver, with era, revision, the copy's revision and what became of it.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -11,6 +11,7 @@
 import {
   type KindCopy,
   type KindDelta,
+  type Merge,
   deltaOf,
   mergeDelta,
   wholeCopy,
@@ -207,7 +208,21 @@
   }
 
   function noteRead(state: KindState, read: KindRead): void {
-    merge(state, deltaOf(state.followed.kind, state.copy, read), undefined);
+    const {copy} = state;
+    const {kind} = state.followed;
+    const outcome = merge(state, deltaOf(kind, copy, read), undefined);
+    const {isAll, era, revision, events} = read;
+    const isBehindCopy = copy !== undefined && revision < copy.revision;
+    if (!isAll && !isBehindCopy) return;
+    context.onEvent({
+      event: isAll ? 'kindListed' : 'storeBehindCopy',
+      kind,
+      era,
+      revision,
+      copyRevision: copy?.revision,
+      outcome,
+      objects: events.length,
+    });
   }
 
   /** Merges a delta, which came from the address `from` unless it was read. */
@@ -215,15 +230,16 @@
     state: KindState,
     delta: KindDelta,
     from: string | undefined,
-  ): void {
+  ): Merge['type'] {
     const before = state.copy;
     const merged = mergeDelta(before, delta);
-    if (merged.type === 'known') return;
+    if (merged.type === 'known') return merged.type;
     if (merged.type === 'gap') {
       if (from !== undefined) askForCopies(from);
-      return;
+      return merged.type;
     }
-    if (before && merged.events.length === 0 && delta.since === 0) return;
+    if (before && merged.events.length === 0 && delta.since === 0)
+      return 'known';
     state.copy = merged.copy;
     state.behindSince = undefined;
     const {kind} = state.followed;
@@ -237,6 +253,7 @@
     for (const address of state.waiting) sendCopy(address, state);
     state.waiting.clear();
     state.followed.onEvents(merged.events);
+    return merged.type;
   }
 
   function receiveDelta({
--- a/packages/facts/src/kind-reader.ts
+++ b/packages/facts/src/kind-reader.ts
@@ -8,14 +8,13 @@
   HistoryGoneError,
   type KindEvent,
   type KindStore,
+  type StoreVersion,
 } from '@quetzalreel/object-store';
 
-/** What one call returned. */
-export interface KindRead {
+/** What one call returned, at a version of the store. */
+export interface KindRead extends StoreVersion {
   /** Whether `events` list all objects. */
   readonly isAll: boolean;
-  /** Revision of the store. */
-  readonly revision: number;
   readonly events: readonly KindEvent[];
 }
 
@@ -70,18 +69,18 @@
   }
 
   async function list(): Promise<number> {
-    const {objects, revision} = await store.list(kind);
+    const {objects, era, revision} = await store.list(kind);
     note(true);
     const events = objects.map(object => ({object, deleted: false}));
-    if (!disposed) onRead({isAll: true, revision, events});
+    if (!disposed) onRead({isAll: true, era, revision, events});
     return revision;
   }
 
   async function watch(since: number): Promise<number> {
-    const {events, revision} = await store.watch(kind, since, watchMs);
+    const {events, era, revision} = await store.watch(kind, since, watchMs);
     note(true);
     if (disposed || events.length === 0) return revision;
-    onRead({isAll: false, revision, events});
+    onRead({isAll: false, era, revision, events});
     await clock.sleep(BATCH_MS);
     return revision;
   }
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -116,7 +116,7 @@
 
     async list(): Promise<KindSnapshot> {
       this.check();
-      return {objects: [...objects.values()], revision};
+      return {objects: [...objects.values()], era: 1, revision};
     }
 
     async watch(
@@ -127,6 +127,7 @@
       this.check();
       const changes = () => ({
         events: history.filter(({object}) => object.revision > since),
+        era: 1,
         revision,
       });
       return new Promise((resolve, reject) => {
@@ -147,13 +148,13 @@
       });
     }
 
-    async get(): Promise<KindObject | undefined> {
+    async get(): Promise<undefined> {
       throw new Error('not used');
     }
-    async create(): Promise<KindObject> {
+    async create(): Promise<never> {
       throw new Error('not used');
     }
-    async replace(): Promise<KindObject> {
+    async replace(): Promise<never> {
       throw new Error('not used');
     }
     async remove(): Promise<void> {
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -93,6 +93,8 @@
 export interface PrimaryChanger {
   /** Whether this instance was the holder when the lease was last read. */
   readonly isHolder: boolean;
+  /** Fence of the lease when it was last read; 0 for none. */
+  readonly knownFence: number;
   /** Reads the lease, and acquires it if it does not exist: an instance must
    * hold it before the store becomes unreachable. */
   refreshLease(): Promise<void>;
@@ -280,6 +282,9 @@
     get isHolder() {
       return lastSeen?.seen.record.holder === instance;
     },
+    get knownFence() {
+      return lastSeen?.seen.record.fence ?? 0;
+    },
     async refreshLease() {
       // A stale read can show a revision late, which only lengthens the wait
       // for another holder.
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -15,6 +15,10 @@
   type KindObject,
   type KindSnapshot,
   KindStore,
+  type ReadObject,
   RevisionConflictError,
   StoreUnavailableError,
+  type StoreVersion,
+  compareVersions,
 } from './kind-store.js';
+export {type EraListener, type StoreEra, storeEra} from './store-era.js';
--- a/packages/object-store/src/kind-store.ts
+++ b/packages/object-store/src/kind-store.ts
@@ -4,6 +4,23 @@
  * the other kind of object store, without kinds.
  */
 import {TypedError} from '@quetzalreel/common';
+import {storeEra} from './store-era.js';
+
+/**
+ * A moment in the life of the store. A store that is restored from an older copy
+ * gives revisions out again, so those of different eras can't be compared.
+ */
+export interface StoreVersion {
+  /** Number of times the store was restored; 0 if it does not say. */
+  readonly era: number;
+  /** Revision of the store within the era. */
+  readonly revision: number;
+}
+
+/** Negative if `a` is before `b`, 0 if they are equal, else positive. */
+export function compareVersions(a: StoreVersion, b: StoreVersion): number {
+  return a.era - b.era || a.revision - b.revision;
+}
 
 /** A stored object. */
 export interface KindObject {
@@ -16,11 +33,12 @@
   readonly unreadable?: boolean;
 }
 
-/** All objects of a kind at one moment. */
-export interface KindSnapshot {
+/** An object as the store returned it in an era. */
+export type ReadObject = KindObject & StoreVersion;
+
+/** All objects of a kind at a version, from which to watch for changes. */
+export interface KindSnapshot extends StoreVersion {
   readonly objects: readonly KindObject[];
-  /** Revision of the store, from which to watch for changes. */
-  readonly revision: number;
 }
 
 /** One change of an object. */
@@ -29,10 +47,12 @@
   readonly deleted: boolean;
 }
 
-/** Changes since a revision; none if the wait timed out without a change. */
-export interface KindChanges {
+/**
+ * Changes since a revision of the same era; none if the wait timed out without a
+ * change.
+ */
+export interface KindChanges extends StoreVersion {
   readonly events: readonly KindEvent[];
-  readonly revision: number;
 }
 
 /** The store gave no usable response; a change may have been applied or not. */
@@ -92,6 +112,9 @@
 
 /** Client of the store. Calls reject with the errors of this module. */
 export abstract class KindStore {
+  /** The era of the store, from its answers and from peers. */
+  readonly era = storeEra();
+
   /** Lists all objects of a kind, reading every page. */
   abstract list(kind: string, freshness?: Freshness): Promise<KindSnapshot>;
   /** Returns the object; undefined if there is none. */
@@ -99,23 +122,26 @@
     kind: string,
     name: string,
     freshness?: Freshness,
-  ): Promise<KindObject | undefined>;
+  ): Promise<ReadObject | undefined>;
   /** Creates an object; rejects with RevisionConflictError if it exists. */
   abstract create(
     kind: string,
     name: string,
     value: unknown,
-  ): Promise<KindObject>;
+  ): Promise<ReadObject>;
   /** Replaces an object if it is still at `revision`. */
   abstract replace(
     kind: string,
     name: string,
     value: unknown,
     revision: number,
-  ): Promise<KindObject>;
+  ): Promise<ReadObject>;
   /** Removes an object if it is still at `revision`; it may also be gone. */
   abstract remove(kind: string, name: string, revision: number): Promise<void>;
-  /** Waits up to `waitMs` for changes since `revision`. */
+  /**
+   * Waits up to `waitMs` for changes since `revision`. If the store was restored
+   * since then, the result may lack changes; its era shows that.
+   */
   abstract watch(
     kind: string,
     revision: number,
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -21,6 +21,8 @@
 export interface MetricsSource {
   groups(): Iterable<GroupRuntime>;
   generation(): number;
+  /** Number of times the store was restored. */
+  storeEra(): number;
   sessions(): number;
   now(): number;
 }
@@ -61,6 +63,11 @@
       help: 'Generation of the configuration in force; 0 for none.',
       registers,
     }),
+    storeEra: new Gauge({
+      name: 'quetzalreel_store_era',
+      help: 'Number of times the store was restored from an older copy, as far as it tells.',
+      registers,
+    }),
     sessions: new Gauge({
       name: 'quetzalreel_sessions',
       help: 'Sessions that are open.',
@@ -116,6 +123,7 @@
       // Drops the series of endpoints that are no longer listed.
       for (const gauge of Object.values(gauges)) gauge.reset();
       gauges.generation.set(source.generation());
+      gauges.storeEra.set(source.storeEra());
       gauges.sessions.set(source.sessions());
       for (const group of source.groups()) readGroup(group);
       return registry.metrics();
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -100,6 +100,7 @@
   const metrics = proxyMetrics({
     groups: () => groups.values(),
     generation: () => view.table?.generation ?? 0,
+    storeEra: () => options.store.era.current,
     sessions: () => sessions.size,
     now: () => clock.now(),
   });
@@ -149,6 +150,18 @@
     },
   });
 
+  owned.add(
+    options.store.era.onRestored((era, before) =>
+      log.warn({
+        event: 'storeRestored',
+        era,
+        before,
+        generation: view.table?.generation,
+        leaseFence: changer.knownFence,
+      }),
+    ),
+  );
+
   const primaryUse = options.replacedPrimaryStops
     ? ALWAYS_PERMITTED
     : renewedPrimaryUse({
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -100,8 +100,13 @@
   let directory: Directory = emptyDirectory(clock.now());
 
   function apply(next: RoutingTable, value: unknown): void {
-    if (table && next.generation <= table.generation) return;
     const {generation} = next;
+    if (table && generation <= table.generation) {
+      if (generation === table.generation) return;
+      const inForce = table.generation;
+      log.info({event: 'configurationPassedOver', generation, inForce});
+      return;
+    }
     log.info({event: 'configured', generation, routes: next.routes.size});
     table = next;
     spelled = {generation, value};
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -92,6 +92,7 @@
     metrics: proxyMetrics({
       groups: () => [],
       generation: () => 0,
+      storeEra: () => 0,
       sessions: () => 0,
       now: () => clock.now(),
     }),
