Add tests that fail when the store comes back from an older copy

The simulated fleet and the stand-in store get a restore: what was written since a revision is gone, its revisions are given out again, the era rises.

--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -6,6 +6,7 @@
   manualClock,
 } from '@quetzalreel/common';
 import {
+  HistoryGoneError,
   type KindChanges,
   type KindEvent,
   type KindObject,
@@ -64,8 +65,15 @@
   isCut: (from: SimulatedInstance, to: SimulatedInstance) => boolean;
   /** Messages in a hundred that are lost. */
   lossPercent: number;
+  /** Revision of the store. */
+  readonly revision: number;
   put(name: string): void;
   remove(name: string): void;
+  /**
+   * Takes the store back to a revision, whose later history is gone. Watches
+   * that wait either go on waiting or are cut off.
+   */
+  restore(revision: number, cutsWatches: boolean): void;
   /** Whether all running instances that are reached know the store's state. */
   isCurrent(instance: SimulatedInstance): boolean;
   run(forMs: number): Promise<void>;
@@ -73,6 +81,7 @@
 
 interface Watcher {
   check(): void;
+  cutOff(): void;
 }
 
 /** How a fleet starts. */
@@ -92,7 +101,8 @@
   const clock = manualClock();
   const random = xoroshiro128plus(seed);
   const objects = new Map<string, KindObject>();
-  const history: KindEvent[] = [];
+  let history: KindEvent[] = [];
+  let era = 1;
   const watchers = new Set<Watcher>();
   let revision = 1;
   let calls = 0;
@@ -116,33 +126,35 @@
 
     async list(): Promise<KindSnapshot> {
       this.check();
-      return {objects: [...objects.values()], era: 1, revision};
+      return {objects: [...objects.values()], era, revision};
     }
 
     async watch(
-      _kind: string,
+      kind: string,
       since: number,
       waitMs: number,
     ): Promise<KindChanges> {
       this.check();
+      if (since > revision) throw new HistoryGoneError(kind, since);
       const changes = () => ({
         events: history.filter(({object}) => object.revision > since),
-        era: 1,
+        era,
         revision,
       });
       return new Promise((resolve, reject) => {
-        const end = () => {
+        const end = (isCutOff = false) => {
           watchers.delete(watcher);
           timer.dispose();
-          if (this.owner().isServed) resolve(changes());
+          if (this.owner().isServed && !isCutOff) resolve(changes());
           else reject(new StoreUnavailableError('cut off', false));
         };
         const watcher = {
+          cutOff: () => end(true),
           check: () => {
             if (changes().events.length > 0) end();
           },
         };
-        const timer = clock.after(waitMs, end);
+        const timer = clock.after(waitMs, () => end());
         watchers.add(watcher);
         watcher.check();
       });
@@ -170,6 +182,9 @@
     get calls() {
       return calls;
     },
+    get revision() {
+      return revision;
+    },
     get messages() {
       return messages;
     },
@@ -186,6 +201,17 @@
       objects.delete(name);
       record({name, revision, value: undefined}, true);
     },
+    restore(to, cutsWatches) {
+      era++;
+      revision = to;
+      history = history.filter(({object}) => object.revision <= to);
+      objects.clear();
+      for (const {object, deleted} of history) {
+        if (deleted) objects.delete(object.name);
+        else objects.set(object.name, object);
+      }
+      for (const watcher of cutsWatches ? [...watchers] : []) watcher.cutOff();
+    },
     isCurrent({known}) {
       if (known.size !== objects.size) return false;
       for (const [name, object] of objects) {
--- a/packages/facts/test/test-feed.ts
+++ b/packages/facts/test/test-feed.ts
@@ -219,3 +219,30 @@
     fleet.dispose();
   });
 });
+
+describe('a store that was restored from an older copy', () => {
+  for (const [count, seed] of [
+    [6, 12],
+    [30, 13],
+  ] as const) {
+    for (const cutsWatches of [true, false]) {
+      const what = cutsWatches ? 'cut off' : 'left waiting';
+      it(`has its next change known by all ${count} instances, with watches ${what}`, async () => {
+        const fleet = simulatedFleet(count, seed);
+        fleet.put('a');
+        await fleet.run(SETTLE_MS);
+        const {revision} = fleet;
+        for (const name of ['b', 'c', 'd']) fleet.put(name);
+        fleet.remove('a');
+        await fleet.run(SPREAD_MS);
+        fleet.restore(revision, cutsWatches);
+        fleet.put('c');
+        await fleet.run(APPLY_MS);
+        for (const instance of fleet.instances) {
+          assert.ok(fleet.isCurrent(instance), instance.name);
+        }
+        fleet.dispose();
+      });
+    }
+  }
+});
