Order what instances know of the store by its era, then by its revision

Cause: a copy of a kind took only deltas above its own revision. A restored store gives lower revisions, so its lists and its next changes were taken for known. Class: a number compared across two pasts of the one that gives it out.

Evidence: kindListed with era 2, revision 20 against a copy at 21, outcome 'known'; then silence while a version was acknowledged at revision 21.

Change: a version is the era and the revision within it, in copies, deltas, beats and requests for copies. Across eras nothing is merged: a copy is replaced by a whole one, which is passed on whole. A watch whose answer belongs to another era than its start is followed by a list, and so is a failed call. Messages of the new form have new names and facts version 2, so that older builds pass them over.

Why it works: within an era revisions rise, and eras rise, so the order is total again; what is not comparable is never merged. A property test merges deltas of two pasts in any order.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -7,13 +7,21 @@
   type Disposable,
   disposableStore,
 } from '@quetzalreel/common';
-import type {KindEvent, KindStore} from '@quetzalreel/object-store';
+import {
+  type KindEvent,
+  type KindStore,
+  type StoreVersion,
+  compareVersions,
+} from '@quetzalreel/object-store';
 import {
   type KindCopy,
   type KindDelta,
   type Merge,
   deltaOf,
+  isPlausible,
   mergeDelta,
+  onwardDelta,
+  versionOf,
   wholeCopy,
 } from './kind-copy.js';
 import {type KindRead, type KindReader, kindReader} from './kind-reader.js';
@@ -118,12 +126,6 @@
   readonly waiting: Set<string>;
 }
 
-/**
- * Highest step of a copy's revision. A copy from the future would keep all later
- * changes out; the store makes a few thousand changes a second at most.
- */
-const MAX_REVISION_STEP = 100_000_000;
-
 /**
  * Share of the interval between beats after which a beat is answered: links
  * without an answer for an interval are closed, as they may be broken.
@@ -132,7 +134,7 @@
 
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
-  const {instance, clock, times, preferenceOf} = context;
+  const {instance, clock, store, times, preferenceOf} = context;
   /** When something was last sent to each address. */
   const sentAt = new Map<string, number>();
   const owned = disposableStore();
@@ -164,7 +166,7 @@
         ...context,
         ...followed,
         isWanted: () => role.isReader || needsFirstRead(state),
-        copyRevision: () => state.copy?.revision,
+        copyVersion: () => state.copy,
         onRead: read => noteRead(state, read),
         onReach: (isReached, why) => {
           state.ownReachedSince = isReached ? clock.now() : undefined;
@@ -175,8 +177,8 @@
           noteReach(state);
           if (role.isReader) sendBeat();
         },
-        onHistoryGone: revision =>
-          context.onEvent({event: 'historyGone', kind, revision}),
+        onHistoryGone: ({era, revision}) =>
+          context.onEvent({event: 'historyGone', kind, era, revision}),
       }),
     );
   }
@@ -212,13 +214,14 @@
     const {kind} = state.followed;
     const outcome = merge(state, deltaOf(kind, copy, read), undefined);
     const {isAll, era, revision, events} = read;
-    const isBehindCopy = copy !== undefined && revision < copy.revision;
+    const isBehindCopy = copy !== undefined && compareVersions(read, copy) < 0;
     if (!isAll && !isBehindCopy) return;
     context.onEvent({
       event: isAll ? 'kindListed' : 'storeBehindCopy',
       kind,
       era,
       revision,
+      copyEra: copy?.era,
       copyRevision: copy?.revision,
       outcome,
       objects: events.length,
@@ -238,17 +241,14 @@
       if (from !== undefined) askForCopies(from);
       return merged.type;
     }
-    if (before && merged.events.length === 0 && delta.since === 0)
+    const isSameEra = before?.era === merged.copy.era;
+    if (isSameEra && merged.events.length === 0 && delta.since === 0)
       return 'known';
     state.copy = merged.copy;
     state.behindSince = undefined;
-    const {kind} = state.followed;
     if (before) {
-      const {revision} = merged.copy;
-      const since = delta.since === 0 ? before.revision : delta.since;
-      const events = delta.since === 0 ? merged.events : delta.events;
-      const onward = {kind, since, revision, events};
-      sendToLinks({type: 'delta', delta: onward}, from);
+      const onward = onwardDelta(before, merged, delta);
+      sendToLinks({type: 'kindDelta', delta: onward}, from);
     }
     for (const address of state.waiting) sendCopy(address, state);
     state.waiting.clear();
@@ -259,37 +259,47 @@
   function receiveDelta({
     delta,
     from,
-  }: Extract<FactMessage, {type: 'delta'}>): void {
-    const {kind, revision} = delta;
+  }: Extract<FactMessage, {type: 'kindDelta'}>): void {
+    const {kind, era, revision} = delta;
     const state = states.get(kind);
     if (!state) return;
-    const known = state.copy?.revision ?? revision;
-    if (revision - known > MAX_REVISION_STEP) {
-      context.onEvent({event: 'deltaImplausible', kind, revision, known, from});
+    if (!isPlausible(delta, state.copy)) {
+      const known = state.copy;
+      context.onEvent({
+        event: 'deltaImplausible',
+        kind,
+        era,
+        revision,
+        copyEra: known?.era,
+        copyRevision: known?.revision,
+        from,
+      });
       return;
     }
+    store.era.note(era);
     merge(state, delta, from);
   }
 
   function sendCopy(address: string, {followed, copy}: KindState): void {
     if (!copy) return;
-    send(address, {type: 'delta', delta: wholeCopy(followed.kind, copy)});
+    send(address, {type: 'kindDelta', delta: wholeCopy(followed.kind, copy)});
   }
 
   function askForCopies(address: string): void {
-    const revisions: Record<string, number> = {};
-    for (const [kind, {copy}] of states) revisions[kind] = copy?.revision ?? 0;
-    send(address, {type: 'copyWanted', revisions});
+    const known: Record<string, StoreVersion> = {};
+    for (const [kind, {copy}] of states) known[kind] = versionOf(copy);
+    send(address, {type: 'copiesWanted', known});
   }
 
-  function answerCopyWanted(
-    message: Extract<FactMessage, {type: 'copyWanted'}>,
+  function answerCopiesWanted(
+    message: Extract<FactMessage, {type: 'copiesWanted'}>,
   ): void {
-    for (const [kind, revision] of Object.entries(message.revisions)) {
+    for (const [kind, known] of Object.entries(message.known)) {
       const state = states.get(kind);
       if (!state) continue;
       if (!state.copy) state.waiting.add(message.from);
-      else if (state.copy.revision > revision) sendCopy(message.from, state);
+      else if (compareVersions(state.copy, known) > 0)
+        sendCopy(message.from, state);
     }
   }
 
@@ -297,7 +307,7 @@
     const now = clock.now();
     return [...states.values()].map(({followed, copy, ownReachedSince}) => ({
       kind: followed.kind,
-      revision: copy?.revision ?? 0,
+      ...versionOf(copy),
       reachedMs:
         ownReachedSince === undefined ? undefined : now - ownReachedSince,
     }));
@@ -312,21 +322,21 @@
       ageMs: 0,
       kinds: readings(),
     };
-    sendToLinks({type: 'beat', beat});
+    sendToLinks({type: 'readerBeat', beat});
   }
 
   function receiveBeat({
     beat,
     from,
-  }: Extract<FactMessage, {type: 'beat'}>): void {
+  }: Extract<FactMessage, {type: 'readerBeat'}>): void {
     acknowledge(from);
     if (beat.reader === instance || !readers.note(beat, from)) return;
-    sendToLinks({type: 'beat', beat}, from);
-    for (const {kind, revision} of beat.kinds) {
-      const state = states.get(kind);
+    sendToLinks({type: 'readerBeat', beat}, from);
+    for (const reading of beat.kinds) {
+      const state = states.get(reading.kind);
       if (!state) continue;
       noteReach(state);
-      if (revision <= (state.copy?.revision ?? 0)) continue;
+      if (compareVersions(reading, versionOf(state.copy)) <= 0) continue;
       state.behindSince ??= clock.now();
     }
   }
@@ -338,8 +348,7 @@
       const {behindSince} = state;
       if (behindSince === undefined || now - behindSince < times.lateMs)
         continue;
-      const revision = state.copy?.revision ?? 0;
-      const newest = readers.newestAbove(kind, revision);
+      const newest = readers.newestAbove(kind, versionOf(state.copy));
       state.behindSince = undefined;
       if (!newest) continue;
       context.onEvent({event: 'copyWanted', kind, from: newest.from});
@@ -411,14 +420,14 @@
   return {
     receive(message) {
       switch (message.type) {
-        case 'beat':
+        case 'readerBeat':
           receiveBeat(message);
           return;
-        case 'delta':
+        case 'kindDelta':
           receiveDelta(message);
           return;
-        case 'copyWanted':
-          answerCopyWanted(message);
+        case 'copiesWanted':
+          answerCopiesWanted(message);
           return;
         case 'heard':
           return;
--- a/packages/facts/src/heard-readers.ts
+++ b/packages/facts/src/heard-readers.ts
@@ -1,5 +1,6 @@
 /** The readers that an instance hears, by their beats. */
 import type {Clock} from '@quetzalreel/common';
+import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
 import type {ReaderBeat} from './messages.js';
 import type {HeardReader} from './reader-role.js';
 
@@ -20,8 +21,8 @@
    * those heard within `heardMs`; undefined if it answers none of them.
    */
   reachedMs(kind: string, heardMs: number): number | undefined;
-  /** The reader with the newest copy of a kind, above `revision`. */
-  newestAbove(kind: string, revision: number): KnownReader | undefined;
+  /** The reader with the newest copy of a kind, above `version`. */
+  newestAbove(kind: string, version: StoreVersion): KnownReader | undefined;
   /** Forgets all: the ages are not known any more. */
   clear(): void;
 }
@@ -53,13 +54,13 @@
       }
       return longest;
     },
-    newestAbove(kind, revision) {
+    newestAbove(kind, version) {
       let best: KnownReader | undefined;
-      let highest = revision;
+      let highest = version;
       for (const known of readers.values()) {
         const reading = known.beat.kinds.find(item => item.kind === kind);
-        if (!reading || reading.revision <= highest) continue;
-        highest = reading.revision;
+        if (!reading || compareVersions(reading, highest) <= 0) continue;
+        highest = reading;
         best = known;
       }
       return best;
--- a/packages/facts/src/index.ts
+++ b/packages/facts/src/index.ts
@@ -20,7 +20,7 @@
   type FactMessage,
   type KindReading,
   type ReaderBeat,
-  type RevisionByKind,
+  type VersionByKind,
   hasFactType,
   isFactMessage,
 } from './messages.js';
--- a/packages/facts/src/kind-copy.ts
+++ b/packages/facts/src/kind-copy.ts
@@ -1,27 +1,54 @@
 /**
- * An instance's copy of all objects of one kind, as of a revision of the store.
+ * An instance's copy of all objects of one kind, as of a version of the store.
  * Changes arrive from several readers, late, repeatedly or out of order; the
- * copy only moves to higher revisions.
+ * copy only moves to later versions. Changes are never merged across eras: a
+ * restored store may lack what the copy has, so the whole copy is replaced.
  */
-import type {KindEvent, KindObject} from '@quetzalreel/object-store';
+import {
+  type KindEvent,
+  type KindObject,
+  type StoreVersion,
+  compareVersions,
+} from '@quetzalreel/object-store';
 
-/** All objects of a kind as of `revision`. */
-export interface KindCopy {
-  readonly revision: number;
+/** All objects of a kind as of a version. */
+export interface KindCopy extends StoreVersion {
   readonly objects: ReadonlyMap<string, KindObject>;
 }
 
 /**
- * The changes of a kind above revision `since`, up to `revision`, in the order
- * of the store. With `since` 0 they list all objects.
+ * The changes of a kind in one era above revision `since`, up to `revision`, in
+ * the order of the store. With `since` 0 they list all objects.
  */
-export interface KindDelta {
+export interface KindDelta extends StoreVersion {
   readonly kind: string;
   readonly since: number;
-  readonly revision: number;
   readonly events: readonly KindEvent[];
 }
 
+/**
+ * Highest steps of a copy's version. A copy from the future would keep all later
+ * changes out; the store makes a few thousand changes a second at most, and is
+ * restored rarely.
+ */
+const MAX_REVISION_STEP = 100_000_000;
+const MAX_ERA_STEP = 1000;
+
+/** The version of a copy; of an empty one before any store if there is none. */
+export function versionOf(copy: KindCopy | undefined): StoreVersion {
+  return {era: copy?.era ?? 0, revision: copy?.revision ?? 0};
+}
+
+/** Whether a delta from a peer can be true beside the copy. */
+export function isPlausible(
+  {era, revision}: KindDelta,
+  copy: KindCopy | undefined,
+): boolean {
+  if (!copy) return true;
+  if (era !== copy.era) return era - copy.era <= MAX_ERA_STEP;
+  return revision - copy.revision <= MAX_REVISION_STEP;
+}
+
 /** What became of a delta. */
 export type Merge =
   /** The copy already includes it. */
@@ -40,16 +67,17 @@
   copy: KindCopy | undefined,
   delta: KindDelta,
 ): Merge {
-  if (copy && delta.revision <= copy.revision) return {type: 'known'};
+  if (copy && compareVersions(delta, copy) <= 0) return {type: 'known'};
   if (delta.since === 0) return mergeAll(copy, delta);
-  if (!copy || delta.since > copy.revision) return {type: 'gap'};
+  if (!copy || delta.era !== copy.era) return {type: 'gap'};
+  if (delta.since > copy.revision) return {type: 'gap'};
   const objects = new Map(copy.objects);
   const events: KindEvent[] = [];
   for (const event of delta.events) {
     if (applyEvent(objects, event)) events.push(event);
   }
-  const merged = {revision: delta.revision, objects};
-  return {type: 'merged', copy: merged, events};
+  const {era, revision} = delta;
+  return {type: 'merged', copy: {era, revision, objects}, events};
 }
 
 /** Replaces the copy by the objects that `delta` lists. */
@@ -62,12 +90,14 @@
   for (const [name, object] of copy?.objects ?? []) {
     if (!objects.has(name)) events.push({object, deleted: true});
   }
+  const {era, revision} = delta;
+  const isSameEra = copy?.era === era;
   for (const [name, object] of objects) {
-    const known = copy?.objects.get(name);
-    if (known?.revision !== object.revision)
-      events.push({object, deleted: false});
+    const isKnown =
+      isSameEra && copy.objects.get(name)?.revision === object.revision;
+    if (!isKnown) events.push({object, deleted: false});
   }
-  return {type: 'merged', copy: {revision: delta.revision, objects}, events};
+  return {type: 'merged', copy: {era, revision, objects}, events};
 }
 
 /** Returns whether the event changed `objects`. */
@@ -93,13 +123,12 @@
 export function deltaOf(
   kind: string,
   copy: KindCopy | undefined,
-  read: {
+  read: StoreVersion & {
     readonly isAll: boolean;
-    readonly revision: number;
     readonly events: readonly KindEvent[];
   },
 ): KindDelta {
-  const {isAll, events} = read;
+  const {isAll, era, events} = read;
   const since = isAll ? 0 : (copy?.revision ?? 0);
   let revision = 1;
   let hasRemoval = false;
@@ -108,7 +137,8 @@
     revision = Math.max(revision, object.revision);
   }
   if (isAll && copy) hasRemoval = copy.objects.size > 0;
-  return {kind, since, revision: hasRemoval ? read.revision : revision, events};
+  if (hasRemoval) revision = read.revision;
+  return {kind, since, era, revision, events};
 }
 
 /** The whole copy as a delta. */
@@ -117,5 +147,21 @@
     object,
     deleted: false,
   }));
-  return {kind, since: 0, revision: copy.revision, events};
+  const {era, revision} = copy;
+  return {kind, since: 0, era, revision, events};
+}
+
+/**
+ * The delta to pass on after `delta` was merged into the copy `before`. All
+ * objects of a kind are passed on as the changes that they make to the copy,
+ * unless those can't be told in another era.
+ */
+export function onwardDelta(
+  before: KindCopy,
+  {copy, events}: Extract<Merge, {type: 'merged'}>,
+  delta: KindDelta,
+): KindDelta {
+  if (delta.since !== 0) return delta;
+  if (before.era !== delta.era) return wholeCopy(delta.kind, copy);
+  return {...delta, since: before.revision, events};
 }
--- a/packages/facts/src/kind-reader.ts
+++ b/packages/facts/src/kind-reader.ts
@@ -1,7 +1,8 @@
 /**
  * Reads all objects of one kind from the store while this instance is to read:
  * lists them once, then watches, and lists again when the watched revision is no
- * longer available.
+ * longer available or the store was restored. It also lists after a failed call:
+ * a watch would show a restore only when it ends.
  */
 import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
 import {
@@ -27,12 +28,12 @@
   readonly watchMs: number;
   /** Whether this instance is to read now. */
   readonly isWanted: () => boolean;
-  /** Revision of the copy, from which to watch; undefined for none. */
-  readonly copyRevision: () => number | undefined;
+  /** Version of the copy, from which to watch; undefined for none. */
+  readonly copyVersion: () => StoreVersion | undefined;
   readonly onRead: (read: KindRead) => void;
   /** Called when the store begins or ceases to answer. */
   readonly onReach: (isReached: boolean, why?: string) => void;
-  readonly onHistoryGone: (revision: number) => void;
+  readonly onHistoryGone: (since: StoreVersion) => void;
 }
 
 /**
@@ -68,42 +69,46 @@
     context.onReach(reached, why);
   }
 
-  async function list(): Promise<number> {
+  async function list(): Promise<StoreVersion> {
     const {objects, era, revision} = await store.list(kind);
     note(true);
     const events = objects.map(object => ({object, deleted: false}));
     if (!disposed) onRead({isAll: true, era, revision, events});
-    return revision;
+    return {era, revision};
   }
 
-  async function watch(since: number): Promise<number> {
-    const {events, era, revision} = await store.watch(kind, since, watchMs);
+  async function watch(since: StoreVersion): Promise<StoreVersion> {
+    const changes = await store.watch(kind, since.revision, watchMs);
+    const {events, era, revision} = changes;
+    if (era !== since.era) throw new HistoryGoneError(kind, since.revision);
     note(true);
-    if (disposed || events.length === 0) return revision;
+    if (disposed || events.length === 0) return {era, revision};
     onRead({isAll: false, era, revision, events});
     await clock.sleep(BATCH_MS);
-    return revision;
+    return {era, revision};
   }
 
   /** Makes one call; undefined requests a new list. */
-  async function step(since: number | undefined): Promise<number | undefined> {
+  async function step(
+    since: StoreVersion | undefined,
+  ): Promise<StoreVersion | undefined> {
     try {
       return since === undefined ? await list() : await watch(since);
     } catch (err) {
-      if (err instanceof HistoryGoneError) {
-        context.onHistoryGone(since ?? 0);
+      if (err instanceof HistoryGoneError && since) {
+        context.onHistoryGone(since);
         return undefined;
       }
       note(false, messageOf(err));
       await clock.sleep(Math.min(MAX_RETRY_MS, RETRY_MS * failures));
-      return since;
+      return undefined;
     }
   }
 
   async function readWhileWanted(): Promise<void> {
     isReading = true;
     // What the others reported meanwhile needs no reading again.
-    let since = context.copyRevision();
+    let since = context.copyVersion();
     isReached = undefined;
     while (!disposed && context.isWanted()) since = await step(since);
     isReading = false;
--- a/packages/facts/src/messages.ts
+++ b/packages/facts/src/messages.ts
@@ -1,4 +1,5 @@
 /** Messages that spread facts between linked instances. */
+import type {StoreVersion} from '@quetzalreel/object-store';
 import type {KindDelta} from './kind-copy.js';
 
 /** What a reader reports about its reading of the store. */
@@ -14,11 +15,9 @@
   readonly kinds: readonly KindReading[];
 }
 
-/** The state of one kind at a reader. */
-export interface KindReading {
+/** The state of one kind at a reader, with the version of its copy. */
+export interface KindReading extends StoreVersion {
   readonly kind: string;
-  /** Revision of its copy; 0 for none. */
-  readonly revision: number;
   /** For how long the store has answered; undefined while it does not. */
   readonly reachedMs: number | undefined;
 }
@@ -28,22 +27,22 @@
   /** Address of the sender, `host:port`. */
   readonly from: string;
 } & (
-  | {readonly type: 'beat'; readonly beat: ReaderBeat}
-  | {readonly type: 'delta'; readonly delta: KindDelta}
+  | {readonly type: 'readerBeat'; readonly beat: ReaderBeat}
+  | {readonly type: 'kindDelta'; readonly delta: KindDelta}
   /** Answers a beat when nothing else goes back: the link works. */
   | {readonly type: 'heard'}
   /** Asks for all objects of the kinds of which the receiver knows more. */
-  | {readonly type: 'copyWanted'; readonly revisions: RevisionByKind}
+  | {readonly type: 'copiesWanted'; readonly known: VersionByKind}
 );
 
-/** The revision of a copy by kind; 0 for none. */
-export type RevisionByKind = Readonly<Record<string, number>>;
+/** The version of a copy by kind; 0 for none. */
+export type VersionByKind = Readonly<Record<string, StoreVersion>>;
 
 const FACT_TYPES: ReadonlySet<unknown> = new Set<FactMessage['type']>([
-  'beat',
-  'delta',
+  'readerBeat',
+  'kindDelta',
   'heard',
-  'copyWanted',
+  'copiesWanted',
 ]);
 
 /** Whether a message is about facts, valid or not. */
@@ -55,16 +54,16 @@
 export function isFactMessage(value: unknown): value is FactMessage {
   if (!isRecord(value) || typeof value['from'] !== 'string') return false;
   switch (value['type']) {
-    case 'beat':
+    case 'readerBeat':
       return isBeat(value['beat']);
-    case 'delta':
+    case 'kindDelta':
       return isDelta(value['delta']);
     case 'heard':
       return true;
-    case 'copyWanted':
+    case 'copiesWanted':
       return (
-        isRecord(value['revisions']) &&
-        Object.values(value['revisions']).every(isRevision)
+        isRecord(value['known']) &&
+        Object.values(value['known']).every(isVersion)
       );
     default:
       return false;
@@ -79,6 +78,12 @@
   return Number.isSafeInteger(value) && (value as number) >= 0;
 }
 
+function isVersion(value: unknown): boolean {
+  return (
+    isRecord(value) && isRevision(value['era']) && isRevision(value['revision'])
+  );
+}
+
 function isAge(value: unknown): boolean {
   return typeof value === 'number' && value >= 0 && value < Infinity;
 }
@@ -98,21 +103,21 @@
 
 function isReading(value: unknown): boolean {
   if (!isRecord(value)) return false;
-  const {kind, revision, reachedMs} = value;
+  const {kind, reachedMs} = value;
   return (
     typeof kind === 'string' &&
-    isRevision(revision) &&
+    isVersion(value) &&
     (reachedMs === undefined || isAge(reachedMs))
   );
 }
 
 function isDelta(value: unknown): boolean {
   if (!isRecord(value)) return false;
-  const {kind, since, revision, events} = value;
+  const {kind, since, events} = value;
   return (
     typeof kind === 'string' &&
     isRevision(since) &&
-    isRevision(revision) &&
+    isVersion(value) &&
     Array.isArray(events) &&
     events.every(isEvent)
   );
--- a/packages/facts/test/test-kind-copy.ts
+++ b/packages/facts/test/test-kind-copy.ts
@@ -2,7 +2,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import type {KindEvent} from '@quetzalreel/object-store';
+import {
+  type KindEvent,
+  type KindObject,
+  compareVersions,
+} from '@quetzalreel/object-store';
 import {
   type KindCopy,
   type KindDelta,
@@ -24,7 +28,8 @@
 
 /** Revision of the empty store, at which every copy starts. */
 const FIRST = 1;
-const EMPTY: KindCopy = {revision: FIRST, objects: new Map()};
+const ERA = 1;
+const EMPTY: KindCopy = {era: ERA, revision: FIRST, objects: new Map()};
 
 /** The store's events, the first one above `FIRST`. */
 function eventsOf(changes: readonly Change[]): KindEvent[] {
@@ -57,6 +62,17 @@
   return [...objects].sort(([a], [b]) => (a < b ? -1 : 1));
 }
 
+/** What a list returned at `revision`. */
+function objectsListed(events: readonly KindEvent[], revision: number) {
+  const newest = Math.min(revision, FIRST + events.length);
+  const objects = new Map<string, KindObject>();
+  for (const {object, deleted} of events.slice(0, newest - FIRST)) {
+    if (deleted) objects.delete(object.name);
+    else objects.set(object.name, object);
+  }
+  return {revision: newest, objects};
+}
+
 /** The deltas of a reader that reads after each of the revisions `stops`. */
 function deltasOf(
   events: readonly KindEvent[],
@@ -69,7 +85,8 @@
     const batch = events.slice(read, stop);
     if (batch.length === 0) continue;
     read = stop;
-    const got = {isAll: false, revision: FIRST + stop, events: batch};
+    const revision = FIRST + stop;
+    const got = {isAll: false, era: ERA, revision, events: batch};
     const delta = deltaOf('k', copy, got);
     deltas.push(delta);
     const merged = mergeDelta(copy, delta);
@@ -119,7 +136,7 @@
       ['b', events[1]!.object],
       ['c', events[3]!.object],
     ]);
-    const whole = wholeCopy('k', {revision: 5, objects});
+    const whole = wholeCopy('k', {era: ERA, revision: 5, objects});
     const repaired = mergeDelta(start.copy, whole);
     assert.ok(repaired.type === 'merged');
     assert.deepEqual(
@@ -134,7 +151,45 @@
 
   it('does not go back to a list that the store answered late', () => {
     const objects = new Map([['a', {name: 'a', revision: 9, value: 1}]]);
-    const late = wholeCopy('k', {revision: 7, objects: new Map()});
-    assert.equal(mergeDelta({revision: 9, objects}, late).type, 'known');
+    const late = wholeCopy('k', {era: ERA, revision: 7, objects: new Map()});
+    const copy = {era: ERA, revision: 9, objects};
+    assert.equal(mergeDelta(copy, late).type, 'known');
+  });
+
+  it('is that of the newest past whose list arrived, across restores', () => {
+    const order = fc.array(fc.nat(), {maxLength: 30});
+    const kept = fc.nat(12);
+    fc.assert(
+      fc.property(
+        history,
+        history,
+        kept,
+        stops,
+        stops,
+        order,
+        (lost, rewritten, kept, one, two, picks) => {
+          const before = eventsOf(lost);
+          const after = eventsOf([...lost.slice(0, kept), ...rewritten]);
+          const listed = objectsListed(after, FIRST + kept);
+          const deltas = [
+            ...deltasOf(before, one),
+            ...deltasOf(after, two).map(delta => ({...delta, era: ERA + 1})),
+            wholeCopy('k', {...listed, era: ERA + 1}),
+          ];
+          let copy = EMPTY;
+          for (const pick of picks) {
+            const delta = deltas[pick % deltas.length]!;
+            const merged = mergeDelta(copy, delta);
+            if (merged.type !== 'merged') continue;
+            assert.ok(compareVersions(merged.copy, copy) > 0);
+            copy = merged.copy;
+            const events = copy.era === ERA ? before : after;
+            const expected = objectsAt(events, copy.revision);
+            assert.deepEqual(sorted(revisionsIn(copy)), sorted(expected));
+          }
+        },
+      ),
+      {seed: 4, numRuns: 500},
+    );
   });
 });
--- a/packages/facts/test/test-messages.ts
+++ b/packages/facts/test/test-messages.ts
@@ -12,27 +12,34 @@
 } from '../src/index.js';
 
 const FROM = '10.0.0.9:1';
-const DELTA = {kind: 'k', since: 0, revision: 5, events: []};
+const DELTA = {kind: 'k', since: 0, era: 1, revision: 5, events: []};
 const BEAT = {reader: 'a', life: 1, seq: 1, ageMs: 0, kinds: []};
 
 const MALFORMED: ReadonlyArray<readonly [string, unknown]> = [
-  ['no sender', {type: 'beat', beat: BEAT}],
-  ['a negative age', {type: 'beat', from: FROM, beat: {...BEAT, ageMs: -1}}],
+  ['no sender', {type: 'readerBeat', beat: BEAT}],
+  [
+    'a negative age',
+    {type: 'readerBeat', from: FROM, beat: {...BEAT, ageMs: -1}},
+  ],
   [
     'an age that is not a number',
-    {type: 'beat', from: FROM, beat: {...BEAT, ageMs: NaN}},
+    {type: 'readerBeat', from: FROM, beat: {...BEAT, ageMs: NaN}},
   ],
   [
     'a negative revision',
-    {type: 'delta', from: FROM, delta: {...DELTA, revision: -1}},
+    {type: 'kindDelta', from: FROM, delta: {...DELTA, revision: -1}},
   ],
   [
     'a revision that is no integer',
-    {type: 'delta', from: FROM, delta: {...DELTA, revision: 1.5}},
+    {type: 'kindDelta', from: FROM, delta: {...DELTA, revision: 1.5}},
   ],
   [
     'an event without an object',
-    {type: 'delta', from: FROM, delta: {...DELTA, events: [{deleted: true}]}},
+    {
+      type: 'kindDelta',
+      from: FROM,
+      delta: {...DELTA, events: [{deleted: true}]},
+    },
   ],
   ['an unknown type', {type: 'other', from: FROM}],
 ];
@@ -112,7 +119,7 @@
   });
   const object = {name: 'a', revision: 5, value: 1};
   feed.receive({
-    type: 'delta',
+    type: 'kindDelta',
     from: FROM,
     delta: {...DELTA, events: [{object, deleted: false}]},
   });
@@ -123,14 +130,14 @@
   it('passes over a copy from the future, and keeps what it knows', () => {
     const {feed, events, known} = knowingFeed();
     const revision = Number.MAX_SAFE_INTEGER;
-    feed.receive({type: 'delta', from: FROM, delta: {...DELTA, revision}});
+    feed.receive({type: 'kindDelta', from: FROM, delta: {...DELTA, revision}});
     assert.deepEqual([...known], [['a', 5]]);
     assert.equal(events.at(-1)!.event, 'deltaImplausible');
     assert.equal(events.at(-1)!['from'], FROM);
     const object = {name: 'b', revision: 6, value: 2};
     const delta = {...DELTA, since: 5, revision: 6};
     feed.receive({
-      type: 'delta',
+      type: 'kindDelta',
       from: FROM,
       delta: {...delta, events: [{object, deleted: false}]},
     });
@@ -141,7 +148,7 @@
   it('answers beats on a link that carries nothing else back', () => {
     const {feed, sent} = knowingFeed();
     for (const seq of [1, 2, 3])
-      feed.receive({type: 'beat', from: FROM, beat: {...BEAT, seq}});
+      feed.receive({type: 'readerBeat', from: FROM, beat: {...BEAT, seq}});
     // The clock stands still: one answer is enough for all three.
     assert.deepEqual(sent, [`heard to ${FROM}`]);
     feed.dispose();
@@ -161,19 +168,23 @@
     );
     const message: fc.Arbitrary<FactMessage> = fc.oneof(
       fc.record({
-        type: fc.constant('delta' as const),
+        type: fc.constant('kindDelta' as const),
         from: fc.constantFrom(FROM, 'x'),
         delta: fc.record({
           kind: fc.constantFrom('k', 'other'),
           since: fc.nat(20),
+          era: fc.nat(3),
           revision: fc.nat(20),
           events: fc.array(event, {maxLength: 3}),
         }),
       }),
       fc.record({
-        type: fc.constant('copyWanted' as const),
+        type: fc.constant('copiesWanted' as const),
         from: fc.constantFrom(FROM, 'x'),
-        revisions: fc.dictionary(fc.constantFrom('k', 'o'), fc.nat(20)),
+        known: fc.dictionary(
+          fc.constantFrom('k', 'o'),
+          fc.record({era: fc.nat(3), revision: fc.nat(20)}),
+        ),
       }),
     );
     fc.assert(
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -136,7 +136,7 @@
 } as const;
 
 /** Version of the messages by which facts are spread. */
-const FACTS_VERSION = 1;
+const FACTS_VERSION = 2;
 
 /** A message of a type that only a newer build knows; it is passed over. */
 interface UnknownMessage {
