Never use a fence or a lease of a past that the store has lost

Change: a fence is above the version, era and revision, of the lease that it replaces. A conditional write on a revision succeeds once in an era, so no two holders get one fence, also over two restores in a row. A lease whose write was answered in another era than the one it replaces was read in is void. When the store turns out to have been restored the held fence is dropped, nobody takes the lease before a lost holder's turn is over, and the holder that the store still names takes a new fence at once, since it must have one before the store is away. Versions order what is seen of the lease. The digest of change records is a sum of hashes, as fences are larger now.

--- a/packages/failover/src/change-records.ts
+++ b/packages/failover/src/change-records.ts
@@ -3,6 +3,7 @@
  * group. On a platform that does not check fences a replaced primary goes on
  * acknowledging commits, so instances stop using it by these records.
  */
+import {hashOf} from '@quetzalreel/common';
 import type {PlannedChange} from './lease.js';
 
 /** A change of primary with the fence under which it is ordered. */
@@ -58,8 +59,8 @@
  */
 export function digestOf(records: ChangeRecords): number {
   let digest = 0;
-  for (const {fence, isPlanned} of records.values()) {
-    digest += 2 * fence + Number(isPlanned);
+  for (const {group, fence, isPlanned} of records.values()) {
+    digest += hashOf(`${group} ${fence} ${isPlanned}`);
   }
   return digest;
 }
--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -5,9 +5,11 @@
  */
 import {
   Freshness,
-  type KindObject,
   type KindStore,
+  type ReadObject,
   RevisionConflictError,
+  type StoreEra,
+  type StoreVersion,
 } from '@quetzalreel/object-store';
 import {type ChangeRecord, isChangeRecord} from './change-records.js';
 
@@ -32,10 +34,9 @@
   readonly changes?: readonly ChangeRecord[] | undefined;
 }
 
-/** The lease at one revision. */
-export interface LeaseSnapshot {
+/** The lease at one version of the store. */
+export interface LeaseSnapshot extends StoreVersion {
   readonly record: LeaseRecord;
-  readonly revision: number;
 }
 
 /** Kind of the lease object in the store. */
@@ -44,7 +45,7 @@
 export const LEASE_NAME = 'promotion';
 
 /** Parses the object; undefined if its value is not a lease. */
-export function parseLease(object: KindObject): LeaseSnapshot | undefined {
+export function parseLease(object: ReadObject): LeaseSnapshot | undefined {
   const value = object.value as Partial<LeaseRecord> | null;
   if (typeof value !== 'object' || value === null) return undefined;
   const {holder, fence, change} = value;
@@ -58,11 +59,13 @@
   const isListed = changes.some(item => item.fence === fence);
   if (isChangeRecord(latest) && !isListed) changes.push(latest);
   const record = {holder, fence: fence!, change, changes};
-  return {record, revision: object.revision};
+  return {record, era: object.era, revision: object.revision};
 }
 
 /** Reads and replaces the lease. Calls reject with the store's errors. */
 export interface LeaseStore {
+  /** The era of the store. */
+  readonly era: StoreEra;
   read(freshness?: Freshness): Promise<LeaseSnapshot | undefined>;
   /** Writes `record` if the lease is still at the revision of `seen`; if `seen`
    * is undefined, only if there is no lease. Returns undefined otherwise. */
@@ -75,6 +78,7 @@
 /** Creates access to the lease in `store`. */
 export function leaseStore(store: KindStore): LeaseStore {
   return {
+    era: store.era,
     async read(freshness = Freshness.Current) {
       const object = await store.get(LEASE_KIND, LEASE_NAME, freshness);
       return object && parseLease(object);
@@ -84,7 +88,7 @@
         const object = seen
           ? await store.replace(LEASE_KIND, LEASE_NAME, record, seen.revision)
           : await store.create(LEASE_KIND, LEASE_NAME, record);
-        return {record, revision: object.revision};
+        return {record, era: object.era, revision: object.revision};
       } catch (err) {
         if (err instanceof RevisionConflictError) return undefined;
         throw err;
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -3,7 +3,7 @@
  * sends the promotion order until its outcome is known.
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
-import {Freshness} from '@quetzalreel/object-store';
+import {Freshness, compareVersions} from '@quetzalreel/object-store';
 import {
   type ChangeRecord,
   type ChangeRecords,
@@ -17,6 +17,7 @@
   PlannedChange,
   LeaseSnapshot,
 } from './lease.js';
+import {nextFence} from './fence.js';
 import {OrderResult, type PromotionOrders} from './orders.js';
 
 /** Outcome of a change of primary. */
@@ -95,8 +96,11 @@
   readonly isHolder: boolean;
   /** Fence of the lease when it was last read; 0 for none. */
   readonly knownFence: number;
-  /** Reads the lease, and acquires it if it does not exist: an instance must
-   * hold it before the store becomes unreachable. */
+  /**
+   * Reads the lease, and acquires it if it does not exist, or if this instance
+   * held it before the store was restored: an instance must hold it before the
+   * store becomes unreachable.
+   */
   refreshLease(): Promise<void>;
   /**
    * Reads the lease from the store itself, not from a copy that may be out of
@@ -118,6 +122,8 @@
 /** Creates a changer that holds no fence yet. */
 export function primaryChanger(context: ChangeContext): PrimaryChanger {
   const {instance, clock, lease, orders, limits, onEvent} = context;
+  /** From the write of a lease until another holder may send orders. */
+  const turnMs = limits.handoverDelayMs + limits.orderWindowMs;
   /** The lease, while this instance holds it and may use its fence. */
   let heldLease: LeaseSnapshot | undefined;
   /** Target of an order under `heldLease` that may still be executed. */
@@ -125,8 +131,22 @@
   /** The latest known lease, and when its revision was first seen. */
   let lastSeen: {readonly seen: LeaseSnapshot; readonly at: number} | undefined;
 
+  /**
+   * Until when another instance may send orders under a lease that the store
+   * lost when it was restored.
+   */
+  let lostLeaseUntil = -Infinity;
+  /** Whether the store was restored and the lease was not read since. */
+  let needsNewFence = false;
+
   let changes: ChangeRecords = NO_CHANGES;
 
+  lease.era.onRestored(() => {
+    heldLease = undefined;
+    needsNewFence = true;
+    lostLeaseUntil = clock.now() + turnMs;
+  });
+
   function addChanges(added: Iterable<ChangeRecord>): void {
     const before = changes;
     changes = withChanges(changes, added);
@@ -135,8 +155,13 @@
 
   function recordSeen(seen: LeaseSnapshot): void {
     addChanges(seen.record.changes ?? []);
-    if (lastSeen && lastSeen.seen.revision >= seen.revision) return;
-    lastSeen = {seen, at: clock.now()};
+    if (lastSeen && compareVersions(lastSeen.seen, seen) >= 0) return;
+    // A restored store shows a lease again that was not written since.
+    const {holder, fence} = seen.record;
+    const before = lastSeen?.seen.record;
+    const isSeenAgain = before?.holder === holder && before.fence === fence;
+    const at = lastSeen && isSeenAgain ? lastSeen.at : clock.now();
+    lastSeen = {seen, at};
   }
 
   async function readLease(
@@ -149,10 +174,35 @@
 
   /** Whether another holder may be sending orders or did so too recently. */
   function mayOtherHolderAct(): boolean {
+    if (clock.now() < lostLeaseUntil) return true;
     if (!lastSeen || lastSeen.seen.record.holder === instance) return false;
-    return (
-      clock.now() - lastSeen.at < limits.handoverDelayMs + limits.orderWindowMs
-    );
+    return clock.now() - lastSeen.at < turnMs;
+  }
+
+  /** The fence with which the lease `seen`, undefined for none, is replaced. */
+  function fenceAfter(seen: LeaseSnapshot | undefined): number {
+    const replaced = seen ?? {era: lease.era.current, revision: 0};
+    const known = Math.max(seen?.record.fence ?? 0, highestFence(changes));
+    return nextFence(replaced, known);
+  }
+
+  /**
+   * Writes a lease in place of `seen`. Returns undefined if it was not written,
+   * or if the store was restored meanwhile: `seen` is no longer what was there,
+   * and its fence may have been used.
+   */
+  async function replaceLease(
+    record: LeaseRecord,
+    seen: LeaseSnapshot | undefined,
+  ): Promise<LeaseSnapshot | undefined> {
+    const era = seen?.era ?? lease.era.current;
+    const written = await writeRecord(record, seen);
+    if (!written) return undefined;
+    recordSeen(written);
+    if (written.era === era && lease.era.current === era) return written;
+    const {fence} = record;
+    onEvent({event: 'leaseOfLostEra', group: '', fence, era});
+    return undefined;
   }
 
   /** Writes the record; if that fails, reads back whether it was written. */
@@ -182,7 +232,7 @@
   ): Promise<LeaseSnapshot | ChangeOutcome> {
     const seen = await readLease(Freshness.Current);
     if (mayOtherHolderAct()) return ChangeOutcome.Deferred;
-    const fence = Math.max(seen?.record.fence ?? 0, highestFence(changes)) + 1;
+    const fence = fenceAfter(seen);
     const record = {
       holder: instance,
       fence,
@@ -191,9 +241,7 @@
         ...withChanges(changes, [{...planned, fence, isPlanned}]).values(),
       ],
     };
-    const taken = await writeRecord(record, seen);
-    if (taken) recordSeen(taken);
-    return taken ?? ChangeOutcome.Deferred;
+    return (await replaceLease(record, seen)) ?? ChangeOutcome.Deferred;
   }
 
   /** The lease whose fence may be used while the store is unreachable;
@@ -288,15 +336,27 @@
     async refreshLease() {
       // A stale read can show a revision late, which only lengthens the wait
       // for another holder.
+      const isFirstOfEra = lastSeen?.seen.era !== lease.era.current;
       const seen = await readLease(
-        lastSeen ? Freshness.Stale : Freshness.Current,
+        isFirstOfEra ? Freshness.Current : Freshness.Stale,
       );
-      if (seen) return;
-      const record = {holder: instance, fence: 1, change: undefined};
-      heldLease = await writeRecord(record, undefined);
+      const isOwn = seen?.record.holder === instance;
+      const keepsFence = heldLease !== undefined || !needsNewFence;
+      if (seen && (!isOwn || keepsFence)) {
+        needsNewFence = false;
+        return;
+      }
+      const fence = fenceAfter(seen);
+      const record = {
+        holder: instance,
+        fence,
+        change: undefined,
+        changes: [...changes.values()],
+      };
+      heldLease = await replaceLease(record, seen);
       if (!heldLease) return;
-      recordSeen(heldLease);
-      onEvent({event: 'leaseTaken', group: '', fence: 1});
+      needsNewFence = false;
+      onEvent({event: 'leaseTaken', group: '', fence});
     },
     async readLease() {
       await readLease(Freshness.Current);
--- a/packages/failover/test/test-primary-changer.ts
+++ b/packages/failover/test/test-primary-changer.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {manualClock} from '@quetzalreel/common';
-import {StoreUnavailableError} from '@quetzalreel/object-store';
+import {StoreUnavailableError, storeEra} from '@quetzalreel/object-store';
 import {
   ChangeOutcome,
   type LeaseRecord,
@@ -20,19 +20,32 @@
 /** A lease that several instances share, with injected store failures. */
 function sharedLease() {
   let current: LeaseSnapshot | undefined;
-  const state = {down: false, loseAnswers: 0};
+  const era = storeEra();
+  era.note(0);
+  /** Number of restores before the next write is applied. */
+  const state = {down: false, loseAnswers: 0, restoresBeforeWrite: 0};
+  let revision = 0;
   function check(): void {
     if (state.down) throw new StoreUnavailableError('down', true);
   }
+  /** Comes back with the lease `to`, undefined for none. */
+  function restore(to: LeaseSnapshot | undefined): void {
+    era.note(era.current + 1);
+    revision = to?.revision ?? 0;
+    current = to && {...to, era: era.current};
+  }
+
   const lease: LeaseStore = {
+    era,
     async read() {
       check();
       return current;
     },
     async replace(record: LeaseRecord, seen) {
       check();
+      if (state.restoresBeforeWrite-- > 0) restore(current);
       if (seen?.revision !== current?.revision) return undefined;
-      current = {record, revision: (current?.revision ?? 0) + 1};
+      current = {record, era: era.current, revision: ++revision};
       if (state.loseAnswers > 0) {
         state.loseAnswers--;
         throw new StoreUnavailableError('lost', false);
@@ -40,7 +53,7 @@
       return current;
     },
   };
-  return {lease, state};
+  return {lease, state, restore};
 }
 
 class RecordedOrders extends PromotionOrders {
@@ -55,7 +68,7 @@
 
 function setUp() {
   const clock = manualClock();
-  const {lease, state} = sharedLease();
+  const {lease, state, restore} = sharedLease();
   const orders = new RecordedOrders();
   const instance = (name: string) =>
     primaryChanger({
@@ -66,7 +79,7 @@
       limits: LIMITS,
       onEvent: () => {},
     });
-  return {clock, state, orders, instance};
+  return {clock, state, orders, instance, lease, restore};
 }
 
 /** Advances the clock until `work` settles, so that its retries run. */
@@ -191,3 +204,78 @@
     assert.equal(orders.sent.length, sent);
   });
 });
+
+describe('after the store lost a lease in a restore', () => {
+  /** Lets `one` order under a lease that the store then loses. */
+  async function loseLease(fx: ReturnType<typeof setUp>) {
+    const {clock, lease, restore, instance} = fx;
+    const one = instance('one');
+    const two = instance('two');
+    await one.refreshLease();
+    await two.refreshLease();
+    const kept = await lease.read();
+    await runUntilSettled(clock, one.change(PLANNED, true));
+    restore(kept);
+    return {one, two};
+  }
+
+  it('no two holders order with one fence, and the next one is higher', async () => {
+    const fx = setUp();
+    const {two} = await loseLease(fx);
+    fx.clock.advance(LIMITS.handoverDelayMs + LIMITS.orderWindowMs);
+    assert.equal(
+      await runUntilSettled(fx.clock, two.change(PLANNED, true)),
+      ChangeOutcome.Ordered,
+    );
+    const [first, second] = fx.orders.sent.map(({fence}) => fence);
+    assert.ok(second! > first!);
+  });
+
+  it('no holder orders within the turn of the one whose lease is lost', async () => {
+    const fx = setUp();
+    const {one, two} = await loseLease(fx);
+    for (const holder of [one, two]) {
+      assert.equal(
+        await runUntilSettled(fx.clock, holder.change(PLANNED, true)),
+        ChangeOutcome.Deferred,
+      );
+    }
+    assert.equal(fx.orders.sent.length, 1);
+  });
+
+  it('no order is sent with its fence', async () => {
+    const fx = setUp();
+    const {one} = await loseLease(fx);
+    fx.state.down = true;
+    assert.equal(
+      await runUntilSettled(fx.clock, one.change(PLANNED, true)),
+      ChangeOutcome.NoFence,
+    );
+  });
+
+  it('its holder gets a new fence before the store is away again', async () => {
+    const fx = setUp();
+    const {one} = await loseLease(fx);
+    await one.refreshLease();
+    fx.clock.advance(LIMITS.handoverDelayMs + LIMITS.orderWindowMs);
+    fx.state.down = true;
+    assert.equal(
+      await runUntilSettled(fx.clock, one.change(PLANNED, true)),
+      ChangeOutcome.Ordered,
+    );
+    const [first, second] = fx.orders.sent.map(({fence}) => fence);
+    assert.ok(second! > first!);
+  });
+
+  it('no lease counts that was written on a revision of before', async () => {
+    const fx = setUp();
+    const one = fx.instance('one');
+    await one.refreshLease();
+    fx.state.restoresBeforeWrite = 1;
+    assert.equal(
+      await runUntilSettled(fx.clock, one.change(PLANNED, true)),
+      ChangeOutcome.Deferred,
+    );
+    assert.equal(fx.orders.sent.length, 0);
+  });
+});
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -151,15 +151,16 @@
   });
 
   owned.add(
-    options.store.era.onRestored((era, before) =>
+    options.store.era.onRestored((era, before) => {
       log.warn({
         event: 'storeRestored',
         era,
         before,
         generation: view.table?.generation,
         leaseFence: changer.knownFence,
-      }),
-    ),
+      });
+      if (changer.isHolder) void refreshLease();
+    }),
   );
 
   const primaryUse = options.replacedPrimaryStops
@@ -271,13 +272,17 @@
   tick();
   void pollLease();
 
+  async function refreshLease(): Promise<void> {
+    try {
+      await changer.refreshLease();
+    } catch (err) {
+      log.warn({event: 'leaseNotRead', why: messageOf(err)});
+    }
+  }
+
   async function pollLease(): Promise<void> {
     while (!owned.disposed) {
-      try {
-        await changer.refreshLease();
-      } catch (err) {
-        log.warn({event: 'leaseNotRead', why: messageOf(err)});
-      }
+      await refreshLease();
       await clock.sleep(TIMES.leasePollMs);
     }
   }
