Order what an endpoint says of itself by its own count

An endpoint that had said since that it leaves would have got new work again (DRAIN), one that had left would have been listed, and one whose entry the copy lacks would have been dropped at once, as long as no instance had noticed the store to be away.

A restore gives missing entries the same time to return as an outage does.

--- a/packages/proxy/src/endpoint-directory.ts
+++ b/packages/proxy/src/endpoint-directory.ts
@@ -1,7 +1,8 @@
 /**
  * The listed endpoints. An entry that disappears while the store is
  * unreachable, or shortly after, counts as listed until its endpoint has had
- * time to write it again.
+ * time to write it again. A restored store lists entries of before: what an
+ * endpoint itself wrote later counts, so that one that leaves is not used again.
  */
 import type {ListedEndpoint} from './routes.js';
 
@@ -19,6 +20,16 @@
   readonly storeReached: boolean;
   /** When the store last became reachable. */
   readonly reachedSince: number;
+  /** When the store was last restored; -Infinity for never. */
+  readonly restoredAt: number;
+  /** Entries that are gone for less than `DEPARTED_MS`, by endpoint id. */
+  readonly departed: ReadonlyMap<string, DepartedEntry>;
+}
+
+/** An entry that is gone. */
+export interface DepartedEntry {
+  readonly endpoint: ListedEndpoint;
+  readonly goneAt: number;
 }
 
 /** An event that changes the list. */
@@ -32,6 +43,8 @@
       /** For how long the store has been reached, in milliseconds. */
       readonly forMs?: number;
     }
+  /** The store came back from an older copy. */
+  | {readonly type: 'restored'}
   | {readonly type: 'tick'};
 
 /**
@@ -41,9 +54,47 @@
  */
 export const ENTRY_RETURN_MS = 2500;
 
+/**
+ * How long a gone entry is remembered, in milliseconds: longer than the copies
+ * are old from which a store is restored.
+ */
+const DEPARTED_MS = 60_000;
+
 /** An empty list. */
 export function emptyDirectory(now: number): Directory {
-  return {entries: new Map(), storeReached: false, reachedSince: now};
+  return {
+    entries: new Map(),
+    storeReached: false,
+    reachedSince: now,
+    restoredAt: -Infinity,
+    departed: new Map(),
+  };
+}
+
+/** Whether the endpoint wrote `entry` before it wrote `known`. */
+function isOlder(
+  entry: ListedEndpoint,
+  known: ListedEndpoint | undefined,
+): boolean {
+  if (!known || entry.startedAt !== known.startedAt) return false;
+  if (entry.sequence === undefined || known.sequence === undefined)
+    return false;
+  return entry.sequence < known.sequence;
+}
+
+/** The last entry that is known of an endpoint, listed or gone. */
+function lastEntry(
+  {entries, departed}: Directory,
+  id: string,
+): ListedEndpoint | undefined {
+  return entries.get(id)?.endpoint ?? departed.get(id)?.endpoint;
+}
+
+function put(directory: Directory, endpoint: ListedEndpoint): Directory {
+  if (isOlder(endpoint, lastEntry(directory, endpoint.id))) return directory;
+  const entries = new Map(directory.entries);
+  entries.set(endpoint.id, {endpoint, missingSince: undefined});
+  return {...directory, entries};
 }
 
 /** Returns the list after an event. */
@@ -55,12 +106,8 @@
   switch (event.type) {
     case 'listed':
       return expire(relist(directory, event.endpoints, now), now);
-    case 'put': {
-      const {endpoint} = event;
-      const entries = new Map(directory.entries);
-      entries.set(endpoint.id, {endpoint, missingSince: undefined});
-      return {...directory, entries};
-    }
+    case 'put':
+      return put(directory, event.endpoint);
     case 'deleted': {
       const entry = directory.entries.get(event.id);
       if (!entry) return directory;
@@ -76,8 +123,10 @@
           ? now - (event.forMs ?? 0)
           : directory.reachedSince,
       };
+    case 'restored':
+      return {...directory, restoredAt: now};
     case 'tick':
-      return expire(directory, now);
+      return forget(expire(directory, now), now);
   }
 }
 
@@ -91,21 +140,36 @@
     const missingSince = entry.missingSince ?? now;
     entries.set(id, {...entry, missingSince});
   }
-  for (const endpoint of endpoints) {
-    entries.set(endpoint.id, {endpoint, missingSince: undefined});
-  }
-  return {...directory, entries};
+  return endpoints.reduce(put, {...directory, entries});
 }
 
-/** Drops missing entries, unless the store was unreachable a moment ago. */
+/**
+ * Drops missing entries, unless the store was unreachable or restored a moment
+ * ago.
+ */
 function expire(directory: Directory, now: number): Directory {
   if (!directory.storeReached) return directory;
-  if (now - directory.reachedSince < ENTRY_RETURN_MS) return directory;
-  let entries: Map<string, DirectoryEntry> | undefined;
-  for (const [id, entry] of directory.entries) {
-    if (entry.missingSince === undefined) continue;
-    entries ??= new Map(directory.entries);
+  const {reachedSince, restoredAt} = directory;
+  if (now - Math.max(reachedSince, restoredAt) < ENTRY_RETURN_MS)
+    return directory;
+  const missing = [...directory.entries].filter(
+    ([, {missingSince}]) => missingSince !== undefined,
+  );
+  if (missing.length === 0) return directory;
+  const entries = new Map(directory.entries);
+  const departed = new Map(directory.departed);
+  for (const [id, {endpoint}] of missing) {
     entries.delete(id);
+    departed.set(id, {endpoint, goneAt: now});
   }
-  return entries ? {...directory, entries} : directory;
+  return {...directory, entries, departed};
+}
+
+/** Forgets entries that are gone for long enough. */
+function forget(directory: Directory, now: number): Directory {
+  const isOld = ({goneAt}: DepartedEntry) => now - goneAt >= DEPARTED_MS;
+  if (![...directory.departed.values()].some(isOld)) return directory;
+  const departed = new Map(directory.departed);
+  for (const [id, entry] of departed) if (isOld(entry)) departed.delete(id);
+  return {...directory, departed};
 }
--- a/packages/proxy/src/routes.ts
+++ b/packages/proxy/src/routes.ts
@@ -80,6 +80,11 @@
    * endpoint with the same id.
    */
   readonly startedAt: number;
+  /**
+   * Rises with each entry that the endpoint writes after its start; undefined if
+   * the entry does not tell.
+   */
+  readonly sequence: number | undefined;
   /** Remaining time of slow operation after its start, in milliseconds. */
   readonly coldMs: number;
 }
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -149,9 +149,15 @@
       return;
     }
     const endpoint = readEntry(object);
-    if (endpoint) step({type: 'put', endpoint});
+    if (!endpoint) return;
+    const before = directory;
+    step({type: 'put', endpoint});
+    if (directory === before)
+      log.info({event: 'olderEntryPassedOver', ...endpoint});
   }
 
+  owned.add(context.store.era.onRestored(() => step({type: 'restored'})));
+
   const feed = owned.add(
     startFeed({
       instance: context.instance,
--- a/packages/proxy/test/listed.ts
+++ b/packages/proxy/test/listed.ts
@@ -13,6 +13,7 @@
     leaving: false,
     saysPrimary: false,
     startedAt: 1,
+    sequence: undefined,
     coldMs: 0,
   };
 }
--- a/packages/proxy/test/test-endpoint-state.ts
+++ b/packages/proxy/test/test-endpoint-state.ts
@@ -38,6 +38,54 @@
     {type: 'listed', endpoints: [listedEndpoint('a'), listedEndpoint('b')]},
   ] as const;
 
+  it('keeps an entry that a restored store lacks until it has had time to return', () => {
+    const restored = [
+      reached,
+      both,
+      [10_000, {type: 'restored'}],
+      [10_010, {type: 'deleted', id: 'a'}],
+    ] as const;
+    assert.deepEqual(after(restored), ['a', 'b']);
+    const later = [10_000 + ENTRY_RETURN_MS, {type: 'tick'}] as const;
+    assert.deepEqual(after([...restored, later]), ['b']);
+  });
+
+  describe('of a restored store, with an entry of before', () => {
+    const leaving = {...listedEndpoint('a'), leaving: true, sequence: 7};
+    const asBefore = {...listedEndpoint('a'), sequence: 5};
+    const isLeaving = (
+      events: ReadonlyArray<readonly [number, DirectoryEvent]>,
+    ) => {
+      let directory = emptyDirectory(0);
+      for (const [at, event] of events)
+        directory = stepDirectory(directory, event, at);
+      return directory.entries.get('a')?.endpoint.leaving;
+    };
+    const leaves = [reached, [10, {type: 'put', endpoint: leaving}]] as const;
+    const returns = [30, {type: 'put', endpoint: asBefore}] as const;
+
+    it('does not use an endpoint again that leaves', () => {
+      assert.equal(isLeaving([...leaves, returns]), true);
+    });
+
+    it('does not list one again that has left', () => {
+      const gone = [5_000, {type: 'deleted', id: 'a'}] as const;
+      const again = [6_000, returns[1]] as const;
+      assert.equal(isLeaving([...leaves, gone, again]), undefined);
+    });
+
+    it('lists one that has started again', () => {
+      const started = {...listedEndpoint('a'), startedAt: 2, sequence: 1};
+      const put = [30, {type: 'put', endpoint: started}] as const;
+      assert.equal(isLeaving([...leaves, put]), false);
+    });
+
+    it('takes what the endpoint writes again', () => {
+      const put = [30, {type: 'put', endpoint: {...asBefore, sequence: 8}}];
+      assert.equal(isLeaving([...leaves, put as never]), false);
+    });
+  });
+
   it('drops an entry deleted while the store is reachable', () => {
     const gone = [10_000, {type: 'deleted', id: 'a'}] as const;
     assert.deepEqual(after([reached, both, gone]), ['b']);
