Count an instance as present across a restore of the store

An instance whose entry the copy lacked fell off every list until its next renewal, up to 29 s, got no changes and no share of connections; one that renewed its entry at a lower revision counted as silent until the number had passed; one that had left was present for 105 s again; one that left then could not remove its entry.

Change: entries are ordered by era and revision; every instance writes its entry again within two seconds of noticing a restore, each at its own moment; a missing entry has ten seconds to return; an instance that has left stays so when an older copy shows its entry, which is removed. A removal on a revision of before is tried once more on the current one.

Three tests fail without it and pass now. The fraction of a hash, written four times, stands once in common.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -7,5 +7,5 @@
   systemClock,
 } from './clock.js';
 export {TypedError, messageOf} from './errors.js';
-export {hashOf, rankOf} from './rank.js';
+export {hashFraction, hashOf, rankOf} from './rank.js';
 export {type DisposableStore, disposableStore} from './store.js';
--- a/packages/common/src/rank.ts
+++ b/packages/common/src/rank.ts
@@ -10,6 +10,13 @@
   return createHash('sha1').update(text).digest().readUInt32BE(0);
 }
 
+const HASH_VALUES = 2 ** 32;
+
+/** A number from 0, below 1, derived from `text`. */
+export function hashFraction(text: string): number {
+  return hashOf(text) / HASH_VALUES;
+}
+
 /**
  * Returns the rank of `instance` for `group`, from 0: the number of `instances`
  * that precede it. An instance that is not in `instances` gets the rank that it
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -3,7 +3,7 @@
 import {
   type Disposable,
   disposableStore,
-  hashOf,
+  hashFraction,
   rankOf,
   systemClock,
 } from '@quetzalreel/common';
@@ -300,10 +300,7 @@
     const rank = rankOf(settings.instance, members, group);
     return {rank, watchers: members.length};
   }
-  const hash = hashOf(`${group}/${settings.instance}`);
-  const rank = (hash / HASH_VALUES) * settings.instances;
+  const share = hashFraction(`${group}/${settings.instance}`);
+  const rank = share * settings.instances;
   return {rank, watchers: settings.instances};
 }
-
-/** Number of values that `hashOf` can have. */
-const HASH_VALUES = 2 ** 32;
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -2,7 +2,7 @@
 import {
   type Disposable,
   type ManualClock,
-  hashOf,
+  hashFraction,
   manualClock,
 } from '@quetzalreel/common';
 import {
@@ -23,7 +23,6 @@
 const STEP_MS = 5;
 const WATCH_MS = 3000;
 const MAX_DELAY_MS = 20;
-const HASH_RANGE = 2 ** 32;
 const PERCENT = 100;
 
 /** Times and limits as on the platform. */
@@ -286,7 +285,7 @@
       ],
       times: {...TIMES, ...times},
       limits: () => LIMITS,
-      preferenceOf: text => hashOf(`${seed}/${text}`) / HASH_RANGE,
+      preferenceOf: text => hashFraction(`${seed}/${text}`),
       suspensions: () => instance.suspensions,
       life: 1,
       links: () => (clock.now() < listedAfterMs ? [] : links),
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -4,6 +4,7 @@
   type KindObject,
   type KindStore,
   RevisionConflictError,
+  type StoreVersion,
 } from '@quetzalreel/object-store';
 
 /** Kind of the instances' entries in the store. */
@@ -23,19 +24,19 @@
   readonly facts: number;
 }
 
-/** A registry entry. */
-export interface ListedInstance extends InstanceLocation {
+/**
+ * A registry entry. Its version, the era in which it was read and its revision,
+ * rises whenever the instance renews it.
+ */
+export interface ListedInstance extends InstanceLocation, StoreVersion {
   readonly instance: string;
-  /** Increases whenever the instance renews its entry. */
-  readonly revision: number;
 }
 
 /** Parses an entry; undefined if it is malformed. */
-export function parseListedInstance({
-  name,
-  value,
-  revision,
-}: KindObject): ListedInstance | undefined {
+export function parseListedInstance(
+  {name, value, revision}: KindObject,
+  era: number,
+): ListedInstance | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
   const {address, relay, dataCentre, facts} =
     value as Partial<InstanceLocation>;
@@ -48,6 +49,7 @@
     relay: relay!,
     dataCentre: dataCentre!,
     facts: typeof facts === 'number' ? facts : 0,
+    era,
     revision,
   };
 }
@@ -96,7 +98,13 @@
     async deregister() {
       isDeregistered = true;
       if (revision === undefined) return;
-      await store.remove(INSTANCE_KIND, instance, revision);
+      try {
+        await store.remove(INSTANCE_KIND, instance, revision);
+      } catch (err) {
+        // A restored store has an earlier revision of the entry.
+        if (!(err instanceof RevisionConflictError) || !err.current) throw err;
+        await store.remove(INSTANCE_KIND, instance, err.current.revision);
+      }
     },
   };
 }
@@ -117,10 +125,10 @@
 export async function listInstances(
   store: KindStore,
 ): Promise<ListedInstance[]> {
-  const {objects} = await store.list(INSTANCE_KIND, Freshness.Stale);
+  const {objects, era} = await store.list(INSTANCE_KIND, Freshness.Stale);
   const entries: ListedInstance[] = [];
   for (const object of objects) {
-    const entry = parseListedInstance(object);
+    const entry = parseListedInstance(object, era);
     if (entry) entries.push(entry);
   }
   return entries;
--- a/packages/peer-queries/src/presence.ts
+++ b/packages/peer-queries/src/presence.ts
@@ -1,8 +1,12 @@
 /**
  * Determines which of the registered instances are alive. Entries in the store
  * don't expire, and clocks differ between instances: an instance is considered
- * alive while its entry keeps changing, timed by the reader's own clock.
+ * alive while its entry keeps changing, timed by the reader's own clock. A
+ * restored store lists entries as they were: one of an instance that has left
+ * since may be back, and one that is alive may be missing until it is written
+ * again.
  */
+import {compareVersions} from '@quetzalreel/object-store';
 import type {ListedInstance} from './instance-registry.js';
 
 /** An entry, and when it was last seen to change. */
@@ -10,30 +14,70 @@
   readonly entry: ListedInstance;
   /** By the reader's monotonic clock, in milliseconds. */
   readonly changedAt: number;
+  /** Whether the last list that was read contained it. */
+  readonly isListed: boolean;
+  /** When it was found missing; undefined while it counts as listed. */
+  readonly leftAt: number | undefined;
 }
 
+/**
+ * How long a restored store may lack the entry of an instance that is alive, in
+ * milliseconds: instances write their entries again within seconds.
+ */
+const ENTRY_RETURN_MS = 10_000;
+/**
+ * How long an instance that has left is remembered, in milliseconds: longer than
+ * the copies are old from which a store is restored.
+ */
+const LEFT_MS = 60_000;
+
 /** The observed entries, by instance name. */
 export type Presence = ReadonlyMap<string, ObservedEntry>;
 
 /** State before the first read of the registry. */
 export const NO_INSTANCES: Presence = new Map();
 
-/** Returns the state after `entries` were read at `now`. */
+/**
+ * Returns the state after `entries` were read at `now`. The store was last
+ * restored at `restoredAt`, -Infinity for never.
+ */
 export function updatePresence(
   presence: Presence,
   entries: readonly ListedInstance[],
   now: number,
+  restoredAt = -Infinity,
 ): Presence {
   const next = new Map<string, ObservedEntry>();
   for (const entry of entries) {
-    const previous = presence.get(entry.instance);
-    // A stale read can return an earlier revision of an entry.
-    const isNewer = !previous || entry.revision > previous.entry.revision;
-    next.set(entry.instance, isNewer ? {entry, changedAt: now} : previous);
+    const observed = observe(entry, presence.get(entry.instance), now);
+    next.set(entry.instance, observed);
+  }
+  const mayReturn = now - restoredAt < ENTRY_RETURN_MS;
+  for (const [name, previous] of presence) {
+    if (next.has(name)) continue;
+    const leftAt = previous.leftAt ?? (mayReturn ? undefined : now);
+    if (leftAt !== undefined && now - leftAt >= LEFT_MS) continue;
+    next.set(name, {...previous, isListed: false, leftAt});
   }
   return next;
 }
 
+function observe(
+  entry: ListedInstance,
+  previous: ObservedEntry | undefined,
+  now: number,
+): ObservedEntry {
+  const isListed = true;
+  if (!previous) return {entry, changedAt: now, isListed, leftAt: undefined};
+  // Unchanged, also if an older copy of the store shows it again.
+  if (entry.revision === previous.entry.revision)
+    return {...previous, entry, isListed};
+  // A stale read can return an earlier revision of an entry.
+  if (compareVersions(entry, previous.entry) < 0)
+    return {...previous, isListed};
+  return {entry, changedAt: now, isListed, leftAt: undefined};
+}
+
 /** The instances whose entries changed within `timeoutMs`. */
 export function presentInstances(
   presence: Presence,
@@ -41,8 +85,9 @@
   timeoutMs: number,
 ): ListedInstance[] {
   const present: ListedInstance[] = [];
-  for (const {entry, changedAt} of presence.values()) {
-    if (now - changedAt <= timeoutMs) present.push(entry);
+  for (const {entry, changedAt, leftAt} of presence.values()) {
+    if (leftAt === undefined && now - changedAt <= timeoutMs)
+      present.push(entry);
   }
   return present;
 }
@@ -61,8 +106,9 @@
   const present = presentInstances(presence, now, timeoutMs);
   const names = present.map(entry => entry.instance).sort();
   const unresponsive: ListedInstance[] = [];
-  for (const {entry, changedAt} of presence.values()) {
-    if (now - changedAt <= timeoutMs) continue;
+  for (const {entry, changedAt, isListed, leftAt} of presence.values()) {
+    if (!isListed) continue;
+    if (leftAt === undefined && now - changedAt <= timeoutMs) continue;
     const remover = names.find(name => name > entry.instance) ?? names[0];
     if (remover === instance) unresponsive.push(entry);
   }
--- a/packages/peer-queries/test/test-presence.ts
+++ b/packages/peer-queries/test/test-presence.ts
@@ -20,6 +20,7 @@
     relay: address,
     dataCentre: 'z',
     facts: 0,
+    era: 1,
     revision,
   };
 }
@@ -82,3 +83,61 @@
     assert.deepEqual(removed('d'), []);
   });
 });
+
+describe('in a restored store, an instance', () => {
+  const inNextEra = (instance: string, revision: number) => ({
+    ...entry(instance, revision),
+    era: 2,
+  });
+  const presentAfter = (
+    at: number,
+    restoredAt: number,
+    lists: ReadonlyArray<readonly [number, readonly ListedInstance[]]>,
+  ) => {
+    let presence = NO_INSTANCES;
+    for (const [now, entries] of lists)
+      presence = updatePresence(
+        presence,
+        entries,
+        now,
+        now < restoredAt ? -Infinity : restoredAt,
+      );
+    return namesOf(presentInstances(presence, at, 1_000_000));
+  };
+
+  it('is present while its entry is missing, until it had time to return', () => {
+    const lists = [
+      [0, [entry('a', 5), entry('b', 9)]],
+      [1000, [inNextEra('a', 5)]],
+    ] as const;
+    assert.deepEqual(presentAfter(1000, 900, lists), ['a', 'b']);
+    const later = [...lists, [20_000, [inNextEra('a', 5)]]] as const;
+    assert.deepEqual(presentAfter(20_000, 900, later), ['a']);
+  });
+
+  it('is renewed by a revision that is lower than its old one', () => {
+    const lists = [
+      [0, [entry('a', 50)]],
+      [1000, [inNextEra('a', 20)]],
+    ] as const;
+    let presence = NO_INSTANCES;
+    for (const [now, entries] of lists)
+      presence = updatePresence(presence, entries, now, 900);
+    const present = presentInstances(presence, 1050, TIMEOUT_MS);
+    assert.deepEqual(namesOf(present), ['a']);
+  });
+
+  it('is not present again after it has left, and is removed', () => {
+    const lists = [
+      [0, [entry('a', 5), entry('b', 9)]],
+      [1000, [entry('a', 5)]],
+      [2000, [inNextEra('a', 5), inNextEra('b', 9)]],
+    ] as const;
+    assert.deepEqual(presentAfter(2000, 1900, lists), ['a']);
+    let presence = NO_INSTANCES;
+    for (const [now, entries] of lists)
+      presence = updatePresence(presence, entries, now);
+    const removed = entriesToRemove(presence, 'a', 2000, 1_000_000);
+    assert.deepEqual(namesOf(removed), ['b']);
+  });
+});
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -193,6 +193,11 @@
    * Interval at which an instance renews its entry in the list: two readings.
    */
   instanceEntryRenewMs: 29_000,
+  /**
+   * After a restore of the store all instances write their entries again, each
+   * at its own moment within this time.
+   */
+  renewSpreadMs: 2000,
   /**
    * An entry that was not renewed for this long expires: three renewals and one
    * reading.
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -6,6 +6,7 @@
   type Clock,
   type Disposable,
   disposableStore,
+  hashFraction,
   hashOf,
   messageOf,
 } from '@quetzalreel/common';
@@ -182,6 +183,7 @@
   /** Names of the witnesses. */
   let witnesses: readonly string[] = [instance];
   let renewedAt = -Infinity;
+  let restoredAt = -Infinity;
   /**
    * Whether the list of instances was requested at least once, with or without
    * success.
@@ -271,6 +273,7 @@
         presence,
         await listInstances(store),
         clock.now(),
+        restoredAt,
       );
     } catch (err) {
       log.warn({event: 'instancesNotRead', why: messageOf(err)});
@@ -278,8 +281,7 @@
     notePresent();
   }
 
-  async function refresh(): Promise<void> {
-    await read();
+  async function tryRenew(): Promise<void> {
     try {
       await renew();
     } catch (err) {
@@ -287,6 +289,21 @@
     }
   }
 
+  async function refresh(): Promise<void> {
+    await read();
+    await tryRenew();
+  }
+
+  /** Writes the entry again: the store may have lost it. */
+  async function noteRestored(): Promise<void> {
+    restoredAt = clock.now();
+    if (renewedAt === -Infinity) return;
+    renewedAt = -Infinity;
+    const share = hashFraction(`renew/${instance}`);
+    await clock.sleep(share * TIMES.renewSpreadMs);
+    if (!owned.disposed) await tryRenew();
+  }
+
   function notePresent(): void {
     const before = present;
     const isFirst = !wasRead;
@@ -345,6 +362,7 @@
     }
   }
 
+  owned.add(store.era.onRestored(() => void noteRestored()));
   run().catch(err => log.error({event: 'othersFailed', why: messageOf(err)}));
   void askWhileStoreUnavailable();
   return {
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -2,7 +2,12 @@
  * Watches a group's primary and starts a change of primary when it is down or
  * leaving.
  */
-import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
+import {
+  type Clock,
+  type Disposable,
+  hashFraction,
+  messageOf,
+} from '@quetzalreel/common';
 import type {Answer, EndpointStatus} from '@quetzalreel/requests';
 import {
   type Candidate,
@@ -41,16 +46,6 @@
   ) => Promise<Confirmations | undefined>;
 }
 
-/**
- * A number between 0 and 1, derived from `text`, that differs between
- * instances.
- */
-function hashFraction(text: string): number {
-  let sum = 0;
-  for (const char of text) sum = (sum * 31 + char.charCodeAt(0)) % 9973;
-  return sum / 9973;
-}
-
 function viewOf(group: GroupRuntime): PrimaryView {
   const {primary} = group;
   return {
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -3,7 +3,7 @@
   type Clock,
   type Disposable,
   disposableStore,
-  hashOf,
+  hashFraction,
   messageOf,
 } from '@quetzalreel/common';
 import {
@@ -88,9 +88,6 @@
   firstAloneMs: TIMES.firstStartReadMs,
 } as const;
 
-/** Number of values that `hashOf` returns. */
-const HASH_RANGE = 2 ** 32;
-
 /** Follows the store until disposed. */
 export function storeView(context: StoreViewContext): StoreView {
   const {clock, log, catalog, onConfiguration, onEndpoints} = context;
@@ -196,7 +193,7 @@
             ? READER_LIMITS.readers
             : READER_LIMITS.smallFleetReaders,
       }),
-      preferenceOf: name => hashOf(`reader/${name}`) / HASH_RANGE,
+      preferenceOf: name => hashFraction(`reader/${name}`),
       suspensions: () => context.suspensionDetector.suspensionCount(),
       life: context.timeOfDay(),
       links: () => context.peers.links,
