Ask the others before a lease is taken that the store may have lost

Callers would have seen: a primary that crashed within 4.6 s of a restore was not replaced for up to 4.6 s, since nobody took the lease before a lost holder's turn was over.

On a platform that does not check fences, a lease that a restored store shows gave permission to use a primary though it may lack the change that replaced it.

Change: whoever wants the lease asks all listed instances for the time of their last order; when all answer that there was none in a turn, the wait is over. An answer also means that its sender has noted the restore and uses no lease of before. A lease carries the era in which its list of changes was known to be complete; reading another one gives no permission. Whoever has the witnesses' confirmation since the restore writes it so.

The models of fenced orders and of changes without fences get a store that is restored; the fence counted from the lease alone, a lease that counts across a restore, and a lost lease that gives permission each lead to a violation. The search without fences visits 448,960 states, so its limit is 600,000 now.

--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -46,4 +46,5 @@
   leaseStore,
   parseLease,
 } from './lease.js';
+export {nextFence} from './fence.js';
 export {OrderResult, type PromotionOrder, PromotionOrders} from './orders.js';
--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -32,6 +32,11 @@
    * record of an instance that runs an older build.
    */
   readonly changes?: readonly ChangeRecord[] | undefined;
+  /**
+   * The era of the store in which `changes` was known to contain all changes; a
+   * restored store may show a lease that lacks some.
+   */
+  readonly completeIn?: number | undefined;
 }
 
 /** The lease at one version of the store. */
@@ -39,6 +44,18 @@
   readonly record: LeaseRecord;
 }
 
+/**
+ * Whether the lease, undefined for none, contains all changes that were begun. A
+ * store that tells no era is never restored.
+ */
+export function isComplete(
+  lease: LeaseSnapshot | undefined,
+  era: number,
+): boolean {
+  if (era === 0) return true;
+  return lease?.era === era && lease.record.completeIn === era;
+}
+
 /** Kind of the lease object in the store. */
 export const LEASE_KIND = 'leases';
 /** Name of the lease object in the store. */
@@ -58,7 +75,8 @@
   const latest = {...change, fence, isPlanned: false};
   const isListed = changes.some(item => item.fence === fence);
   if (isChangeRecord(latest) && !isListed) changes.push(latest);
-  const record = {holder, fence: fence!, change, changes};
+  const {completeIn} = value;
+  const record = {holder, fence: fence!, change, changes, completeIn};
   return {record, era: object.era, revision: object.revision};
 }
 
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -11,11 +11,12 @@
   highestFence,
   withChanges,
 } from './change-records.js';
-import type {
-  LeaseRecord,
-  LeaseStore,
-  PlannedChange,
-  LeaseSnapshot,
+import {
+  type LeaseRecord,
+  type LeaseStore,
+  type PlannedChange,
+  type LeaseSnapshot,
+  isComplete,
 } from './lease.js';
 import {nextFence} from './fence.js';
 import {OrderResult, type PromotionOrders} from './orders.js';
@@ -67,6 +68,17 @@
   readonly onEvent: (event: ChangeEvent) => void;
   /** Called when a newer change of a group became known. */
   readonly onChanges?: () => void;
+  /**
+   * Whether this instance has learned of all changes since the store reached an
+   * era; undefined where nothing depends on it.
+   */
+  readonly hasAllChanges?: (era: number) => boolean;
+  /**
+   * Whether all other instances are known to have sent no order for `idleMs`,
+   * and to use no lease of before `era` any more; undefined if that can't be
+   * asked.
+   */
+  readonly areOthersIdle?: (era: number, idleMs: number) => Promise<boolean>;
 }
 
 /** The state of the lease in which a change is prepared. */
@@ -104,9 +116,12 @@
   refreshLease(): Promise<void>;
   /**
    * Reads the lease from the store itself, not from a copy that may be out of
-   * date. Rejects with the store's errors.
+   * date. Resolves to whether the lease contains all changes that were begun.
+   * Rejects with the store's errors.
    */
-  readLease(): Promise<void>;
+  readLease(): Promise<boolean>;
+  /** When the last order was sent; undefined for never. Monotonic ms. */
+  readonly lastOrderAt: number | undefined;
   /** The newest known change of each group. */
   readonly changes: ChangeRecords;
   /** Adds changes that other instances reported. */
@@ -136,6 +151,7 @@
    * lost when it was restored.
    */
   let lostLeaseUntil = -Infinity;
+  let lastOrderAt: number | undefined;
   /** Whether the store was restored and the lease was not read since. */
   let needsNewFence = false;
 
@@ -172,9 +188,19 @@
     return seen;
   }
 
+  /** Whether the holder of a lease that the store lost may be sending orders. */
+  async function mayLostHolderAct(): Promise<boolean> {
+    if (clock.now() >= lostLeaseUntil) return false;
+    const era = lease.era.current;
+    const areIdle =
+      (await context.areOthersIdle?.(era, limits.handoverDelayMs)) ?? false;
+    if (areIdle && lease.era.current === era) lostLeaseUntil = -Infinity;
+    onEvent({event: 'lostLeaseAsked', group: '', era, areIdle});
+    return !areIdle;
+  }
+
   /** Whether another holder may be sending orders or did so too recently. */
   function mayOtherHolderAct(): boolean {
-    if (clock.now() < lostLeaseUntil) return true;
     if (!lastSeen || lastSeen.seen.record.holder === instance) return false;
     return clock.now() - lastSeen.at < turnMs;
   }
@@ -186,6 +212,14 @@
     return nextFence(replaced, known);
   }
 
+  /** The era in which a lease that replaces `seen` contains all changes. */
+  function completeAfter(seen: LeaseSnapshot | undefined): number | undefined {
+    const era = seen?.era ?? lease.era.current;
+    const hasAll =
+      isComplete(seen, era) || (context.hasAllChanges?.(era) ?? false);
+    return hasAll ? era : undefined;
+  }
+
   /**
    * Writes a lease in place of `seen`. Returns undefined if it was not written,
    * or if the store was restored meanwhile: `seen` is no longer what was there,
@@ -231,11 +265,13 @@
     isPlanned: boolean,
   ): Promise<LeaseSnapshot | ChangeOutcome> {
     const seen = await readLease(Freshness.Current);
-    if (mayOtherHolderAct()) return ChangeOutcome.Deferred;
+    if (mayOtherHolderAct() || (await mayLostHolderAct()))
+      return ChangeOutcome.Deferred;
     const fence = fenceAfter(seen);
     const record = {
       holder: instance,
       fence,
+      completeIn: completeAfter(seen),
       change: planned,
       changes: [
         ...withChanges(changes, [{...planned, fence, isPlanned}]).values(),
@@ -265,6 +301,7 @@
       if (!heldLease) return ChangeOutcome.Refused;
       const {fence} = heldLease.record;
       pendingTarget = endpoint;
+      lastOrderAt = clock.now();
       const result = await orders.send({
         group,
         endpoint,
@@ -342,7 +379,10 @@
       );
       const isOwn = seen?.record.holder === instance;
       const keepsFence = heldLease !== undefined || !needsNewFence;
-      if (seen && (!isOwn || keepsFence)) {
+      const staysComplete =
+        isComplete(seen, lease.era.current) ||
+        completeAfter(seen) === undefined;
+      if (seen && (!isOwn || (keepsFence && staysComplete))) {
         needsNewFence = false;
         return;
       }
@@ -350,6 +390,7 @@
       const record = {
         holder: instance,
         fence,
+        completeIn: completeAfter(seen),
         change: undefined,
         changes: [...changes.values()],
       };
@@ -359,7 +400,11 @@
       onEvent({event: 'leaseTaken', group: '', fence});
     },
     async readLease() {
-      await readLease(Freshness.Current);
+      const seen = await readLease(Freshness.Current);
+      return isComplete(seen, lease.era.current);
+    },
+    get lastOrderAt() {
+      return lastOrderAt;
     },
     get changes() {
       return changes;
--- a/packages/failover/test/test-primary-changer.ts
+++ b/packages/failover/test/test-primary-changer.ts
@@ -70,7 +70,8 @@
   const clock = manualClock();
   const {lease, state, restore} = sharedLease();
   const orders = new RecordedOrders();
-  const instance = (name: string) =>
+  const idle = {isKnown: false};
+  const instance = (name: string, hasAllChanges = () => false) =>
     primaryChanger({
       instance: name,
       clock,
@@ -78,8 +79,10 @@
       orders,
       limits: LIMITS,
       onEvent: () => {},
+      hasAllChanges,
+      areOthersIdle: async () => idle.isKnown,
     });
-  return {clock, state, orders, instance, lease, restore};
+  return {idle, clock, state, orders, instance, lease, restore};
 }
 
 /** Advances the clock until `work` settles, so that its retries run. */
@@ -213,6 +216,7 @@
     const two = instance('two');
     await one.refreshLease();
     await two.refreshLease();
+    clock.advance(LIMITS.handoverDelayMs + LIMITS.orderWindowMs);
     const kept = await lease.read();
     await runUntilSettled(clock, one.change(PLANNED, true));
     restore(kept);
@@ -278,4 +282,25 @@
     );
     assert.equal(fx.orders.sent.length, 0);
   });
+
+  it('it gives no permission until one that knows all changes wrote it again', async () => {
+    const fx = setUp();
+    const {one} = await loseLease(fx);
+    assert.equal(await one.readLease(), false);
+    await one.refreshLease();
+    assert.equal(await fx.instance('three').readLease(), false);
+    const knowing = fx.instance('one', () => true);
+    await knowing.refreshLease();
+    assert.equal(await fx.instance('three').readLease(), true);
+  });
+
+  it('the next one orders at once if all others have ordered nothing lately', async () => {
+    const fx = setUp();
+    const {two} = await loseLease(fx);
+    fx.idle.isKnown = true;
+    assert.equal(
+      await runUntilSettled(fx.clock, two.change(PLANNED, true)),
+      ChangeOutcome.Ordered,
+    );
+  });
 });
--- a/packages/model/src/fenced-orders.ts
+++ b/packages/model/src/fenced-orders.ts
@@ -1,9 +1,11 @@
 /**
  * Model of changes of primary that instances order from the platform with a
  * fence. Two instances compete for a lease in a store that may be unavailable,
- * and the platform may apply an order late. A paused instance is one that takes
+ * and the platform may apply an order late. The store may be restored from a copy
+ * without the last write of the lease. The fences are those of production code. A paused instance is one that takes
  * no step. Time isn't modelled: steps may happen in any sequence.
  */
+import {nextFence} from '@quetzalreel/failover';
 import type {ModelStep} from './search.js';
 
 /**
@@ -14,6 +16,8 @@
   NewFence: 'one fence for all changes of a holder',
   PendingTarget: 'the held fence without the store, whatever may still land',
   ConditionalWrite: 'the lease is written without its revision',
+  EraInFence: 'the next fence is counted from the lease alone',
+  EraOfWrite: 'a lease counts though the store was restored before its write',
 } as const;
 
 /** One of the values of `OrderOmission`. */
@@ -41,16 +45,27 @@
   readonly heldFence: number;
   /** Lease revision that the instance last read; -1 if it has read none. */
   readonly seenRevision: number;
+  /** Era of the store in which it was read. */
+  readonly seenEra: number;
   /** Fence of the lease at that revision. */
   readonly seenFence: number;
   /** Target of an order with `heldFence` that may be in flight; -1 for none. */
   readonly pendingTarget: number;
 }
 
+/** The lease in the store. */
+interface LeaseState {
+  readonly revision: number;
+  readonly fence: number;
+}
+
 /** A state of the model. */
 export interface OrderState {
   readonly instances: readonly OrderingInstance[];
-  readonly lease: {readonly revision: number; readonly fence: number};
+  readonly lease: LeaseState;
+  /** The lease before its last write. */
+  readonly leaseBefore: LeaseState;
+  readonly era: number;
   readonly storeUp: boolean;
   readonly inFlight: readonly Order[];
   /** Highest fence that the platform has accepted. */
@@ -79,18 +94,22 @@
 } as const;
 
 const TARGETS = [1, 2] as const;
+const MAX_RESTORES = 1;
 
 /** Initial state: no instance holds the lease. */
 export function initialOrderState(): OrderState {
   const instance = {
     heldFence: 0,
     seenRevision: -1,
+    seenEra: 0,
     seenFence: 0,
     pendingTarget: -1,
   };
   return {
     instances: [instance, instance],
     lease: {revision: 0, fence: 0},
+    leaseBefore: {revision: 0, fence: 0},
+    era: 0,
     storeUp: true,
     inFlight: [],
     platformFence: 0,
@@ -148,7 +167,7 @@
   target: number,
   {omit}: OrderBounds,
 ): OrderState | undefined {
-  const {heldFence, seenRevision, seenFence} = state.instances[i]!;
+  const {heldFence, seenRevision, seenEra, seenFence} = state.instances[i]!;
   if (!state.storeUp) return undefined;
   if (omit === OrderOmission.NewFence && heldFence > 0) {
     return send(state, i, heldFence, target);
@@ -156,12 +175,19 @@
   if (seenRevision < 0) return undefined;
   const isCurrent = seenRevision === state.lease.revision;
   if (!isCurrent && omit !== OrderOmission.ConditionalWrite) return undefined;
-  const fence = seenFence + 1;
+  const fence =
+    omit === OrderOmission.EraInFence
+      ? seenFence + 1
+      : nextFence({era: seenEra, revision: seenRevision}, seenFence);
   const lease = {revision: state.lease.revision + 1, fence};
-  const taken = withInstance({...state, lease}, i, {
+  const written = {...state, lease, leaseBefore: state.lease};
+  const taken = withInstance(written, i, {
     seenRevision: lease.revision,
+    seenEra: state.era,
     seenFence: fence,
   });
+  const isVoid = seenEra !== state.era && omit !== OrderOmission.EraOfWrite;
+  if (isVoid) return withInstance(taken, i, {heldFence: 0, pendingTarget: -1});
   return send(taken, i, fence, target);
 }
 
@@ -231,13 +257,25 @@
     ...state,
     storeUp: !state.storeUp,
   });
+  if (!state.storeUp && state.era < MAX_RESTORES) {
+    add('the store is restored', {
+      ...state,
+      storeUp: true,
+      era: state.era + 1,
+      lease: state.leaseBefore,
+    });
+  }
   for (const order of state.inFlight) {
     add(`order ${order.change} lands`, applyOrder(state, order));
   }
   for (const i of [0, 1]) {
     const {revision, fence} = state.lease;
     if (state.storeUp) {
-      const seen = {seenRevision: revision, seenFence: fence};
+      const {era} = state;
+      const read = {seenRevision: revision, seenEra: era, seenFence: fence};
+      const isLost = state.instances[i]!.seenEra !== era;
+      const held = isLost ? {heldFence: 0, pendingTarget: -1} : {};
+      const seen = {...read, ...held};
       add(`i${i} reads the lease`, withInstance(state, i, seen));
     }
     if (state.changes >= bounds.changes) continue;
--- a/packages/model/src/unfenced-change.ts
+++ b/packages/model/src/unfenced-change.ts
@@ -2,8 +2,8 @@
  * Model of an unplanned change of primary on a platform that does not check
  * fences: the replaced primary goes on acknowledging. One instance changes the
  * primary, one uses the old one, and one is a further witness. Any of them may
- * be cut off from the others or from the store at some time, and the user may be
- * suspended. Time is counted in ticks. When the order may be sent, and how long
+ * be cut off from the others or from the store at some time, the user may be
+ * suspended, and the store may be restored from a copy without the change. Time is counted in ticks. When the order may be sent, and how long
  * permission lasts, is computed by the production code.
  */
 import {
@@ -26,6 +26,7 @@
   WrittenLease: 'without the store not every instance must confirm',
   Suspension: 'permission outlives a suspension',
   Answer: 'an answer is passed on though permission has lapsed',
+  LostLease: 'a lease that a restored store shows gives permission',
 } as const;
 
 /** One of the values of `ChangeOmission`. */
@@ -83,6 +84,8 @@
   readonly suspensions: number;
   /** Whether the answer contains the change. */
   readonly tells: boolean;
+  /** Whether a restored store gave it. */
+  readonly isOfRestored: boolean;
 }
 
 /** A state of the model. */
@@ -104,6 +107,8 @@
   readonly toStore: Question | null;
   /** When the change was written to the lease; `NEVER` if it was not. */
   readonly writtenAt: number;
+  /** Whether the store was restored and lacks the change. */
+  readonly isRestored: boolean;
   readonly confirmed: readonly string[];
   readonly renewed: boolean;
   /** When the order may be sent; null until that is decided. */
@@ -129,6 +134,7 @@
     toWitness: null,
     toStore: null,
     writtenAt: NEVER,
+    isRestored: false,
     confirmed: [],
     renewed: true,
     orderAt: null,
@@ -164,6 +170,8 @@
     omit !== ChangeOmission.Suspension;
   if (question.tells) return {...state, userKnows: true};
   if (isOld) return state;
+  // Nobody has written the lease again as complete.
+  if (question.isOfRestored && omit !== ChangeOmission.LostLease) return state;
   const permission = {...state.permission, [source]: question.sentAt};
   return {...state, permission};
 }
@@ -202,6 +210,7 @@
   const question = {
     sentAt: clockOf(state),
     suspensions: state.suspensions,
+    isOfRestored: false,
   };
   if (!toWitness && isUp('user-witness')) {
     const toWitness = {...question, tells: state.witnessKnows};
@@ -214,8 +223,10 @@
     add('the user gets the answer', taken);
   }
   if (!toStore && isUp('user-store')) {
-    const tells = state.writtenAt !== NEVER;
-    add('the store is asked', {...state, toStore: {...question, tells}});
+    const isOfRestored = state.isRestored;
+    const tells = state.writtenAt !== NEVER && !isOfRestored;
+    const toStore = {...question, tells, isOfRestored};
+    add('the store is asked', {...state, toStore});
   }
   if (toStore) {
     const next = {...state, toStore: null};
@@ -278,6 +289,8 @@
       confirmed: [...confirmed, USER].sort(),
     });
   }
+  if (state.writtenAt !== NEVER && !state.isRestored)
+    add('the store is restored', {...state, isRestored: true});
   if (state.orderAt === null) {
     const decided = decide(state, bounds);
     if (decided !== state) add('the changer decides', decided);
--- a/packages/model/test/test-platform-model.ts
+++ b/packages/model/test/test-platform-model.ts
@@ -17,7 +17,7 @@
   initialChangeState,
 } from '../src/unfenced-change.js';
 
-const MAX_STATES = 400_000;
+const MAX_STATES = 600_000;
 const ORDERS = {changes: 3};
 /** Bounds of the changes without fences. */
 const CHANGES = {ticks: 2};
--- a/packages/peer-queries/src/change-queries.ts
+++ b/packages/peer-queries/src/change-queries.ts
@@ -27,6 +27,12 @@
    * planned change replaces, or after a bounded time.
    */
   finishTransactions(change: ChangeRecord): Promise<void>;
+  /** When this instance last sent an order; undefined for never. */
+  readonly lastOrderAt: number | undefined;
+  /**
+   * Notes that the store was restored: a lease that it lost is not used any more.
+   */
+  noteEra(era: number): void;
 }
 
 /** Dependencies and limits of `changeQueries`. */
@@ -61,6 +67,15 @@
     peers: readonly PeerAddress[],
     witnesses: readonly string[],
   ): Promise<Confirmations>;
+  /**
+   * Whether all of `peers` answer that they have sent no order for `idleMs`, and
+   * use no lease of before `era` any more.
+   */
+  areIdle(
+    peers: readonly PeerAddress[],
+    era: number,
+    idleMs: number,
+  ): Promise<boolean>;
 }
 
 interface PendingQuery {
@@ -163,9 +178,57 @@
     });
   }
 
+  function answerLastOrder(
+    message: Extract<ChangeMessage, {type: 'lastOrderWanted'}>,
+  ): void {
+    const {from, seq, era} = message;
+    source.noteEra(era);
+    const {lastOrderAt} = source;
+    transport.send(from, {
+      type: 'lastOrder',
+      from: transport.address,
+      seq,
+      msAgo: lastOrderAt === undefined ? undefined : clock.now() - lastOrderAt,
+    });
+  }
+
+  function areIdle(
+    peers: readonly PeerAddress[],
+    era: number,
+    idleMs: number,
+  ): Promise<boolean> {
+    const idle = new Set<string>();
+    return new Promise(resolve => {
+      const query = startQuery(
+        {
+          receive(message) {
+            if (message.type !== 'lastOrder') return;
+            if ((message.msAgo ?? Infinity) < idleMs) query.dispose();
+            else idle.add(message.from);
+            if (idle.size === peers.length) query.dispose();
+          },
+        },
+        () => resolve(idle.size === peers.length),
+      );
+      if (peers.length === 0) query.dispose();
+      const from = transport.address;
+      const message = {
+        type: 'lastOrderWanted',
+        from,
+        seq: lastSeq,
+        era,
+      } as const;
+      for (const {address} of peers) transport.send(address, message);
+    });
+  }
+
   return {
+    areIdle,
     receive(message) {
       switch (message.type) {
+        case 'lastOrderWanted':
+          answerLastOrder(message);
+          return;
         case 'changesWanted':
           confirmFor(message);
           return;
@@ -177,6 +240,7 @@
           pending.get(message.seq)?.receive(message);
           return;
         case 'changeNoted':
+        case 'lastOrder':
           pending.get(message.seq)?.receive(message);
           return;
       }
--- a/packages/peer-queries/src/messages.ts
+++ b/packages/peer-queries/src/messages.ts
@@ -69,6 +69,13 @@
         /** Instances whose records the sender confirmed a short time ago. */
         readonly renewed: readonly string[];
       }
+    /** Asks for the time of the last order, after a restore of the store. */
+    | {readonly type: 'lastOrderWanted'; readonly era: number}
+    | {
+        readonly type: 'lastOrder';
+        /** Time since the sender's last order in ms; undefined for none. */
+        readonly msAgo: number | undefined;
+      }
   );
 
 /** A message about changes of primary. */
@@ -76,7 +83,12 @@
   PeerQueryMessage,
   {
     readonly type:
-      'changesWanted' | 'changes' | 'changeAnnounced' | 'changeNoted';
+      | 'changesWanted'
+      | 'changes'
+      | 'changeAnnounced'
+      | 'changeNoted'
+      | 'lastOrderWanted'
+      | 'lastOrder';
   }
 >;
 
@@ -112,6 +124,9 @@
     Number.isSafeInteger(fence) &&
     Array.isArray(renewed) &&
     renewed.every(name => typeof name === 'string'),
+  lastOrderWanted: ({era}) => Number.isSafeInteger(era),
+  lastOrder: ({msAgo}) =>
+    msAgo === undefined || (typeof msAgo === 'number' && msAgo >= 0),
 };
 
 function isPosition(value: unknown): value is Position {
--- a/packages/peer-queries/src/peer-queries.ts
+++ b/packages/peer-queries/src/peer-queries.ts
@@ -218,6 +218,8 @@
         case 'changes':
         case 'changeAnnounced':
         case 'changeNoted':
+        case 'lastOrderWanted':
+        case 'lastOrder':
           context.changeQueries.receive(message);
           return;
       }
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -102,6 +102,11 @@
    * instances was read.
    */
   announce(change: ChangeRecord): Promise<Confirmations | undefined>;
+  /**
+   * Whether all listed instances answer that they have sent no order for
+   * `idleMs`, and use no lease of before `era` any more.
+   */
+  areIdle(era: number, idleMs: number): Promise<boolean>;
   /**
    * Addresses of the instances that facts are spread to; undefined until the
    * list of instances was read.
@@ -381,6 +386,10 @@
       if (!wasRead) return undefined;
       return changes?.announce(change, present, witnesses);
     },
+    async areIdle(era, idleMs) {
+      if (!wasRead || !changes) return false;
+      return changes.areIdle(present, era, idleMs);
+    },
     get links() {
       return wasRead ? links : undefined;
     },
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -14,6 +14,7 @@
   permittedUntil,
 } from '@quetzalreel/failover';
 import type {SuspensionDetector} from '@quetzalreel/freshness';
+import type {StoreEra} from '@quetzalreel/object-store';
 import {PERMISSION_LIMITS, TIMES} from './defaults.js';
 import type {Log} from './log.js';
 import type {Witnesses} from './peers.js';
@@ -34,6 +35,11 @@
 
 /** A use that is renewed until the proxy stops. */
 export interface RenewedPrimaryUse extends PrimaryUse {
+  /**
+   * Whether the witnesses have confirmed the change records since the store
+   * reached an era.
+   */
+  hasAllChanges(era: number): boolean;
   /** Renews the permission when it is due. */
   tick(): void;
 }
@@ -42,6 +48,7 @@
 export const ALWAYS_PERMITTED: RenewedPrimaryUse = {
   isPermitted: true,
   hasLapsed: false,
+  hasAllChanges: () => false,
   replacementOf: () => undefined,
   tick() {},
 };
@@ -52,6 +59,8 @@
   readonly log: Log;
   readonly suspensionDetector: SuspensionDetector;
   readonly changer: PrimaryChanger;
+  /** The era of the store. */
+  readonly era: StoreEra;
   /** Undefined until the list of instances was read. */
   readonly witnesses: () => Witnesses | undefined;
   /** Whether this instance holds connections to a primary. */
@@ -67,6 +76,8 @@
   let seenSuspensions = guard.suspensionCount();
   let wasPermitted = false;
   let wasEverPermitted = false;
+  /** The last era in which the witnesses have confirmed the records. */
+  let confirmedIn: number | undefined;
   let askedWitnessesAt = -Infinity;
   let askedStoreAt = -Infinity;
 
@@ -97,6 +108,7 @@
     if (!witnesses) return;
     const sentAt = clock.now();
     const suspensions = seenSuspensions;
+    const era = context.era.current;
     const {peers, includesSelf} = witnesses;
     const total = peers.length + Number(includesSelf);
     const renew = () => {
@@ -107,6 +119,7 @@
     const onAnswer = (answers: number) => {
       const agreeing = answers + Number(includesSelf);
       if (!isMajority(agreeing, total)) return;
+      confirmedIn = era;
       renewUnlessSuspended(suspensions, renew);
     };
     if (peers.length === 0) onAnswer(0);
@@ -118,7 +131,11 @@
     const suspensions = seenSuspensions;
     askedStoreAt = sentAt;
     try {
-      await changer.readLease();
+      const hasAll = await changer.readLease();
+      if (!hasAll) {
+        log.info({event: 'leaseIncomplete', era: context.era.current});
+        return;
+      }
       renewUnlessSuspended(suspensions, () => {
         permission = {...permission, byStoreAt: sentAt};
       });
@@ -149,6 +166,7 @@
     get hasLapsed() {
       return wasEverPermitted && !isPermitted();
     },
+    hasAllChanges: era => confirmedIn === era,
     replacementOf(group, endpoint) {
       const change = changer.changes.get(group);
       return change && change.to !== endpoint ? change : undefined;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -27,7 +27,11 @@
 import {serveRelayedRequests} from './relayed-requests.js';
 import type {Log} from './log.js';
 import {type Metrics, proxyMetrics} from './metrics.js';
-import {ALWAYS_PERMITTED, renewedPrimaryUse} from './primary-use.js';
+import {
+  ALWAYS_PERMITTED,
+  type RenewedPrimaryUse,
+  renewedPrimaryUse,
+} from './primary-use.js';
 import {watchPrimary} from './primary-watch.js';
 import type {StoreFormat, GroupPolicy, RoutingTable} from './routes.js';
 import {joinPeers} from './peers.js';
@@ -129,6 +133,10 @@
         return changer.changes;
       },
       addChanges: changes => changer.addChanges(changes),
+      get lastOrderAt() {
+        return changer.lastOrderAt;
+      },
+      noteEra: era => void options.store.era.note(era),
       finishTransactions,
     },
     onConfiguration: value => view.offerConfiguration(value),
@@ -148,6 +156,8 @@
     onChanges: () => {
       for (const group of groups.values()) group.noteChange();
     },
+    areOthersIdle: peers.areIdle,
+    hasAllChanges: era => primaryUse.hasAllChanges(era),
   });
 
   owned.add(
@@ -163,13 +173,14 @@
     }),
   );
 
-  const primaryUse = options.replacedPrimaryStops
+  const primaryUse: RenewedPrimaryUse = options.replacedPrimaryStops
     ? ALWAYS_PERMITTED
     : renewedPrimaryUse({
         clock,
         log,
         suspensionDetector: guard,
         changer,
+        era: options.store.era,
         witnesses: () => peers.witnesses,
         usesPrimary: () => {
           for (const {primary, links} of groups.values()) {
