Ask other instances for a newer configuration after a start and after a restore

Change: for five seconds after its start and after each restore an instance asks two others, each half second, for a configuration above its own. Before, it asked only while it heard of no instance that the store answers.

An instance that starts at the address of an earlier one hears readers at once and would not have asked; no test shows that.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -213,6 +213,11 @@
    * unreachable.
    */
   askConfigurationIntervalMs: 500,
+  /**
+   * A restored store may lack the newest configuration for this long; an
+   * instance that starts can't know when the store was restored.
+   */
+  configurationRewriteMs: 5000,
   /** Interval at which the witnesses are asked to confirm change records. */
   askWitnessesMs: 400,
   /** Without their answers for this long, the store is asked as well. */
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -189,6 +189,7 @@
   let witnesses: readonly string[] = [instance];
   let renewedAt = -Infinity;
   let restoredAt = -Infinity;
+  const startedAt = clock.now();
   /**
    * Whether the list of instances was requested at least once, with or without
    * success.
@@ -359,17 +360,24 @@
     }
   }
 
-  async function askWhileStoreUnavailable(): Promise<void> {
+  /** Whether the store may lack a configuration that peers have. */
+  function mayStoreLackConfiguration(): boolean {
+    if (context.isStoreUnavailable()) return true;
+    const since = Math.max(startedAt, restoredAt);
+    return clock.now() - since < TIMES.configurationRewriteMs;
+  }
+
+  async function askForConfigurations(): Promise<void> {
     while (!owned.disposed) {
       await clock.sleep(TIMES.askConfigurationIntervalMs);
-      if (context.isStoreUnavailable())
+      if (mayStoreLackConfiguration())
         current?.requestConfiguration(context.generation());
     }
   }
 
   owned.add(store.era.onRestored(() => void noteRestored()));
   run().catch(err => log.error({event: 'othersFailed', why: messageOf(err)}));
-  void askWhileStoreUnavailable();
+  void askForConfigurations();
   return {
     get peerQueries() {
       return current;
