Restore the store from an older copy in the soak

The stand-ins and the soak knew no store that loses anything. One run of four has its store restored now, from a copy of up to four seconds before; it is drawn after the other faults, so those of kept seeds stay.

--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -71,6 +71,8 @@
       return;
     case FaultKind.StoreForgets:
       return platform.store.dropHistory();
+    case FaultKind.StoreRestored:
+      return restoreStore(fleet, fault.forMs);
     case FaultKind.Configure:
       fleet.configure();
       return;
@@ -174,3 +176,20 @@
   await sleep(forMs);
   platform.store.faults.calls = 'none';
 }
+
+/** How long the store is away before it is restored, in milliseconds. */
+const RESTORE_MS = 500;
+
+/** Loses what was written in the store within `copyAgeMs`. */
+async function restoreStore(
+  {platform}: SoakFleet,
+  copyAgeMs: number,
+): Promise<void> {
+  const {store} = platform;
+  const {revision} = store;
+  await sleep(copyAgeMs);
+  store.faults.calls = 'reset';
+  await sleep(RESTORE_MS);
+  platform.restoreStore(revision);
+  store.faults.calls = 'none';
+}
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -50,6 +50,8 @@
   StoreLost: 'storeLost',
   /** The store drops its change history. */
   StoreForgets: 'storeForgets',
+  /** The store is away and comes back from an older copy. */
+  StoreRestored: 'storeRestored',
   /** A configuration with an additional route is put in force. */
   Configure: 'configure',
 } as const;
@@ -95,6 +97,8 @@
   storeDown: [500, 3000],
   storeLost: [0, 0],
   storeForgets: [0, 0],
+  // The age of the copy.
+  storeRestored: [300, 4000],
   configure: [0, 0],
 };
 
@@ -105,30 +109,40 @@
 const MAX_GAP_MS = 900;
 /** Earliest start of a fault, in milliseconds, so that callers are active. */
 const INITIAL_DELAY_MS = 500;
+/** One run of so many has its store restored. */
+const RUNS_PER_RESTORE = 4;
 
 /** Returns the faults of `seed` within `lengthMs`, ordered by start time. */
 export function scheduleOf(seed: number, lengthMs: number): readonly Fault[] {
   const random = xoroshiro128plus(seed);
   const pick = ([least, most]: readonly [number, number]) =>
     uniformInt(random, least, most);
-  const kinds = Object.values(FaultKind);
+  const kinds = Object.values(FaultKind).filter(
+    kind => kind !== FaultKind.StoreRestored,
+  );
   const faults: Fault[] = [];
+  const faultAt = (kind: FaultKind, at: number): Fault => ({
+    kind,
+    at,
+    forMs: pick(DURATION_RANGES_MS[kind]),
+    instance: pick([0, 999]),
+    endpoint: pick([0, 999]),
+    variant: pick([0, 999]),
+  });
   const series = pick(SERIES_COUNT_RANGE);
   for (let i = 0; i < series; i++) {
     const kind = kinds[pick([0, kinds.length - 1])]!;
     const length = pick(SERIES_LENGTH_RANGE);
     let at = pick([INITIAL_DELAY_MS, lengthMs]);
     for (let k = 0; k < length && at < lengthMs; k++) {
-      faults.push({
-        kind,
-        at,
-        forMs: pick(DURATION_RANGES_MS[kind]),
-        instance: pick([0, 999]),
-        endpoint: pick([0, 999]),
-        variant: pick([0, 999]),
-      });
+      faults.push(faultAt(kind, at));
       at += pick([0, MAX_GAP_MS]);
     }
   }
+  // Drawn last, so that the other faults of a seed stay the same.
+  if (pick([1, RUNS_PER_RESTORE]) === 1) {
+    const at = pick([INITIAL_DELAY_MS, lengthMs]);
+    faults.push(faultAt(FaultKind.StoreRestored, at));
+  }
   return faults.sort((a, b) => a.at - b.at);
 }
