Watch the configuration from the version that the store has

After a restore the store gives lower versions, so the watch waited until they had passed, and changes came with the next plain read only.

Change: the version that was read last counts. A read that is out of date costs one watch that returns at once; which configuration is in force is decided by its generation, as before.

The new test fails with the highest version and passes now.

--- a/packages/config/src/follower.ts
+++ b/packages/config/src/follower.ts
@@ -34,8 +34,9 @@
 export interface FollowerState {
   readonly inForce: ConfigInForce | undefined;
   /**
-   * Highest version of the stored object that was read; 0 before the first
-   * read.
+   * Version of the stored object that was read last, from which to watch; 0
+   * before the first read. It falls when the store is restored from an older
+   * copy, or when a read is out of date; then the watch returns at once.
    */
   readonly version: number;
   /** Whether the last call to the store failed. */
@@ -156,7 +157,7 @@
   before: FollowerState,
   event: DocumentEvent,
 ): FollowerResult {
-  const version = Math.max(before.version, event.version ?? 0);
+  const version = event.version ?? before.version;
   const state = {...before, version};
   const digest = digestOf(event.document);
   const held = state.inForce;
--- a/packages/config/test/test-follower.ts
+++ b/packages/config/test/test-follower.ts
@@ -217,3 +217,13 @@
   assert.deepEqual(scaleToFleet(base, 3), base);
   assert.equal(400 / scaleToFleet(base, 400).rereadMs, 8 / 1000);
 });
+
+test('a store restored from an older copy does not hide its next change', () => {
+  const watched: FollowerEvent = {...read(7), version: 5} as FollowerEvent;
+  let state = initialFollower();
+  for (const event of [read(6), {...read(4), version: 4} as FollowerEvent])
+    state = stepFollower(state, event).state;
+  assert.equal(state.version, 4);
+  assert.equal(state.inForce?.cfg.generation, 6);
+  assert.equal(stepFollower(state, watched).state.inForce?.cfg.generation, 7);
+});
