--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -6,7 +6,6 @@
   type Clock,
   type Disposable,
   disposableStore,
-  hashFraction,
   hashOf,
   messageOf,
 } from '@quetzalreel/common';
@@ -29,25 +28,18 @@
 import {
   type ChangeQueries,
   type ChangeSource,
-  type ListedInstance,
-  NO_INSTANCES,
   type PeerAddress,
   type PeerQueryContext,
   type PeerQueryMessage,
   type PeerQuerySource,
   type PeerQueries,
   changeQueries,
-  updatePresence,
-  instanceRegistration,
   hasPeerQueryType,
   isPeerQueryMessage,
-  presentInstances,
-  listInstances,
-  removeEntry,
-  entriesToRemove,
   peerQueries,
 } from '@quetzalreel/peer-queries';
 import {LIMITS, PERMISSION_LIMITS, TIMES} from './defaults.js';
+import {instanceList} from './instance-list.js';
 import type {Log} from './log.js';
 import {
   NO_CONNECTIONS_PLAN,
@@ -166,35 +158,32 @@
   );
 }
 
-/** Names and relay addresses of instances as one string, to detect changes. */
-function signatureOf(entries: readonly ListedInstance[]): string {
-  return entries
-    .map(({instance, relay}) => `${instance} ${relay}`)
-    .sort()
-    .join(',');
-}
-
 /** Adds this instance to the list and follows the list of peers. */
 export function joinPeers(context: PeersContext): Peers {
   const {instance, dataCentre, peers, clock, log, store} = context;
   const owned = disposableStore();
-  const listing = instanceRegistration(store, instance);
-  let presence = NO_INSTANCES;
-  let present: readonly ListedInstance[] = [];
+  const list = owned.add(
+    instanceList({
+      instance,
+      clock,
+      log,
+      store,
+      location: () => ({
+        address,
+        relay: relayAddress(),
+        dataCentre,
+        facts: FACTS_VERSION,
+      }),
+      onChange: noteInstances,
+    }),
+  );
   let current: PeerQueries | undefined;
   let changes: ChangeQueries | undefined;
   let transport: PeerTransport<PeerMessage> | undefined;
   let links: readonly string[] = [];
   /** Names of the witnesses. */
   let witnesses: readonly string[] = [instance];
-  let renewedAt = -Infinity;
-  let restoredAt = -Infinity;
   const startedAt = clock.now();
-  /**
-   * Whether the list of instances was requested at least once, with or without
-   * success.
-   */
-  let wasRead = false;
   /** Address of this instance for peers, once it listens. */
   let address = '';
   let relay: Relay | undefined;
@@ -238,7 +227,7 @@
       clock,
       relay: relayAddress,
       source: context.source,
-      peerAddresses: () => present.map(entry => entry.address),
+      peerAddresses: () => list.present.map(entry => entry.address),
       answerTimeoutMs: TIMES.peerQueryTimeoutMs,
       maxQueriedPeers: LIMITS.maxQueriedPeers,
       changeQueries: changes,
@@ -249,7 +238,7 @@
 
   /** Chooses the witnesses, by rendezvous hash over the instances. */
   function chooseWitnesses(): string[] {
-    const names = [instance, ...present.map(entry => entry.instance)];
+    const names = [instance, ...list.present.map(entry => entry.instance)];
     return names
       .map(name => ({name, hash: hashOf(`witness/${name}`)}))
       .sort((a, b) => a.hash - b.hash || (a.name < b.name ? -1 : 1))
@@ -261,109 +250,27 @@
     return relay ? `${context.relay.host}:${relay.port}` : '';
   }
 
-  async function renew(): Promise<void> {
-    const now = clock.now();
-    if (now - renewedAt < TIMES.instanceEntryRenewMs) return;
-    await listing.renew({
-      address,
-      relay: relayAddress(),
-      dataCentre,
-      facts: FACTS_VERSION,
-    });
-    renewedAt = now;
-  }
-
-  async function read(): Promise<void> {
-    try {
-      presence = updatePresence(
-        presence,
-        await listInstances(store),
-        clock.now(),
-        restoredAt,
-      );
-    } catch (err) {
-      log.warn({event: 'instancesNotRead', why: messageOf(err)});
-    }
-    notePresent();
-  }
-
-  async function tryRenew(): Promise<void> {
-    try {
-      await renew();
-    } catch (err) {
-      log.warn({event: 'instanceNotListed', why: messageOf(err)});
-    }
-  }
-
-  async function refresh(): Promise<void> {
-    await read();
-    await tryRenew();
-  }
-
-  /** Writes the entry again: the store may have lost it. */
-  async function noteRestored(): Promise<void> {
-    restoredAt = clock.now();
-    if (renewedAt === -Infinity) return;
-    renewedAt = -Infinity;
-    const share = hashFraction(`renew/${instance}`);
-    await clock.sleep(share * TIMES.renewSpreadMs);
-    if (!owned.disposed) await tryRenew();
-  }
-
-  function notePresent(): void {
-    const before = present;
-    const isFirst = !wasRead;
-    wasRead = true;
-    present = presentInstances(
-      presence,
-      clock.now(),
-      TIMES.instanceEntryExpiryMs,
-    ).filter(entry => entry.instance !== instance);
-    if (!isFirst && signatureOf(present) === signatureOf(before)) return;
+  /** Chooses witnesses and links when instances have joined or left. */
+  function noteInstances(): void {
     witnesses = chooseWitnesses();
     links = linksOf(
       {instance, dataCentre},
-      present.filter(({facts}) => facts === FACTS_VERSION),
+      list.present.filter(({facts}) => facts === FACTS_VERSION),
     ).map(linked => linked.address);
-    log.info({event: 'instancesListed', others: present.length, links});
+    const others = list.present.length;
+    log.info({event: 'instancesListed', others, links});
     context.onChange();
   }
 
-  /** Removes the entries of instances whose renewal is overdue. */
-  async function removeExpired(): Promise<void> {
-    const now = clock.now();
-    const expired = entriesToRemove(
-      presence,
-      instance,
-      now,
-      TIMES.instanceEntryExpiryMs,
-    );
-    for (const entry of expired) {
-      log.info({event: 'silentInstanceRemoved', other: entry.instance});
-      await removeEntry(store, entry);
-    }
-  }
-
   async function run(): Promise<void> {
     await listen();
-    await refresh();
-    await clock.sleep(TIMES.firstInstanceListPollMs);
-    while (!owned.disposed) {
-      await refresh();
-      await removeExpired().catch(err =>
-        log.warn({event: 'silentInstanceNotRemoved', why: messageOf(err)}),
-      );
-      const isListed = renewedAt > -Infinity;
-      await clock.sleep(
-        isListed ? TIMES.instanceListPollMs : TIMES.firstInstanceListPollMs,
-      );
-    }
+    await list.run();
   }
 
   /** Whether the store may lack a configuration that peers have. */
   function mayStoreLackConfiguration(): boolean {
     if (context.isStoreUnavailable()) return true;
-    const since = Math.max(startedAt, restoredAt);
+    const since = Math.max(startedAt, list.restoredAt);
     return clock.now() - since < TIMES.configurationRewriteMs;
   }
 
@@ -375,7 +282,6 @@
     }
   }
 
-  owned.add(store.era.onRestored(() => void noteRestored()));
   run().catch(err => log.error({event: 'othersFailed', why: messageOf(err)}));
   void askForConfigurations();
   return {
@@ -383,26 +289,26 @@
       return current;
     },
     get witnesses() {
-      if (!wasRead || !changes) return undefined;
+      if (!list.wasRead || !changes) return undefined;
       return {
-        peers: present.filter(entry => witnesses.includes(entry.instance)),
+        peers: list.present.filter(entry => witnesses.includes(entry.instance)),
         includesSelf: witnesses.includes(instance),
         confirmChanges: changes.confirmChanges,
       };
     },
     async announce(change) {
-      if (!wasRead) return undefined;
-      return changes?.announce(change, present, witnesses);
+      if (!list.wasRead) return undefined;
+      return changes?.announce(change, list.present, witnesses);
     },
     async areIdle(era, idleMs) {
-      if (!wasRead || !changes) return false;
-      return changes.areIdle(present, era, idleMs);
+      if (!list.wasRead || !changes) return false;
+      return changes.areIdle(list.present, era, idleMs);
     },
     get links() {
-      return wasRead ? links : undefined;
+      return list.wasRead ? links : undefined;
     },
     get fleetSize() {
-      return present.length + 1;
+      return list.present.length + 1;
     },
     sendFact(to, message) {
       transport?.send(to, {...message, from: address} as FactMessage);
@@ -413,14 +319,14 @@
     planFor(endpoint) {
       // Instances that start together must not open connections before they
       // know how many they are.
-      if (!wasRead) return NO_CONNECTIONS_PLAN;
+      if (!list.wasRead) return NO_CONNECTIONS_PLAN;
       const self = {instance, dataCentre, address, relay: relayAddress()};
-      return sharingPlan(self, present, endpoint);
+      return sharingPlan(self, list.present, endpoint);
     },
     async leave() {
       relay?.stop();
       try {
-        await listing.deregister();
+        await list.leave();
       } catch (err) {
         // The peers remove the entry once it has expired.
         log.info({event: 'entryNotRemoved', why: messageOf(err)});
