Give no permission by a lease while the holder of a lost one may begin a change

The witnesses' confirmation that made a lease complete in the new era could be older than the last change of a holder whose lease the store had lost: an instance cut off from the witnesses would then have read a complete lease and used the replaced primary (ONE, STALE).

Change: the confirmation counts only when it was asked for after a lost holder's turn was over, or after all instances had said that they use no lost lease. Also: of two renewals of a lease at once the one that fails no longer takes the fence of the other away, and a lease is not renewed while a change is under way, whose orders would have got another fence than its announcement.

The new test of a confirmation that is too old fails without the bound.

--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -26,8 +26,8 @@
   type LeaseTerm,
   type PrepareChange,
   type PrimaryChanger,
-  primaryChanger,
-} from './primary-changer.js';
+} from './change-types.js';
+export {primaryChanger} from './primary-changer.js';
 export {
   type Candidate,
   type FailoverThresholds,
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -2,7 +2,7 @@
  * Carries out a change of primary: acquires the lease with a new fence, then
  * sends the promotion order until its outcome is known.
  */
-import {type Clock, messageOf} from '@quetzalreel/common';
+import {messageOf} from '@quetzalreel/common';
 import {Freshness, compareVersions} from '@quetzalreel/object-store';
 import {
   type ChangeRecord,
@@ -13,126 +13,18 @@
 } from './change-records.js';
 import {
   type LeaseRecord,
-  type LeaseStore,
   type PlannedChange,
   type LeaseSnapshot,
   isComplete,
 } from './lease.js';
+import {
+  type ChangeContext,
+  ChangeOutcome,
+  type PrepareChange,
+  type PrimaryChanger,
+} from './change-types.js';
 import {nextFence} from './fence.js';
-import {OrderResult, type PromotionOrders} from './orders.js';
-
-/** Outcome of a change of primary. */
-export const ChangeOutcome = {
-  /** The order was accepted; the endpoint soon becomes the primary. */
-  Ordered: 'ordered',
-  /** Another instance has acquired the lease, or may have begun a change. */
-  Deferred: 'stoodBack',
-  /** The order was refused; its fence can't be used again. */
-  Refused: 'refused',
-  /** The order is unanswered; it may still be executed. */
-  Unanswered: 'unanswered',
-  /** The store is unreachable, and no fence may be used without it. */
-  NoFence: 'noFence',
-  /** The preparation failed: the old primary may still be in use. */
-  NotPrepared: 'notPrepared',
-} as const;
-
-/** One of the values of `ChangeOutcome`. */
-export type ChangeOutcome = (typeof ChangeOutcome)[keyof typeof ChangeOutcome];
-
-/** Time limits of a change. */
-export interface ChangeLimits {
-  /** Minimum time between the orders of two holders, in milliseconds. */
-  readonly handoverDelayMs: number;
-  /** How long a holder may send orders after it wrote the lease, milliseconds.
-   * Other instances include this time in their wait to acquire the lease. */
-  readonly orderWindowMs: number;
-  /** Delay before an order is sent again, in milliseconds. */
-  readonly retryMs: number;
-}
-
-/** A log entry for one step of a change. */
-export interface ChangeEvent {
-  readonly event: string;
-  readonly group: string;
-  readonly [field: string]: unknown;
-}
-
-/** Dependencies and limits of `primaryChanger`. */
-export interface ChangeContext {
-  readonly instance: string;
-  readonly clock: Clock;
-  readonly lease: LeaseStore;
-  readonly orders: PromotionOrders;
-  readonly limits: ChangeLimits;
-  readonly onEvent: (event: ChangeEvent) => void;
-  /** Called when a newer change of a group became known. */
-  readonly onChanges?: () => void;
-  /**
-   * Whether this instance has learned of all changes since the store reached an
-   * era; undefined where nothing depends on it.
-   */
-  readonly hasAllChanges?: (era: number) => boolean;
-  /**
-   * Whether all other instances are known to have sent no order for `idleMs`,
-   * and to use no lease of before `era` any more; undefined if that can't be
-   * asked.
-   */
-  readonly areOthersIdle?: (era: number, idleMs: number) => Promise<boolean>;
-}
-
-/** The state of the lease in which a change is prepared. */
-export interface LeaseTerm {
-  /**
-   * When the store acknowledged the lease with the change; undefined if the
-   * held fence is used without the store. Monotonic milliseconds.
-   */
-  readonly writtenAt: number | undefined;
-  /** When the last order may be sent. Monotonic milliseconds. */
-  readonly orderUntil: number;
-}
-
-/**
- * Makes sure that the old primary is no longer used; called after the lease was
- * acquired and before the order. Resolves to false if it can't be ensured; no
- * order is sent then.
- */
-export type PrepareChange = (
-  change: ChangeRecord,
-  term: LeaseTerm,
-) => Promise<boolean>;
-
-/** Changes primaries on behalf of one instance, one change at a time. */
-export interface PrimaryChanger {
-  /** Whether this instance was the holder when the lease was last read. */
-  readonly isHolder: boolean;
-  /** Fence of the lease when it was last read; 0 for none. */
-  readonly knownFence: number;
-  /**
-   * Reads the lease, and acquires it if it does not exist, or if this instance
-   * held it before the store was restored: an instance must hold it before the
-   * store becomes unreachable.
-   */
-  refreshLease(): Promise<void>;
-  /**
-   * Reads the lease from the store itself, not from a copy that may be out of
-   * date. Resolves to whether the lease contains all changes that were begun.
-   * Rejects with the store's errors.
-   */
-  readLease(): Promise<boolean>;
-  /** When the last order was sent; undefined for never. Monotonic ms. */
-  readonly lastOrderAt: number | undefined;
-  /** The newest known change of each group. */
-  readonly changes: ChangeRecords;
-  /** Adds changes that other instances reported. */
-  addChanges(changes: Iterable<ChangeRecord>): void;
-  /** `isPlanned`: the replaced primary still serves. */
-  change(
-    planned: PlannedChange,
-    isPlanned: boolean,
-    prepare?: PrepareChange,
-  ): Promise<ChangeOutcome>;
-}
+import {OrderResult} from './orders.js';
 
 /** Creates a changer that holds no fence yet. */
 export function primaryChanger(context: ChangeContext): PrimaryChanger {
@@ -154,6 +46,7 @@
   let lastOrderAt: number | undefined;
   /** Whether the store was restored and the lease was not read since. */
   let needsNewFence = false;
+  let changesUnderWay = 0;
 
   let changes: ChangeRecords = NO_CHANGES;
 
@@ -194,7 +87,7 @@
     const era = lease.era.current;
     const areIdle =
       (await context.areOthersIdle?.(era, limits.handoverDelayMs)) ?? false;
-    if (areIdle && lease.era.current === era) lostLeaseUntil = -Infinity;
+    if (areIdle && lease.era.current === era) lostLeaseUntil = clock.now();
     onEvent({event: 'lostLeaseAsked', group: '', era, areIdle});
     return !areIdle;
   }
@@ -212,11 +105,15 @@
     return nextFence(replaced, known);
   }
 
-  /** The era in which a lease that replaces `seen` contains all changes. */
+  /**
+   * The era in which a lease that replaces `seen` contains all changes; undefined
+   * while that is not known, as the holder of a lost lease may begin one.
+   */
   function completeAfter(seen: LeaseSnapshot | undefined): number | undefined {
     const era = seen?.era ?? lease.era.current;
-    const hasAll =
-      isComplete(seen, era) || (context.hasAllChanges?.(era) ?? false);
+    if (isComplete(seen, era)) return era;
+    if (clock.now() < lostLeaseUntil) return undefined;
+    const hasAll = context.hasAllChanges?.(era, lostLeaseUntil) ?? false;
     return hasAll ? era : undefined;
   }
 
@@ -363,6 +260,17 @@
     return sendOrder(planned, orderUntil);
   }
 
+  async function countedChange(
+    ...args: Parameters<typeof change>
+  ): Promise<ChangeOutcome> {
+    changesUnderWay++;
+    try {
+      return await change(...args);
+    } finally {
+      changesUnderWay--;
+    }
+  }
+
   return {
     get isHolder() {
       return lastSeen?.seen.record.holder === instance;
@@ -386,6 +294,7 @@
         needsNewFence = false;
         return;
       }
+      if (changesUnderWay > 0) return;
       const fence = fenceAfter(seen);
       const record = {
         holder: instance,
@@ -394,8 +303,9 @@
         change: undefined,
         changes: [...changes.values()],
       };
-      heldLease = await replaceLease(record, seen);
-      if (!heldLease) return;
+      const taken = await replaceLease(record, seen);
+      if (!taken) return;
+      heldLease = taken;
       needsNewFence = false;
       onEvent({event: 'leaseTaken', group: '', fence});
     },
@@ -410,6 +320,6 @@
       return changes;
     },
     addChanges,
-    change,
+    change: countedChange,
   };
 }
--- a/packages/failover/test/test-primary-changer.ts
+++ b/packages/failover/test/test-primary-changer.ts
@@ -71,7 +71,10 @@
   const {lease, state, restore} = sharedLease();
   const orders = new RecordedOrders();
   const idle = {isKnown: false};
-  const instance = (name: string, hasAllChanges = () => false) =>
+  const instance = (
+    name: string,
+    hasAllChanges: (era: number, since: number) => boolean = () => false,
+  ) =>
     primaryChanger({
       instance: name,
       clock,
@@ -294,6 +297,24 @@
     assert.equal(await fx.instance('three').readLease(), true);
   });
 
+  it('it gives none while a lost holder may begin a change', async () => {
+    const fx = setUp();
+    const confirmed = {at: -Infinity};
+    const hasAll = (_era: number, since: number) => confirmed.at >= since;
+    const one = fx.instance('one', hasAll);
+    await one.refreshLease();
+    fx.restore(await fx.lease.read());
+    confirmed.at = fx.clock.now();
+    await one.refreshLease();
+    assert.equal(await one.readLease(), false);
+    fx.clock.advance(LIMITS.handoverDelayMs + LIMITS.orderWindowMs);
+    await one.refreshLease();
+    assert.equal(await one.readLease(), false);
+    confirmed.at = fx.clock.now();
+    await one.refreshLease();
+    assert.equal(await one.readLease(), true);
+  });
+
   it('the next one orders at once if all others have ordered nothing lately', async () => {
     const fx = setUp();
     const {two} = await loseLease(fx);
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -36,10 +36,10 @@
 /** A use that is renewed until the proxy stops. */
 export interface RenewedPrimaryUse extends PrimaryUse {
   /**
-   * Whether the witnesses have confirmed the change records since the store
-   * reached an era.
+   * Whether the witnesses have confirmed the change records in an era of the
+   * store, when asked at `since` or later. Monotonic ms.
    */
-  hasAllChanges(era: number): boolean;
+  hasAllChanges(era: number, since: number): boolean;
   /** Renews the permission when it is due. */
   tick(): void;
 }
@@ -166,7 +166,8 @@
     get hasLapsed() {
       return wasEverPermitted && !isPermitted();
     },
-    hasAllChanges: era => confirmedIn === era,
+    hasAllChanges: (era, since) =>
+      confirmedIn === era && permission.byWitnessesAt >= since,
     replacementOf(group, endpoint) {
       const change = changer.changes.get(group);
       return change && change.to !== endpoint ? change : undefined;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -157,7 +157,7 @@
       for (const group of groups.values()) group.noteChange();
     },
     areOthersIdle: peers.areIdle,
-    hasAllChanges: era => primaryUse.hasAllChanges(era),
+    hasAllChanges: (era, since) => primaryUse.hasAllChanges(era, since),
   });
 
   owned.add(
