--- a/packages/model/src/fenced-orders.ts
+++ b/packages/model/src/fenced-orders.ts
@@ -2,8 +2,9 @@
  * Model of changes of primary that instances order from the platform with a
  * fence. Two instances compete for a lease in a store that may be unavailable,
  * and the platform may apply an order late. The store may be restored from a copy
- * without the last write of the lease. The fences are those of production code. A paused instance is one that takes
- * no step. Time isn't modelled: steps may happen in any sequence.
+ * without the last write of the lease. The fences are those of production code.
+ * A paused instance is one that takes no step. Time isn't modelled: steps may
+ * happen in any sequence.
  */
 import {nextFence} from '@quetzalreel/failover';
 import type {ModelStep} from './search.js';
--- a/packages/model/src/unfenced-change.ts
+++ b/packages/model/src/unfenced-change.ts
@@ -3,8 +3,9 @@
  * fences: the replaced primary goes on acknowledging. One instance changes the
  * primary, one uses the old one, and one is a further witness. Any of them may
  * be cut off from the others or from the store at some time, the user may be
- * suspended, and the store may be restored from a copy without the change. Time is counted in ticks. When the order may be sent, and how long
- * permission lasts, is computed by the production code.
+ * suspended, and the store may be restored from a copy without the change. Time
+ * is counted in ticks. When the order may be sent, and how long permission lasts,
+ * is computed by the production code.
  */
 import {
   type Permission,
