Ignore an era of the far future that a peer tells

Found by reading the change. A peer's question about the last order, or a copy of a kind of which there was none, could raise the known era to any number; every answer of the store would then have counted as outdated until a restart. The bound stood at copies only, where it could not see this.

Change: the bound stands with the era itself, for all that peers tell; copies check their revision only.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -263,7 +263,9 @@
     const {kind, era, revision} = delta;
     const state = states.get(kind);
     if (!state) return;
-    if (!isPlausible(delta, state.copy)) {
+    // An era that is over is no fault: the delta is known then.
+    const isEraPlausible = store.era.hear(era) || era < store.era.current;
+    if (!isEraPlausible || !isPlausible(delta, state.copy)) {
       const known = state.copy;
       context.onEvent({
         event: 'deltaImplausible',
@@ -276,7 +278,6 @@
       });
       return;
     }
-    store.era.note(era);
     merge(state, delta, from);
   }
 
--- a/packages/facts/src/kind-copy.ts
+++ b/packages/facts/src/kind-copy.ts
@@ -27,25 +27,22 @@
 }
 
 /**
- * Highest steps of a copy's version. A copy from the future would keep all later
- * changes out; the store makes a few thousand changes a second at most, and is
- * restored rarely.
+ * Highest step of a copy's revision. A copy from the future would keep all later
+ * changes out; the store makes a few thousand changes a second at most.
  */
 const MAX_REVISION_STEP = 100_000_000;
-const MAX_ERA_STEP = 1000;
 
 /** The version of a copy; of an empty one before any store if there is none. */
 export function versionOf(copy: KindCopy | undefined): StoreVersion {
   return {era: copy?.era ?? 0, revision: copy?.revision ?? 0};
 }
 
-/** Whether a delta from a peer can be true beside the copy. */
+/** Whether the revision of a peer's delta can be true beside the copy. */
 export function isPlausible(
   {era, revision}: KindDelta,
   copy: KindCopy | undefined,
 ): boolean {
-  if (!copy) return true;
-  if (era !== copy.era) return era - copy.era <= MAX_ERA_STEP;
+  if (!copy || era !== copy.era) return true;
   return revision - copy.revision <= MAX_REVISION_STEP;
 }
 
--- a/packages/facts/test/test-messages.ts
+++ b/packages/facts/test/test-messages.ts
@@ -145,6 +145,15 @@
     feed.dispose();
   });
 
+  it('passes over a copy of an era from the future', () => {
+    const {feed, events, known} = knowingFeed();
+    const era = Number.MAX_SAFE_INTEGER;
+    feed.receive({type: 'kindDelta', from: FROM, delta: {...DELTA, era}});
+    assert.deepEqual([...known], [['a', 5]]);
+    assert.equal(events.at(-1)!.event, 'deltaImplausible');
+    feed.dispose();
+  });
+
   it('answers beats on a link that carries nothing else back', () => {
     const {feed, sent} = knowingFeed();
     for (const seq of [1, 2, 3])
--- a/packages/object-store/src/store-era.ts
+++ b/packages/object-store/src/store-era.ts
@@ -7,6 +7,12 @@
 /** Called with the new era and the one before. */
 export type EraListener = (era: number, before: number) => void;
 
+/**
+ * How far above the known era one that a peer tells may be. A false one would make
+ * every answer of the store look outdated; a store is restored rarely.
+ */
+const MAX_HEARD_STEP = 1000;
+
 /** The highest known era. */
 export interface StoreEra {
   /** 0 until it is known, and for a store that does not tell it. */
@@ -16,6 +22,8 @@
    * over: what was said in it no longer holds.
    */
   note(era: number): boolean;
+  /** Like `note` for what a peer tells; an implausible era is ignored. */
+  hear(era: number): boolean;
   /** Calls the listener when the store turns out to have been restored. */
   onRestored(listener: EraListener): Disposable;
 }
@@ -24,18 +32,22 @@
 export function storeEra(): StoreEra {
   const listeners = new Set<EraListener>();
   let known: number | undefined;
+
+  function note(era: number): boolean {
+    if (known !== undefined && era <= known) return era === known;
+    const before = known;
+    known = era;
+    if (before === undefined) return true;
+    for (const listener of [...listeners]) listener(era, before);
+    return true;
+  }
+
   return {
     get current() {
       return known ?? 0;
     },
-    note(era) {
-      if (known !== undefined && era <= known) return era === known;
-      const before = known;
-      known = era;
-      if (before === undefined) return true;
-      for (const listener of [...listeners]) listener(era, before);
-      return true;
-    },
+    note,
+    hear: era => era - (known ?? era) <= MAX_HEARD_STEP && note(era),
     onRestored(listener) {
       listeners.add(listener);
       return {dispose: () => void listeners.delete(listener)};
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -136,7 +136,7 @@
       get lastOrderAt() {
         return changer.lastOrderAt;
       },
-      noteEra: era => void options.store.era.note(era),
+      noteEra: era => void options.store.era.hear(era),
       finishTransactions,
     },
     onConfiguration: value => view.offerConfiguration(value),
