--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -2,17 +2,8 @@
  * Follows kinds of objects in the store together with the other instances: some
  * of them read, and what one learns is passed on over the links.
  */
-import {
-  type Clock,
-  type Disposable,
-  disposableStore,
-} from '@quetzalreel/common';
-import {
-  type KindEvent,
-  type KindStore,
-  type StoreVersion,
-  compareVersions,
-} from '@quetzalreel/object-store';
+import {disposableStore} from '@quetzalreel/common';
+import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
 import {
   type KindCopy,
   type KindDelta,
@@ -25,93 +16,15 @@
   wholeCopy,
 } from './kind-copy.js';
 import {type KindRead, type KindReader, kindReader} from './kind-reader.js';
+import type {
+  Feed,
+  FeedContext,
+  FeedMessage,
+  FollowedKind,
+} from './feed-types.js';
 import {heardReaders} from './heard-readers.js';
 import type {FactMessage, KindReading} from './messages.js';
-import {
-  type PreferenceOf,
-  type ReaderLimits,
-  type ReaderRole,
-  nextRole,
-} from './reader-role.js';
-
-/** A kind to follow. */
-export interface FollowedKind {
-  readonly kind: string;
-  /** Duration of one watch, in milliseconds. */
-  readonly watchMs: number;
-  /** Called with the events that changed the copy. */
-  readonly onEvents: (events: readonly KindEvent[]) => void;
-  /**
-   * Called when the store begins or ceases to answer the readers. `forMs` is
-   * for how long it has answered.
-   */
-  readonly onReach: (isReached: boolean, forMs: number) => void;
-}
-
-/** Times of a feed, in milliseconds. */
-export interface FeedTimes {
-  /** Interval between the beats of a reader. */
-  readonly beatMs: number;
-  /**
-   * How long an instance that starts waits until it knows its links before it
-   * reads the store itself.
-   */
-  readonly firstReadMs: number;
-  /** How long it waits for a copy from them. */
-  readonly firstCopyMs: number;
-  /** How long it waits if it has no links. */
-  readonly firstAloneMs: number;
-  /** How long a change that a beat shows may be on its way. */
-  readonly lateMs: number;
-}
-
-/** An event for the log. */
-export interface FeedEvent {
-  readonly event: string;
-  readonly [field: string]: unknown;
-}
-
-/** Dependencies of a feed. */
-export interface FeedContext {
-  readonly instance: string;
-  readonly clock: Clock;
-  readonly store: KindStore;
-  readonly kinds: readonly FollowedKind[];
-  readonly times: FeedTimes;
-  readonly limits: () => ReaderLimits;
-  readonly preferenceOf: PreferenceOf;
-  /** Number of suspensions of this process so far. */
-  readonly suspensions: () => number;
-  /** Distinguishes this life of the instance from earlier ones. */
-  readonly life: number;
-  /**
-   * Addresses of the linked instances, `host:port`; undefined until the list of
-   * instances was read.
-   */
-  readonly links: () => readonly string[] | undefined;
-  /** Sends a message to an address; it may be lost. */
-  readonly send: (address: string, message: FeedMessage) => void;
-  readonly onEvent: (event: FeedEvent) => void;
-}
-
-/** A message without its sender. */
-export type FeedMessage = FactMessage extends infer M
-  ? M extends FactMessage
-    ? Omit<M, 'from'>
-    : never
-  : never;
-
-/** A running feed. */
-export interface Feed extends Disposable {
-  receive(message: FactMessage): void;
-  /** Runs the periodic work. */
-  tick(): void;
-  /**
-   * Whether the store answers this instance or a reader that it hears, for a
-   * kind.
-   */
-  isReached(kind: string): boolean;
-}
+import {type ReaderRole, nextRole} from './reader-role.js';
 
 interface KindState {
   readonly followed: FollowedKind;
--- a/packages/facts/src/index.ts
+++ b/packages/facts/src/index.ts
@@ -1,4 +1,5 @@
 /** Public exports of `@quetzalreel/facts`. */
+export {startFeed} from './feed.js';
 export {
   type Feed,
   type FeedContext,
@@ -6,8 +7,7 @@
   type FeedMessage,
   type FeedTimes,
   type FollowedKind,
-  startFeed,
-} from './feed.js';
+} from './feed-types.js';
 export {
   type KindCopy,
   type KindDelta,
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -117,6 +117,26 @@
     return hasAll ? era : undefined;
   }
 
+  /**
+   * The lease of this instance in place of `seen`, with the change that it begins
+   * if there is one.
+   */
+  function recordAfter(
+    seen: LeaseSnapshot | undefined,
+    change?: PlannedChange,
+    isPlanned = false,
+  ): LeaseRecord {
+    const fence = fenceAfter(seen);
+    const begun = change ? [{...change, fence, isPlanned}] : [];
+    return {
+      holder: instance,
+      fence,
+      completeIn: completeAfter(seen),
+      change,
+      changes: [...withChanges(changes, begun).values()],
+    };
+  }
+
   /**
    * Writes a lease in place of `seen`. Returns undefined if it was not written,
    * or if the store was restored meanwhile: `seen` is no longer what was there,
@@ -164,16 +184,7 @@
     const seen = await readLease(Freshness.Current);
     if (mayOtherHolderAct() || (await mayLostHolderAct()))
       return ChangeOutcome.Deferred;
-    const fence = fenceAfter(seen);
-    const record = {
-      holder: instance,
-      fence,
-      completeIn: completeAfter(seen),
-      change: planned,
-      changes: [
-        ...withChanges(changes, [{...planned, fence, isPlanned}]).values(),
-      ],
-    };
+    const record = recordAfter(seen, planned, isPlanned);
     return (await replaceLease(record, seen)) ?? ChangeOutcome.Deferred;
   }
 
@@ -295,18 +306,11 @@
         return;
       }
       if (changesUnderWay > 0) return;
-      const fence = fenceAfter(seen);
-      const record = {
-        holder: instance,
-        fence,
-        completeIn: completeAfter(seen),
-        change: undefined,
-        changes: [...changes.values()],
-      };
-      const taken = await replaceLease(record, seen);
+      const taken = await replaceLease(recordAfter(seen), seen);
       if (!taken) return;
       heldLease = taken;
       needsNewFence = false;
+      const {fence} = taken.record;
       onEvent({event: 'leaseTaken', group: '', fence});
     },
     async readLease() {
