Count what becomes of the work for each endpoint

Cause: a refusal by an endpoint and one by a holder looked the same, and nothing told of connections that are opened or closed, or of work that is given up, so that the hypotheses of too little served could not be told apart.

Change: counts by endpoint, as the gauge quetzalreel_endpoint_work and as the line endpointOverloaded, at most every 5 s for an endpoint and only when work was turned away or given up. No logic is changed.

--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -20,6 +20,7 @@
 import {NO_REFUSALS, type CatchUpBackoff, afterRefusal} from './catch-up.js';
 import {type ConcurrencyLimit, initialLimit} from './concurrency.js';
 import {LIMITS, TIMES} from './defaults.js';
+import {type LoadCounts, noLoad} from './load-counts.js';
 import type {Log} from './log.js';
 import {type PooledConnection, pooledConnection} from './pooled-connection.js';
 import type {ListedEndpoint} from './routes.js';
@@ -77,6 +78,8 @@
 export interface EndpointLink extends Disposable {
   listed: ListedEndpoint;
   readonly facts: EndpointFacts;
+  /** What has happened to the work for the endpoint. */
+  readonly load: LoadCounts;
   /** Number of connections: in use, idle and opening. */
   readonly connections: number;
   readonly idle: number;
@@ -157,6 +160,7 @@
   const path = connectionPath(clock);
   /** Number of connections being opened, direct and through relays. */
   const opening = {direct: 0, relayed: 0};
+  const load = noLoad();
   let retryAt = -Infinity;
   let disposed = false;
   const facts: EndpointFacts = {
@@ -204,6 +208,9 @@
       all.delete(pooled);
       const at = idle.indexOf(member);
       if (at >= 0) idle.splice(at, 1);
+      if (relay) return;
+      if (at >= 0) load.closedUnused++;
+      else load.closedInUse++;
     });
     if (!connection.isOpen) return;
     idle.push(member);
@@ -214,6 +221,8 @@
     const sentAt = clock.now();
     const {id, group, host, port} = link.listed;
     opening.direct++;
+    load.opened++;
+    if (link.idleDirect > 0) load.openedBesideIdle++;
     try {
       const address = {id, group, host, port};
       const opened = await driver
@@ -301,6 +310,7 @@
   const link: EndpointLink = {
     listed,
     facts,
+    load,
     get connections() {
       return all.size + opening.direct + opening.relayed;
     },
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -22,6 +22,7 @@
 } from './group-types.js';
 import {groupPrimary} from './group-primary.js';
 import {placementOf} from './link-placement.js';
+import {type LoadReporter, loadReporter} from './load-counts.js';
 import {
   ANY_ENDPOINT,
   type Need,
@@ -48,6 +49,7 @@
   const links = new Map<string, EndpointLink>();
   const queue = waitQueue<Waiter>();
   const probing = new Set<string>();
+  const reporters = new WeakMap<EndpointLink, LoadReporter>();
   const reachability = endpointReachability({
     clock,
     log,
@@ -200,6 +202,32 @@
     context.requestConfirmedPosition(context.name, addressesOf(link));
   }
 
+  /** An answer that a holder generated carries no log position. */
+  function countRefusal({load}: EndpointLink, {position}: Answer): void {
+    if (position) load.refusedByEndpoint++;
+    else load.refusedByHolder++;
+  }
+
+  function reportLoad(link: EndpointLink): void {
+    const counts = reporters.get(link)?.report(clock.now());
+    if (!counts) return;
+    const {inFlight, answerMs, concurrency} = link.facts;
+    log.info({
+      event: 'endpointOverloaded',
+      group: group.name,
+      endpoint: link.listed.id,
+      isPrimary: link.listed.id === primary.id,
+      isHolder: link.plan.isHolder,
+      ...counts,
+      inFlight,
+      limit: concurrency.limit,
+      answerMs: Math.round(answerMs),
+      connections: link.connections,
+      idle: link.idle,
+      waiting: queue.size,
+    });
+  }
+
   function addressesOf(link: EndpointLink | undefined): readonly string[] {
     return link?.plan.holders.map(({address}) => address) ?? [];
   }
@@ -282,8 +310,10 @@
       const {facts, listed} = link;
       if (answer.error?.code === ErrorCode.Busy) {
         facts.concurrency = afterBusy(facts.concurrency);
+        countRefusal(link, answer);
       }
       if (answer.error) return;
+      link.load.ran++;
       facts.concurrency = afterRun(facts.concurrency, listed.slots);
       noteAnswerTime(facts, clock.now() - sentAt);
     },
@@ -354,6 +384,7 @@
         link.closeUnused(LIMITS.minConnections);
         if (needsProbe(link)) probeEndpoint(link);
         reachability.askPeersIfDue(link);
+        reportLoad(link);
       }
       askHolders();
       serveWaiting();
@@ -383,6 +414,7 @@
     const onIdle = () => serveWaiting();
     const link = endpointLink(endpoint, {...context, onIdle});
     links.set(id, link);
+    reporters.set(link, loadReporter(link.load));
     replan(link);
   }
 
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -4,6 +4,7 @@
 import type {Answer} from '@quetzalreel/requests';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {GroupRuntime} from './group-types.js';
+import {LOAD_COUNTS} from './load-counts.js';
 import type {ReadRule} from './routes.js';
 
 /** Metrics that sessions report. */
@@ -99,6 +100,13 @@
     }),
   };
 
+  const work = new Gauge({
+    name: 'quetzalreel_endpoint_work',
+    help: 'What has happened to the work for an endpoint since the start, by outcome.',
+    labelNames: ['group', 'endpoint', 'outcome'] as const,
+    registers,
+  });
+
   function readGroup(group: GroupRuntime): void {
     for (const [endpoint, link] of group.links) {
       const labels = {group: group.name, endpoint};
@@ -107,6 +115,8 @@
       gauges.running.set(labels, link.facts.inFlight);
       gauges.connections.set(labels, link.connections);
       gauges.primary.set(labels, group.primary === link ? 1 : 0);
+      for (const outcome of LOAD_COUNTS)
+        work.set({...labels, outcome}, link.load[outcome]);
     }
   }
 
@@ -122,6 +132,7 @@
     text() {
       // Drops the series of endpoints that are no longer listed.
       for (const gauge of Object.values(gauges)) gauge.reset();
+      work.reset();
       gauges.generation.set(source.generation());
       gauges.storeEra.set(source.storeEra());
       gauges.sessions.set(source.sessions());
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -29,13 +29,14 @@
  */
 export function sendWithTimeout(
   clock: Clock,
-  {pooled}: ConnectionLease,
+  {link, pooled}: ConnectionLease,
   req: EndpointRequest,
   timeoutMs: number,
 ): Promise<Answer> {
   const {connection} = pooled;
   return new Promise((resolve, reject) => {
     const timer = clock.after(timeoutMs, () => {
+      link.load.givenUp++;
       const what = `no answer within ${Math.round(timeoutMs)} ms`;
       reject(new ConnectionLostError(connection.endpoint, what, false));
       connection.dispose();
