Open connections through relays behind an abstract class

Cause: the way through holders could be tested with sockets only, so the load that holders share was never played on a simulated clock.

Change: RelayDriver and RelayedConnection are abstract; TCP is one implementation. No behaviour is changed.

--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -15,7 +15,7 @@
 import {
   type EndpointObservation,
   type RelayAddress,
-  connectViaRelay,
+  type RelayDriver,
 } from '@quetzalreel/relay';
 import {NO_REFUSALS, type CatchUpBackoff, afterRefusal} from './catch-up.js';
 import {type ConcurrencyLimit, initialLimit} from './concurrency.js';
@@ -127,6 +127,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly driver: EndpointDriver;
+  readonly relayDriver: RelayDriver;
   /** Called when an idle connection becomes available. */
   readonly onIdle: () => void;
 }
@@ -153,7 +154,7 @@
 /** Creates a link without connections. */
 export function endpointLink(
   listed: ListedEndpoint,
-  {clock, log, driver, onIdle}: LinkContext,
+  {clock, log, driver, relayDriver, onIdle}: LinkContext,
 ): EndpointLink {
   const idle: LinkConnection[] = [];
   const all = new Map<PooledConnection, LinkConnection>();
@@ -242,11 +243,9 @@
     const {id: endpoint, group} = link.listed;
     opening.relayed++;
     try {
-      const opened = await connectViaRelay(
-        relay,
-        {group, endpoint},
-        TIMES.relayConnectTimeoutMs,
-      ).finally(() => opening.relayed--);
+      const opened = await relayDriver
+        .connect(relay, {group, endpoint}, TIMES.relayConnectTimeoutMs)
+        .finally(() => opening.relayed--);
       if (disposed) opened.dispose();
       else add(opened, relay);
     } catch (err) {
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -3,6 +3,7 @@
 import type {Answer, EndpointDriver} from '@quetzalreel/requests';
 import type {SuspensionDetector} from '@quetzalreel/freshness';
 import type {Position} from '@quetzalreel/position';
+import type {RelayDriver} from '@quetzalreel/relay';
 import type {
   ConfirmedPosition,
   ReachabilityResult,
@@ -56,6 +57,7 @@
   readonly clock: Clock;
   readonly log: Log;
   readonly driver: EndpointDriver;
+  readonly relayDriver: RelayDriver;
   readonly suspensionDetector: SuspensionDetector;
   /**
    * Asks peers whether they reach an endpoint; resolves to undefined while
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -20,7 +20,11 @@
   leaseStore,
   primaryChanger,
 } from '@quetzalreel/failover';
-import type {RelayTarget, ServedConnection} from '@quetzalreel/relay';
+import {
+  type RelayTarget,
+  type ServedConnection,
+  tcpRelayDriver,
+} from '@quetzalreel/relay';
 import {CHANGE_LIMITS, TIMES} from './defaults.js';
 import type {GroupRuntime} from './group-types.js';
 import {groupRuntime} from './group.js';
@@ -222,6 +226,7 @@
     const group = groupRuntime(policy, {
       ...options,
       name: policy.name,
+      relayDriver: tcpRelayDriver(),
       suspensionDetector: guard,
       askPeers: async (name, endpoint) =>
         peers.peerQueries?.queryReachability(name, endpoint),
--- a/packages/proxy/test/test-probe-schedule.ts
+++ b/packages/proxy/test/test-probe-schedule.ts
@@ -3,6 +3,7 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
+import {tcpRelayDriver} from '@quetzalreel/relay';
 import {manualClock} from '@quetzalreel/common';
 import {
   EndpointDriver,
@@ -136,7 +137,9 @@
     const listed = listedEndpoint('i-1');
     const log = createLog('test', {write: () => {}});
     const driver = new NoDriver();
-    return endpointLink(listed, {clock, log, driver, onIdle: () => {}});
+    const relayDriver = tcpRelayDriver();
+    const rest = {relayDriver, onIdle: () => {}};
+    return endpointLink(listed, {clock, log, driver, ...rest});
   }
 
   it("counts from the time of the holder's last contact", () => {
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -8,7 +8,9 @@
 } from './relay.js';
 export {
   type RelayAddress,
+  RelayDriver,
   RelayLostError,
   RelayedConnection,
   connectViaRelay,
+  tcpRelayDriver,
 } from './relayed-connection.js';
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -45,9 +45,44 @@
 }
 
 /** An endpoint connection that goes through a relay. */
-export class RelayedConnection extends EndpointConnection {
+export abstract class RelayedConnection extends EndpointConnection {
   /** Not reported by the relay; the first answer carries the position. */
   readonly openPosition: Position | undefined = undefined;
+  /** Address of the relay in use. */
+  abstract readonly relay: RelayAddress;
+  /**
+   * Fetches the relaying instance's observation of the endpoint. After
+   * `timeoutMs` it closes the connection and rejects with RelayLostError.
+   */
+  abstract fetchObservation(timeoutMs: number): Promise<EndpointObservation>;
+}
+
+/** Opens connections to endpoints through relays. */
+export abstract class RelayDriver {
+  /** Connects within `timeoutMs`. Rejects with RelayLostError. */
+  abstract connect(
+    via: RelayAddress,
+    target: RelayTarget,
+    timeoutMs: number,
+  ): Promise<RelayedConnection>;
+}
+
+class TcpRelayDriver extends RelayDriver {
+  connect(
+    via: RelayAddress,
+    target: RelayTarget,
+    timeoutMs: number,
+  ): Promise<RelayedConnection> {
+    return connectViaRelay(via, target, timeoutMs);
+  }
+}
+
+/** Connects to relays over TCP. */
+export function tcpRelayDriver(): RelayDriver {
+  return new TcpRelayDriver();
+}
+
+class TcpRelayedConnection extends RelayedConnection {
   isOpen = true;
   private isStopping = false;
   private state: SessionState = SessionState.Idle;
@@ -60,7 +95,6 @@
 
   constructor(
     readonly endpoint: string,
-    /** Address of the relay in use. */
     readonly relay: RelayAddress,
     private readonly socket: net.Socket,
     private readonly onOpen: () => void,
@@ -75,10 +109,6 @@
     return this.enqueue(this.pendingAnswers, req);
   }
 
-  /**
-   * Fetches the relaying instance's observation of the endpoint. After
-   * `timeoutMs` it closes the connection and rejects with RelayLostError.
-   */
   fetchObservation(timeoutMs: number): Promise<EndpointObservation> {
     const timer = setTimeout(() => {
       this.failRelay(`no observation of the endpoint within ${timeoutMs} ms`);
@@ -196,7 +226,7 @@
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no answer within ${timeoutMs} ms`));
     }, timeoutMs);
-    const connection = new RelayedConnection(endpoint, via, socket, () => {
+    const connection = new TcpRelayedConnection(endpoint, via, socket, () => {
       clearTimeout(timer);
       resolve(connection);
     });
