Open a connection only where a statement lacks one

Cause: a request that found no place opened a connection to the endpoint that it would have taken, also when an idle one was there and the limit of statements in flight was what it waited for. Each opening takes one of three slots for 27 ms. So the busier an endpoint, the more connections were opened to it, by six holders two at a time; unused ones were closed after 1.2 s and opened again. It fed itself: the load fell and the endpoints stayed full. The class is a metastable overload: the answer to a lack of capacity used up capacity.

Change: a connection is opened only to an endpoint whose limit leaves room for the statement.

--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -123,8 +123,11 @@
    * one.
    */
   function openFor(options: readonly PlacementOption[], need: Need): void {
-    const capacity = {hasCapacity: true, hasDirectCapacity: true};
-    const withCapacity = options.map(option => ({...option, ...capacity}));
+    const withCapacity = options.map(option => ({
+      ...option,
+      hasCapacity: option.isBelowLimit,
+      hasDirectCapacity: option.isBelowLimit,
+    }));
     const chosen = choosePlacement(withCapacity, need);
     if (chosen) links.get(chosen.id)!.open(need.directOnly);
   }
--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -45,6 +45,7 @@
     inFlight: facts.inFlight,
     slots: listed.slots,
     distanceMs: listed.dataCentre === dataCentre ? 0 : TIMES.otherDataCentreMs,
+    isBelowLimit,
     hasCapacity: isBelowLimit && link.idle > 0,
     hasDirectCapacity: isBelowLimit && link.idleDirect > 0,
   };
--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/placement.ts
@@ -56,6 +56,8 @@
   readonly slots: number;
   /** Added to the statement time for another data centre, in milliseconds. */
   readonly distanceMs: number;
+  /** Whether this instance may send it another statement now. */
+  readonly isBelowLimit: boolean;
   /** Whether a statement can be sent to it immediately. */
   readonly hasCapacity: boolean;
   /** The same on a direct connection, without relay. */
--- /dev/null
+++ b/packages/proxy/test/simulated-load.ts
@@ -0,0 +1,393 @@
+/**
+ * Plays the load of callers against a fleet of instances and one group of
+ * endpoints, on a simulated clock and without a network. Everything that places,
+ * limits, relays and repeats statements is the proxy's own code.
+ */
+import {type Clock, manualClock} from '@quetzalreel/common';
+import {suspensionDetector} from '@quetzalreel/freshness';
+import {
+  type Answer,
+  ConnectionLostError,
+  type EndpointRequest,
+  ErrorCode,
+  type Statement,
+} from '@quetzalreel/requests';
+import {
+  type EndpointObservation,
+  type RelayAddress,
+  RelayDriver,
+  RelayLostError,
+  type RelayTarget,
+  RelayedConnection,
+  type ServedConnection,
+} from '@quetzalreel/relay';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {type SharingInstance, sharingPlan} from '../src/connection-sharing.js';
+import {TIMES} from '../src/defaults.js';
+import type {GroupRuntime} from '../src/group-types.js';
+import {groupRuntime} from '../src/group.js';
+import {createLog} from '../src/log.js';
+import {proxyMetrics} from '../src/metrics.js';
+import {ALWAYS_PERMITTED} from '../src/primary-use.js';
+import {serveRelayedRequests} from '../src/relayed-requests.js';
+import {ReadRule, type Route} from '../src/routes.js';
+import {type ServeContext, newSessionData} from '../src/session-context.js';
+import {serveRead, serveWrite} from '../src/single-statement.js';
+import {callerTransaction} from '../src/transaction.js';
+import {
+  type EndpointTraits,
+  type SimulatedEndpoint,
+  simulatedGroup,
+} from './simulated-endpoint.js';
+
+/** A kind of operation that callers ask for. Times are in milliseconds. */
+export interface CallerClass {
+  readonly name: string;
+  readonly rule: ReadRule;
+  readonly perSecond: number;
+  /** Mean work of a statement. */
+  readonly workMs: number;
+  readonly maxWorkMs: number;
+  /** Shares of single writes and of transactions among the operations. */
+  readonly writes: number;
+  readonly transactions: number;
+  readonly objectiveMs: number;
+  readonly deadlineMs: number;
+  readonly statementTimeoutMs: number;
+  readonly maxStalenessMs: number;
+  readonly priority: number;
+}
+
+/** A load to play. */
+export interface LoadOptions {
+  readonly seed: number;
+  readonly instances: number;
+  readonly endpoints: EndpointTraits;
+  readonly classes: readonly CallerClass[];
+  /** How long callers come, in milliseconds. */
+  readonly lengthMs: number;
+  /** Factor on the load at a time since the start. */
+  readonly factorAt?: (atMs: number) => number;
+}
+
+/** What became of the operations that began within one second. */
+export interface SecondOutcome {
+  asked: number;
+  inTime: number;
+  late: number;
+  /** Not served: refused for good, or not answered by the deadline. */
+  unserved: number;
+}
+
+/** The result of a load. */
+export interface LoadResult {
+  readonly all: SecondOutcome;
+  readonly byClass: ReadonlyMap<string, SecondOutcome>;
+  readonly bySecond: readonly SecondOutcome[];
+  readonly endpoints: readonly SimulatedEndpoint[];
+  /** Connections that were opened after the callers began to come. */
+  readonly opened: number;
+}
+
+/** Time before the callers come, in milliseconds: instances open connections. */
+const LEAD_MS = 2000;
+const STEP_MS = 1;
+const MS_PER_SECOND = 1000;
+/** One way between two instances, in milliseconds. */
+const TRANSIT_MS = 1;
+const DATA_CENTRES = ['z-a', 'z-b', 'z-c'] as const;
+const MAX_TRIES = 3;
+/** Statements of a transaction before COMMIT, and the pause between them. */
+const TRANSACTION_STATEMENTS = 3;
+const PAUSE_MS = 10;
+/** Spread of the logarithm of a statement's work. */
+const WORK_SPREAD = 0.7;
+
+interface Instance {
+  readonly group: GroupRuntime;
+  serve(target: RelayTarget): ServedConnection;
+}
+
+/** A connection through another instance of the simulated fleet. */
+class SimulatedRelayedConnection extends RelayedConnection {
+  isOpen = true;
+  private last: Promise<unknown> = Promise.resolve();
+  private readonly closeCallbacks: Array<() => void> = [];
+  private readonly rejects = new Set<(err: Error) => void>();
+
+  constructor(
+    readonly endpoint: string,
+    readonly relay: RelayAddress,
+    private readonly served: ServedConnection,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  send(req: EndpointRequest): Promise<Answer> {
+    return this.call(() => this.served.send(req));
+  }
+
+  fetchObservation(): Promise<EndpointObservation> {
+    return this.call(async () => this.served.observe());
+  }
+
+  private call<T>(run: () => Promise<T>): Promise<T> {
+    const {clock} = this;
+    const before = this.last;
+    const result = new Promise<T>((resolve, reject) => {
+      if (!this.isOpen) {
+        reject(new RelayLostError(this.endpoint, 'closed', false));
+        return;
+      }
+      this.rejects.add(reject);
+      const settle = (end: () => void) =>
+        clock.after(TRANSIT_MS, () => {
+          this.rejects.delete(reject);
+          end();
+        });
+      clock.after(TRANSIT_MS, () => {
+        void before.then(run).then(
+          value => settle(() => resolve(value)),
+          err => settle(() => this.fail(err, reject)),
+        );
+      });
+    });
+    this.last = result.catch(() => {});
+    return result;
+  }
+
+  private fail(err: Error, reject: (err: Error) => void): void {
+    reject(new ConnectionLostError(this.endpoint, err.message, false));
+    this.dispose();
+  }
+
+  onClose(callback: () => void): void {
+    if (this.isOpen) this.closeCallbacks.push(callback);
+    else callback();
+  }
+
+  dispose(): void {
+    if (!this.isOpen) return;
+    this.isOpen = false;
+    const err = new ConnectionLostError(this.endpoint, 'closed', false);
+    for (const reject of this.rejects) reject(err);
+    for (const callback of this.closeCallbacks.splice(0)) callback();
+    this.clock.after(TRANSIT_MS, () => this.served.dispose());
+  }
+}
+
+function noOutcome(): SecondOutcome {
+  return {asked: 0, inTime: 0, late: 0, unserved: 0};
+}
+
+/** Plays a load and resolves with what became of it. */
+export async function playLoad(options: LoadOptions): Promise<LoadResult> {
+  const clock = manualClock();
+  const random = xoroshiro128plus(options.seed);
+  const chance = () => uniformFloat64(random);
+  const log = createLog('test', {write: () => {}});
+  const metrics = proxyMetrics({
+    groups: () => [],
+    generation: () => 0,
+    storeEra: () => 0,
+    sessions: () => 0,
+    now: () => clock.now(),
+  });
+  const {maxConnections, slots} = options.endpoints;
+  const ids = DATA_CENTRES.map((_, i) => `e-${i}`);
+  const {endpoints, driver} = simulatedGroup(clock, ids, options.endpoints);
+  const byRelay = new Map<RelayAddress, Instance>();
+
+  class SimulatedRelayDriver extends RelayDriver {
+    async connect(
+      via: RelayAddress,
+      target: RelayTarget,
+    ): Promise<RelayedConnection> {
+      await clock.sleep(2 * TRANSIT_MS);
+      const served = byRelay.get(via)!.serve(target);
+      const {endpoint} = target;
+      return new SimulatedRelayedConnection(endpoint, via, served, clock);
+    }
+  }
+
+  const sharing: SharingInstance[] = [];
+  for (let i = 0; i < options.instances; i++) {
+    const dataCentre = DATA_CENTRES[i % DATA_CENTRES.length]!;
+    const name = `n-${i}`;
+    sharing.push({instance: name, dataCentre, address: name, relay: name});
+  }
+
+  function startInstance(self: SharingInstance): Instance {
+    const {dataCentre} = self;
+    const peers = sharing.filter(other => other !== self);
+    const group = groupRuntime(
+      {name: 'g', maxConnections, syncReplicas: 0},
+      {
+        name: 'g',
+        dataCentre,
+        clock,
+        log,
+        driver,
+        relayDriver: new SimulatedRelayDriver(),
+        suspensionDetector: suspensionDetector(
+          () => clock.now(),
+          () => clock.now(),
+        ),
+        askPeers: async () => undefined,
+        requestConfirmedPosition: (_group, addresses) => {
+          const askedAt = clock.now();
+          for (const address of addresses) {
+            const confirmed = byRelay.get(address)?.group.ownConfirmed();
+            if (!confirmed) continue;
+            clock.after(2 * TRANSIT_MS, () =>
+              group.addPeerConfirmed(confirmed, askedAt - confirmed.ageMs),
+            );
+          }
+        },
+        planFor: endpoint => sharingPlan(self, peers, endpoint),
+        primaryUse: ALWAYS_PERMITTED,
+      },
+    );
+    group.setEndpoints(
+      ids.map((id, i) => ({
+        id,
+        group: 'g',
+        host: id,
+        port: 1,
+        dataCentre: DATA_CENTRES[i]!,
+        slots,
+        leaving: false,
+        saysPrimary: i === 0,
+        startedAt: 1,
+        sequence: undefined,
+        coldMs: 0,
+      })),
+    );
+    const tick = () => {
+      group.tick();
+      clock.after(TIMES.tickMs, tick);
+    };
+    clock.after(chance() * TIMES.tickMs, tick);
+    return {
+      group,
+      serve: ({endpoint}) =>
+        serveRelayedRequests({
+          group,
+          endpoint,
+          clock,
+          idleTransactionMs: () => 3000,
+        }),
+    };
+  }
+  for (const self of sharing) byRelay.set(self.relay, startInstance(self));
+  const instances = [...byRelay.values()];
+
+  const all = noOutcome();
+  const byClass = new Map(
+    options.classes.map(({name}) => [name, noOutcome()] as const),
+  );
+  const bySecond: SecondOutcome[] = [];
+  let ids_ = 0;
+
+  function workOf({workMs, maxWorkMs}: CallerClass): number {
+    const u = Math.max(chance(), Number.MIN_VALUE);
+    const normal =
+      Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * chance());
+    const mean = Math.exp((WORK_SPREAD * WORK_SPREAD) / 2);
+    const drawn = (workMs / mean) * Math.exp(WORK_SPREAD * normal);
+    return Math.min(maxWorkMs, drawn);
+  }
+
+  function requestOf(of: CallerClass, statement: Statement) {
+    const text = `${statement.type.toUpperCase()} ${workOf(of).toFixed(1)}`;
+    return {id: `r${++ids_}`, text, statement};
+  }
+
+  /** Runs one try of an operation; resolves with its last answer. */
+  async function tryOperation(
+    of: CallerClass,
+    context: () => ServeContext,
+  ): Promise<Answer> {
+    const kind = chance();
+    if (kind < of.writes)
+      return serveWrite(context(), requestOf(of, {type: 'write'}));
+    if (kind >= of.writes + of.transactions)
+      return serveRead(context(), requestOf(of, {type: 'read'}));
+    const readOnly = of.writes === 0;
+    const transaction = callerTransaction(readOnly, clock.now());
+    for (let i = 0; i < TRANSACTION_STATEMENTS; i++) {
+      const type = !readOnly && i === 0 ? 'write' : 'read';
+      const answer = await transaction.serve(context(), requestOf(of, {type}));
+      if (answer.error) {
+        transaction.abandon();
+        return answer;
+      }
+      await clock.sleep(chance() * 2 * PAUSE_MS);
+    }
+    return transaction.serve(context(), requestOf(of, {type: 'commit'}));
+  }
+
+  async function operate(of: CallerClass): Promise<void> {
+    const startedAt = clock.now();
+    const second = Math.floor((startedAt - LEAD_MS) / MS_PER_SECOND);
+    bySecond[second] ??= noOutcome();
+    const counts = [all, byClass.get(of.name)!, bySecond[second]];
+    for (const count of counts) count.asked++;
+    const deadline = startedAt + of.deadlineMs;
+    const route: Route = {
+      database: of.name,
+      group: 'g',
+      ...of,
+    };
+    const sessionData = newSessionData();
+    let answer: Answer | undefined;
+    for (let tries = 0; tries < MAX_TRIES && clock.now() < deadline; tries++) {
+      const {group} = instances[Math.floor(chance() * instances.length)]!;
+      answer = await tryOperation(of, () => ({
+        clock,
+        log,
+        metrics,
+        route,
+        group,
+        sessionData,
+        arrivedAt: clock.now(),
+        hasDisconnected: () => clock.now() >= deadline,
+      }));
+      const code = answer.error?.code;
+      if (code !== ErrorCode.Busy && code !== ErrorCode.Aborted) break;
+    }
+    const tookMs = clock.now() - startedAt;
+    for (const count of counts) {
+      if (!answer || answer.error || tookMs > of.deadlineMs) count.unserved++;
+      else if (tookMs > of.objectiveMs) count.late++;
+      else count.inTime++;
+    }
+  }
+
+  async function step(): Promise<void> {
+    clock.advance(STEP_MS);
+    // Lets every promise that the step has settled run its continuation.
+    await new Promise(resolve => setImmediate(resolve));
+  }
+
+  for (let at = 0; at < LEAD_MS; at += STEP_MS) await step();
+  const openedBefore = endpoints.map(({opened}) => opened);
+  const operations: Array<Promise<void>> = [];
+  for (let at = 0; at < options.lengthMs; at += STEP_MS) {
+    for (const of of options.classes) {
+      const factor = options.factorAt?.(at) ?? 1;
+      const share = (of.perSecond * factor * STEP_MS) / MS_PER_SECOND;
+      if (chance() < share) operations.push(operate(of));
+    }
+    await step();
+  }
+  let isDone = false;
+  void Promise.all(operations).then(() => (isDone = true));
+  while (!isDone) await step();
+  let opened = 0;
+  for (const [i, endpoint] of endpoints.entries())
+    opened += endpoint.opened - openedBefore[i]!;
+  return {all, byClass, bySecond, endpoints, opened};
+}
--- a/packages/proxy/test/test-endpoint-state.ts
+++ b/packages/proxy/test/test-endpoint-state.ts
@@ -143,6 +143,7 @@
     inFlight: 0,
     slots: 3,
     distanceMs: 0,
+    isBelowLimit: true,
     hasCapacity: true,
     hasDirectCapacity: true,
   };
--- /dev/null
+++ b/packages/proxy/test/test-saturation.ts
@@ -0,0 +1,96 @@
+/**
+ * Plays loads near the capacity of one group, with the figures of a deployment
+ * of 72 instances whose connections are shared by holders.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import {ReadRule} from '../src/routes.js';
+import {
+  type CallerClass,
+  type LoadOptions,
+  type SecondOutcome,
+  playLoad,
+} from './simulated-load.js';
+
+const ENDPOINTS = {
+  slots: 3,
+  queueLength: 24,
+  openingMs: 27,
+  maxConnections: 156,
+  lagMs: 20,
+  transitMs: 1,
+};
+const CLASSES: readonly CallerClass[] = [
+  {
+    name: 'writers',
+    rule: ReadRule.Primary,
+    perSecond: 37.5,
+    workMs: 6,
+    maxWorkMs: 45,
+    writes: 0.2,
+    transactions: 0.25,
+    objectiveMs: 200,
+    deadlineMs: 1200,
+    statementTimeoutMs: 800,
+    maxStalenessMs: 0,
+    priority: 1,
+  },
+  {
+    name: 'readers',
+    rule: ReadRule.Bounded,
+    perSecond: 37.5,
+    workMs: 30,
+    maxWorkMs: 220,
+    writes: 0,
+    transactions: 0.1,
+    objectiveMs: 500,
+    deadlineMs: 3000,
+    statementTimeoutMs: 2000,
+    maxStalenessMs: 1500,
+    priority: 2,
+  },
+  {
+    name: 'commenters',
+    rule: ReadRule.OwnWrites,
+    perSecond: 175,
+    workMs: 18,
+    maxWorkMs: 45,
+    writes: 0.12,
+    transactions: 0.12,
+    objectiveMs: 400,
+    deadlineMs: 1200,
+    statementTimeoutMs: 800,
+    maxStalenessMs: 2500,
+    priority: 2,
+  },
+];
+const FLEET = 72;
+const LENGTH_MS = 6000;
+/** Share of the operations that a small fleet serves on the same day. */
+const SERVED_TARGET = 0.93;
+const SEEDS = [1, 2, 3] as const;
+
+function optionsFor(seed: number, instances: number): LoadOptions {
+  const rest = {endpoints: ENDPOINTS, classes: CLASSES, lengthMs: LENGTH_MS};
+  return {seed, instances, ...rest};
+}
+
+function shareInTime({asked, inTime}: SecondOutcome): number {
+  return inTime / asked;
+}
+
+describe('a group near its capacity', () => {
+  for (const seed of SEEDS) {
+    it(`has its slots for work, not for connections opened beside idle ones (seed ${seed})`, async () => {
+      const {opened} = await playLoad(optionsFor(seed, FLEET));
+      const slotMs = ENDPOINTS.slots * 3 * LENGTH_MS;
+      const share = (opened * ENDPOINTS.openingMs) / slotMs;
+      assert.ok(share < 0.1, `connections took ${share} of the slots`);
+    });
+
+    it(`serves as much through holders as a small fleet does (seed ${seed})`, async () => {
+      const {all} = await playLoad(optionsFor(seed, FLEET));
+      assert.ok(shareInTime(all) >= SERVED_TARGET, JSON.stringify(all));
+    });
+  }
+});
