Keep connections open that fit in an instance's share

Callers waited for connections that were opened again and again near capacity.

Cause: a pool closed its oldest idle connection after 1.2 s, down to one, whatever its share of the endpoint was, and opened it again with the next few statements. Each opening takes a slot for 27 ms on this deployment.

Change: the plan names how many connections an instance keeps unused: its part of 45% of the endpoint's limit, so that the successors of dead instances find more than half free.

The new test of the plan has no counterpart before, as the number did not exist.

--- a/packages/proxy/src/connection-sharing.ts
+++ b/packages/proxy/src/connection-sharing.ts
@@ -33,6 +33,11 @@
   readonly isHolder: boolean;
   /** Maximum number of connections that the instance may hold. */
   readonly maxOwnConnections: number;
+  /**
+   * Number of own connections that stay open when they are not used, since a
+   * new one takes a slot of the endpoint while it opens.
+   */
+  readonly keptConnections: number;
   /**
    * The instances that relay its statements, in order of preference; empty for
    * a holder.
@@ -50,6 +55,7 @@
 export const NO_CONNECTIONS_PLAN: SharingPlan = {
   isHolder: false,
   maxOwnConnections: 0,
+  keptConnections: 0,
   holders: [],
   holderCount: 1,
 };
@@ -59,6 +65,12 @@
  * instances that join or leave.
  */
 const PLANNED_SHARE = 0.85;
+/**
+ * Share of an endpoint's connections that instances may keep unused: less than
+ * half, so that the successors of dead instances find room while the endpoint
+ * has not noticed the death.
+ */
+const KEPT_SHARE = 0.45;
 /**
  * Minimum connections per instance for a plan in which every instance is a
  * holder: one in use and one for the next statement.
@@ -94,22 +106,29 @@
 ): SharingPlan {
   const {maxConnections} = endpoint;
   const planned = Math.floor(maxConnections * PLANNED_SHARE);
-  if ((peers.length + 1) * MIN_PER_INSTANCE <= planned) {
+  const kept = Math.floor(maxConnections * KEPT_SHARE);
+  const fleetSize = peers.length + 1;
+  if (fleetSize * MIN_PER_INSTANCE <= planned) {
     const maxOwnConnections = Math.floor(maxConnections * PER_INSTANCE_SHARE);
     return {
       ...HOLDER_PLAN,
       maxOwnConnections: Math.max(MIN_PER_INSTANCE, maxOwnConnections),
+      keptConnections: Math.max(1, Math.floor(kept / fleetSize)),
     };
   }
   const holders = holdersOf([self, ...peers], endpoint, planned);
   const maxOwnConnections = Math.max(1, Math.floor(planned / holders.length));
   const holderCount = holders.length;
-  if (holders.includes(self))
-    return {...HOLDER_PLAN, maxOwnConnections, holderCount};
+  if (holders.includes(self)) {
+    const keptConnections = Math.max(1, Math.floor(kept / holderCount));
+    const own = {maxOwnConnections, keptConnections};
+    return {...HOLDER_PLAN, ...own, holderCount};
+  }
   const inOrder = inOrderOf(self, holders, endpoint);
   return {
     isHolder: false,
     maxOwnConnections,
+    keptConnections: 0,
     holders: inOrder,
     holderCount,
   };
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -98,7 +98,8 @@
   open(directOnly?: boolean): void;
   /**
    * Closes connections that the plan no longer calls for, and the oldest idle
-   * one beyond `least` once it has been unused for `TIMES.idleConnectionMs`.
+   * one beyond `least`, and beyond those that the plan keeps, once it has been
+   * unused for `TIMES.idleConnectionMs`.
    */
   closeUnused(least: number): void;
   /**
@@ -376,7 +377,8 @@
         if (isOutdated(member)) member.pooled.connection.dispose();
       }
       const oldest = idle[0]?.pooled;
-      if (!oldest || all.size <= least) return;
+      if (!oldest || all.size <= Math.max(least, path.plan.keptConnections))
+        return;
       if (clock.now() - oldest.idleSince < TIMES.idleConnectionMs) return;
       oldest.connection.dispose();
     },
--- a/packages/proxy/test/test-connection-sharing.ts
+++ b/packages/proxy/test/test-connection-sharing.ts
@@ -69,6 +69,19 @@
     }
   }
 
+  for (const size of [6, 18, 72, 195]) {
+    for (const maxConnections of [22, 43, 156]) {
+      it(`leave room for successors of ${size} dead instances, of ${maxConnections}`, () => {
+        let kept = 0;
+        for (const plan of plansOf(fleet(size), 'e', maxConnections)) {
+          assert.ok(plan.keptConnections <= plan.maxOwnConnections);
+          kept += plan.keptConnections;
+        }
+        assert.ok(kept <= maxConnections / 2, `${kept} connections`);
+      });
+    }
+  }
+
   it("are held in the endpoint's data centre, with all holders in use", () => {
     const sharers = fleet(74);
     const plans = plansOf(sharers, 'e', 35);
