Act on a change before it is passed on to peers

Cause: a change was counted as known, then sent to the linked instances, and only then told to those who act on it. An entry nested 3,000 deep can't be encoded, so the error of sending undid what the instance had learned: its listeners were never called, and the list that was read afterwards was known already. The class: a state is advanced before its effects are done.

Change: listeners are called before anything is sent, and an error of sending is logged (factNotSent) and goes no further.

Before: the new test fails with the error of the encoder; after: it passes.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -2,7 +2,7 @@
  * Follows kinds of objects in the store together with the other instances: some
  * of them read, and what one learns is passed on over the links.
  */
-import {disposableStore} from '@quetzalreel/common';
+import {disposableStore, messageOf} from '@quetzalreel/common';
 import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
 import {
   type KindCopy,
@@ -96,9 +96,20 @@
     );
   }
 
+  /** A message that can't be sent must not undo what this instance learned. */
   function send(address: string, message: FeedMessage): void {
     sentAt.set(address, clock.now());
-    context.send(address, message);
+    try {
+      context.send(address, message);
+    } catch (err) {
+      const {type} = message;
+      context.onEvent({
+        event: 'factNotSent',
+        type,
+        address,
+        why: messageOf(err),
+      });
+    }
   }
 
   /** Answers on a link that carries beats in one direction only. */
@@ -159,13 +170,13 @@
       return 'known';
     state.copy = merged.copy;
     state.behindSince = undefined;
+    state.followed.onEvents(merged.events);
     if (before) {
       const onward = onwardDelta(before, merged, delta);
       sendToLinks({type: 'kindDelta', delta: onward}, from);
     }
     for (const address of state.waiting) sendCopy(address, state);
     state.waiting.clear();
-    state.followed.onEvents(merged.events);
     return merged.type;
   }
 
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -64,6 +64,8 @@
   isCut: (from: SimulatedInstance, to: SimulatedInstance) => boolean;
   /** Messages in a hundred that are lost. */
   lossPercent: number;
+  /** Throws for a message that can't be encoded. */
+  encode: (message: FactMessage) => void;
   /** Revision of the store. */
   readonly revision: number;
   put(name: string): void;
@@ -189,6 +191,7 @@
     },
     isCut: () => false,
     lossPercent: 0,
+    encode: () => {},
     put(name) {
       revision++;
       const object = {name, revision, value: revision};
@@ -235,6 +238,7 @@
     to: SimulatedInstance,
     message: FactMessage,
   ): void {
+    fleet.encode(message);
     messages++;
     if (uniformInt(random, 0, PERCENT - 1) < fleet.lossPercent) return;
     clock.after(uniformInt(random, 0, MAX_DELAY_MS), () => {
--- a/packages/facts/test/test-feed.ts
+++ b/packages/facts/test/test-feed.ts
@@ -151,6 +151,19 @@
     fleet.dispose();
   });
 
+  it('acts on a change though the message about it to a peer fails', async () => {
+    const fleet = simulatedFleet(6, 14);
+    fleet.put('a');
+    await fleet.run(SETTLE_MS);
+    fleet.encode = ({type}) => {
+      if (type === 'kindDelta') throw new RangeError('too deep to encode');
+    };
+    fleet.put('b');
+    await fleet.run(SPREAD_MS);
+    for (const reader of readersOf(fleet)) assert.ok(fleet.isCurrent(reader));
+    fleet.dispose();
+  });
+
   it('has three readers in calm, whatever its size', async () => {
     for (const count of [12, 30]) {
       const fleet = simulatedFleet(count, 7);
