Leave out entries of instances and leases that can't be used

Cause: an instance's entry with a port out of range was kept, and the first message to it threw in the middle of the periodic work, which then did not run again. A lease with the fence 1e300 was kept, and no later fence would have been above it.

Change: addresses are checked where they are decoded, by one function; a message to an address that can't be connected to is reported as a failed link. A fence is a safe integer.

--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -66,7 +66,8 @@
   const value = object.value as Partial<LeaseRecord> | null;
   if (typeof value !== 'object' || value === null) return undefined;
   const {holder, fence, change} = value;
-  if (typeof holder !== 'string' || !Number.isInteger(fence)) return undefined;
+  if (typeof holder !== 'string' || !Number.isSafeInteger(fence))
+    return undefined;
   const listed: readonly unknown[] = Array.isArray(value.changes)
     ? value.changes
     : [];
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -1,4 +1,5 @@
 /** Registry of the instances; each one maintains its entry in the store. */
+import {parseAddress} from '@quetzalreel/common';
 import {
   Freshness,
   type KindObject,
@@ -43,6 +44,7 @@
   for (const text of [address, relay, dataCentre]) {
     if (typeof text !== 'string') return undefined;
   }
+  if (!parseAddress(address!) || !parseAddress(relay!)) return undefined;
   return {
     instance: name,
     address: address!,
--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -5,7 +5,12 @@
  */
 import net from 'node:net';
 import tls from 'node:tls';
-import {type Clock, type Disposable, messageOf} from '@quetzalreel/common';
+import {
+  type Clock,
+  type Disposable,
+  messageOf,
+  parseAddress,
+} from '@quetzalreel/common';
 import {
   PEER_VERSION,
   PeerFrameError,
@@ -141,10 +146,13 @@
     }
   }
 
-  function openLink(address: string): Link {
-    const separator = address.lastIndexOf(':');
-    const host = address.slice(0, separator);
-    const port = Number(address.slice(separator + 1));
+  function openLink(address: string): Link | undefined {
+    const parsed = parseAddress(address);
+    if (!parsed) {
+      options.onLinkError?.(address, 'it is not an address like 10.0.0.1:80');
+      return undefined;
+    }
+    const {host, port} = parsed;
     const keys = options.tls?.();
     const socket = keys
       ? tls.connect({
@@ -207,6 +215,7 @@
     send(address: string, message: M): void {
       if (disposed) return;
       const link = byAddress.get(address) ?? openLink(address);
+      if (!link) return;
       const now = clock.now();
       link.unansweredSince ??= now;
       link.lastUsedAt = now;
--- a/packages/peer/test/test-tcp-transport.ts
+++ b/packages/peer/test/test-tcp-transport.ts
@@ -114,3 +114,12 @@
     b.peer.dispose();
   });
 }
+
+test('a message to an address that can not be connected to is reported, not thrown', async t => {
+  const {peer, errors} = await transport();
+  t.after(() => peer.dispose());
+  for (const address of ['10.0.0.1:99999', 'nowhere', ''])
+    peer.send(address, {text: 'hello'});
+  assert.equal(errors.length, 3);
+  assert.equal(peer.traffic.links, 0);
+});
