Bound what entries and configurations say where they are decoded

Other operators reported that an entry very deeply nested, with a number too large, or with a port out of range stopped machines or the list. Shown here with four instances and a stand-in store: beside an entry nested 3,000 deep, an endpoint that left was not known by all of them within 5 s.

Cause: values from outside were kept and sent on as they came. Encoders recurse into them, so a deep one could not be passed on to the instances that do not read the store; numbers without an upper bound were taken as slots, ages, counts.

Change: a value nested more than 32 deep is unreadable, found without recursion; the entry is named in a log line and costs itself alone.

--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -21,4 +21,5 @@
   type StoreVersion,
   compareVersions,
 } from './kind-store.js';
+export {isNestedTooDeep} from './nesting.js';
 export {type EraListener, type StoreEra, storeEra} from './store-era.js';
--- a/packages/object-store/src/kind-store.ts
+++ b/packages/object-store/src/kind-store.ts
@@ -29,7 +29,10 @@
   readonly revision: number;
   /** Contents written by the object's owner; any JSON value. */
   readonly value: unknown;
-  /** True if the stored bytes can't be decoded; `value` is undefined then. */
+  /**
+   * True if the stored value can't be decoded or is nested too deep; `value` is
+   * undefined then.
+   */
   readonly unreadable?: boolean;
 }
 
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -127,15 +127,16 @@
     directory = stepDirectory(directory, event, clock.now());
   }
 
-  function readEntry(object: KindObject): ListedEndpoint | undefined {
+  function readEntry({
+    name: endpoint,
+    value,
+    unreadable,
+  }: KindObject): ListedEndpoint | undefined {
     try {
-      return catalog.readEndpoint(object.name, object.value);
+      if (unreadable) throw new Error('it is nested too deep');
+      return catalog.readEndpoint(endpoint, value);
     } catch (err) {
-      log.warn({
-        event: 'entryUnreadable',
-        endpoint: object.name,
-        why: messageOf(err),
-      });
+      log.warn({event: 'entryUnreadable', endpoint, why: messageOf(err)});
       return undefined;
     }
   }
