--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -289,7 +289,7 @@
     options.classes.map(({name}) => [name, noOutcome()] as const),
   );
   const bySecond: SecondOutcome[] = [];
-  let ids_ = 0;
+  let requests = 0;
 
   function workOf({workMs, maxWorkMs}: CallerClass): number {
     const u = Math.max(chance(), Number.MIN_VALUE);
@@ -302,7 +302,7 @@
 
   function requestOf(of: CallerClass, statement: Statement) {
     const text = `${statement.type.toUpperCase()} ${workOf(of).toFixed(1)}`;
-    return {id: `r${++ids_}`, text, statement};
+    return {id: `r${++requests}`, text, statement};
   }
 
   /** Runs one try of an operation; resolves with its last answer. */
