--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -4,7 +4,7 @@
  */
 import {type Answer, ErrorCode} from '@quetzalreel/requests';
 import {isReachable, isProbeDue} from './probe-schedule.js';
-import {afterAnswer, expectedMs} from './answer-time.js';
+import {afterAnswer} from './answer-time.js';
 import {afterBusy, afterRun} from './concurrency.js';
 import {endpointReachability} from './endpoint-reachability.js';
 import {LIMITS, TIMES} from './defaults.js';
@@ -22,7 +22,7 @@
 } from './group-types.js';
 import {groupPrimary} from './group-primary.js';
 import {placementOf} from './link-placement.js';
-import {type LoadReporter, loadReporter} from './load-counts.js';
+import {overloadLog} from './overload-log.js';
 import {
   ANY_ENDPOINT,
   type Need,
@@ -49,7 +49,7 @@
   const links = new Map<string, EndpointLink>();
   const queue = waitQueue<Waiter>();
   const probing = new Set<string>();
-  const reporters = new WeakMap<EndpointLink, LoadReporter>();
+  const overload = overloadLog(context);
   const reachability = endpointReachability({
     clock,
     log,
@@ -211,26 +211,6 @@
     else load.refusedByHolder++;
   }
 
-  function reportLoad(link: EndpointLink): void {
-    const counts = reporters.get(link)?.report(clock.now());
-    if (!counts) return;
-    const {inFlight, answerTime, concurrency} = link.facts;
-    log.info({
-      event: 'endpointOverloaded',
-      group: group.name,
-      endpoint: link.listed.id,
-      isPrimary: link.listed.id === primary.id,
-      isHolder: link.plan.isHolder,
-      ...counts,
-      inFlight,
-      limit: concurrency.limit,
-      answerMs: Math.round(expectedMs(answerTime, clock.now())),
-      connections: link.connections,
-      idle: link.idle,
-      waiting: queue.size,
-    });
-  }
-
   function addressesOf(link: EndpointLink | undefined): readonly string[] {
     return link?.plan.holders.map(({address}) => address) ?? [];
   }
@@ -389,7 +369,10 @@
         link.closeUnused(LIMITS.minConnections);
         if (needsProbe(link)) probeEndpoint(link);
         reachability.askPeersIfDue(link);
-        reportLoad(link);
+        overload.observe(link, {
+          isPrimary: link.listed.id === primary.id,
+          waiting: queue.size,
+        });
       }
       askHolders();
       serveWaiting();
@@ -419,7 +402,6 @@
     const onIdle = () => serveWaiting();
     const link = endpointLink(endpoint, {...context, onIdle});
     links.set(id, link);
-    reporters.set(link, loadReporter(link.load));
     replan(link);
   }
 
--- a/packages/proxy/test/simulated-endpoint.ts
+++ b/packages/proxy/test/simulated-endpoint.ts
@@ -16,6 +16,7 @@
   localError,
 } from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
+import {pendingCalls} from './pending-calls.js';
 
 /** Properties of the endpoints. Times are in milliseconds. */
 export interface EndpointTraits {
@@ -119,13 +120,11 @@
   }
 
   class SimulatedConnection extends EndpointConnection {
-    isOpen = true;
     openPosition: Position | undefined;
     private state: SessionState = SessionState.Idle;
     private wrote = false;
     private last: Promise<unknown> = Promise.resolve();
-    private readonly closeCallbacks: Array<() => void> = [];
-    private readonly rejects = new Set<(err: Error) => void>();
+    private readonly calls = pendingCalls();
 
     constructor(
       readonly endpoint: string,
@@ -135,6 +134,10 @@
       part.endpoint.connections++;
     }
 
+    get isOpen(): boolean {
+      return this.calls.isOpen;
+    }
+
     send(req: EndpointRequest): Promise<Answer> {
       const before = this.last;
       const answer = new Promise<Answer>((resolve, reject) => {
@@ -142,12 +145,12 @@
           reject(this.lostError());
           return;
         }
-        this.rejects.add(reject);
+        this.calls.add(reject);
         clock.after(traits.transitMs, () => {
           void before.then(() =>
             this.serve(req, answered => {
               clock.after(traits.transitMs, () => {
-                this.rejects.delete(reject);
+                this.calls.remove(reject);
                 resolve(answered);
               });
             }),
@@ -220,16 +223,11 @@
     }
 
     onClose(callback: () => void): void {
-      if (this.isOpen) this.closeCallbacks.push(callback);
-      else callback();
+      this.calls.onClose(callback);
     }
 
     dispose(): void {
-      if (!this.isOpen) return;
-      this.isOpen = false;
-      this.part.endpoint.connections--;
-      for (const reject of this.rejects) reject(this.lostError());
-      for (const callback of this.closeCallbacks.splice(0)) callback();
+      if (this.calls.end(this.lostError())) this.part.endpoint.connections--;
     }
   }
 
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -35,6 +35,7 @@
 import {type ServeContext, newSessionData} from '../src/session-context.js';
 import {serveRead, serveWrite} from '../src/single-statement.js';
 import {callerTransaction} from '../src/transaction.js';
+import {pendingCalls} from './pending-calls.js';
 import {
   type EndpointTraits,
   type SimulatedEndpoint,
@@ -111,10 +112,8 @@
 
 /** A connection through another instance of the simulated fleet. */
 class SimulatedRelayedConnection extends RelayedConnection {
-  isOpen = true;
   private last: Promise<unknown> = Promise.resolve();
-  private readonly closeCallbacks: Array<() => void> = [];
-  private readonly rejects = new Set<(err: Error) => void>();
+  private readonly calls = pendingCalls();
 
   constructor(
     readonly endpoint: string,
@@ -125,6 +124,10 @@
     super();
   }
 
+  get isOpen(): boolean {
+    return this.calls.isOpen;
+  }
+
   send(req: EndpointRequest): Promise<Answer> {
     return this.call(() => this.served.send(req));
   }
@@ -141,10 +144,10 @@
         reject(new RelayLostError(this.endpoint, 'closed', false));
         return;
       }
-      this.rejects.add(reject);
+      this.calls.add(reject);
       const settle = (end: () => void) =>
         clock.after(TRANSIT_MS, () => {
-          this.rejects.delete(reject);
+          this.calls.remove(reject);
           end();
         });
       clock.after(TRANSIT_MS, () => {
@@ -164,16 +167,12 @@
   }
 
   onClose(callback: () => void): void {
-    if (this.isOpen) this.closeCallbacks.push(callback);
-    else callback();
+    this.calls.onClose(callback);
   }
 
   dispose(): void {
-    if (!this.isOpen) return;
-    this.isOpen = false;
     const err = new ConnectionLostError(this.endpoint, 'closed', false);
-    for (const reject of this.rejects) reject(err);
-    for (const callback of this.closeCallbacks.splice(0)) callback();
+    if (!this.calls.end(err)) return;
     this.clock.after(TRANSIT_MS, () => this.served.dispose());
   }
 }
