--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -17,10 +17,9 @@
   type RelayAddress,
   type RelayDriver,
 } from '@quetzalreel/relay';
-import {type AnswerTime, NO_ANSWERS} from './answer-time.js';
-import {NO_REFUSALS, type CatchUpBackoff, afterRefusal} from './catch-up.js';
-import {type ConcurrencyLimit, initialLimit} from './concurrency.js';
+import {NO_REFUSALS, afterRefusal} from './catch-up.js';
 import {LIMITS, TIMES} from './defaults.js';
+import {type EndpointFacts, noFacts} from './endpoint-facts.js';
 import {type LoadCounts, noLoad} from './load-counts.js';
 import type {Log} from './log.js';
 import {type PooledConnection, pooledConnection} from './pooled-connection.js';
@@ -28,41 +27,6 @@
 import type {SharingPlan} from './connection-sharing.js';
 import {connectionPath} from './connection-path.js';
 
-/** Observed state of an endpoint. Times are monotonic milliseconds. */
-export interface EndpointFacts {
-  /** Newest known log position. */
-  position: Position | undefined;
-  /** Backoff state after reads that the endpoint refused as `behind`. */
-  catchUp: CatchUpBackoff;
-  /** Time of the last contact. */
-  lastContactAt: number;
-  /**
-   * Send time of the oldest request since `lastContactAt` that has no answer;
-   * undefined when there is none.
-   */
-  unansweredSince: number | undefined;
-  /**
-   * Time of the first refused or reset connection since the last contact;
-   * undefined when there was none.
-   */
-  refusingSince: number | undefined;
-  /**
-   * Send time of the last request whose answer proved that it is the primary.
-   */
-  provenPrimaryAt: number;
-  /**
-   * Send time of the last request whose answer proved that it is not the
-   * primary.
-   */
-  provenNotPrimaryAt: number;
-  /** Time of the reads that any endpoint could have run. */
-  answerTime: AnswerTime;
-  /** Statements of this instance in flight at the endpoint. */
-  inFlight: number;
-  /** Limit on `inFlight`. */
-  concurrency: ConcurrencyLimit;
-}
-
 /** Which connections may be used. */
 export const ConnectionWay = {
   Any: 'any',
@@ -158,18 +122,7 @@
   const load = noLoad();
   let retryAt = -Infinity;
   let disposed = false;
-  const facts: EndpointFacts = {
-    position: undefined,
-    catchUp: NO_REFUSALS,
-    lastContactAt: -Infinity,
-    unansweredSince: undefined,
-    refusingSince: undefined,
-    provenPrimaryAt: -Infinity,
-    provenNotPrimaryAt: -Infinity,
-    answerTime: NO_ANSWERS,
-    inFlight: 0,
-    concurrency: initialLimit(listed.slots),
-  };
+  const facts = noFacts(listed.slots);
 
   /** Records contact with the endpoint at `at`. */
   function noteHeard(position: Position | undefined, at = clock.now()): void {
