Name the entries of instances that are left out

Cause: a malformed entry among those of the instances was left out without a log line. And what can be a revision was written in two packages.

Comments of the load counts say what is counted.

--- a/packages/facts/src/messages.ts
+++ b/packages/facts/src/messages.ts
@@ -1,5 +1,5 @@
 /** Messages that spread facts between linked instances. */
-import type {StoreVersion} from '@quetzalreel/object-store';
+import {type StoreVersion, isRevision} from '@quetzalreel/object-store';
 import type {KindDelta} from './kind-copy.js';
 
 /** What a reader reports about its reading of the store. */
@@ -74,10 +74,6 @@
   return typeof value === 'object' && value !== null;
 }
 
-function isRevision(value: unknown): boolean {
-  return Number.isSafeInteger(value) && (value as number) >= 0;
-}
-
 function isVersion(value: unknown): boolean {
   return (
     isRecord(value) && isRevision(value['era']) && isRevision(value['revision'])
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -20,6 +20,7 @@
   StoreUnavailableError,
   type StoreVersion,
   compareVersions,
+  isRevision,
 } from './kind-store.js';
 export {isNestedTooDeep} from './nesting.js';
 export {type EraListener, type StoreEra, storeEra} from './store-era.js';
--- a/packages/object-store/src/kind-store.ts
+++ b/packages/object-store/src/kind-store.ts
@@ -17,6 +17,11 @@
   readonly revision: number;
 }
 
+/** Whether a value from outside can be a revision, or an era. */
+export function isRevision(value: unknown): value is number {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 /** Negative if `a` is before `b`, 0 if they are equal, else positive. */
 export function compareVersions(a: StoreVersion, b: StoreVersion): number {
   return a.era - b.era || a.revision - b.revision;
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -123,15 +123,20 @@
   }
 }
 
-/** Lists the registered instances; leaves out malformed entries. */
+/**
+ * Lists the registered instances; leaves out malformed entries, and calls
+ * `onMalformed` with the name of each.
+ */
 export async function listInstances(
   store: KindStore,
+  onMalformed: (name: string) => void,
 ): Promise<ListedInstance[]> {
   const {objects, era} = await store.list(INSTANCE_KIND, Freshness.Stale);
   const entries: ListedInstance[] = [];
   for (const object of objects) {
     const entry = parseListedInstance(object, era);
     if (entry) entries.push(entry);
+    else onMalformed(object.name);
   }
   return entries;
 }
--- a/packages/proxy/src/instance-list.ts
+++ b/packages/proxy/src/instance-list.ts
@@ -82,7 +82,9 @@
     try {
       presence = updatePresence(
         presence,
-        await listInstances(store),
+        await listInstances(store, other =>
+          log.warn({event: 'instanceEntryUnreadable', other}),
+        ),
         clock.now(),
         restoredAt,
       );
--- a/packages/proxy/src/load-counts.ts
+++ b/packages/proxy/src/load-counts.ts
@@ -13,13 +13,16 @@
   refusedByHolder: number;
   /** Requests whose answer was no longer awaited after their timeout. */
   givenUp: number;
-  /** Direct connections that were opened; each takes a slot for a while. */
+  /**
+   * Direct connections that were begun to be opened; each takes a slot of the
+   * endpoint for a while.
+   */
   opened: number;
-  /** Those of them that were opened while another one was idle. */
+  /** Those of them that were begun while another one was idle. */
   openedBesideIdle: number;
-  /** Direct connections that were closed as they were not used. */
+  /** Idle direct connections that were closed, by either side. */
   closedUnused: number;
-  /** Direct connections that were closed while a request or more was open. */
+  /** Direct connections that were closed while a session had them. */
   closedInUse: number;
 }
 
