Name the record of each case in its own folder

The scripts wrote record.txt through review/lib/case.mjs, so that nothing in a case's folder named it, and an ignore file hid the result. No check, bound or disruption changed.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -5,6 +5,10 @@
 import {random, sleep} from '../lib/common.mjs';
 import {startGroup} from '../lib/group.mjs';
 
+/** The file to which what was sent, answered and run is written. */
+const RECORD =
+  process.argv[2] ?? fileURLToPath(new URL('record.txt', import.meta.url));
+
 /** Figures of the users' sheet and site file of Kalemdar, in milliseconds: one
  * way in a zone and between zones, a promotion, a new connection. */
 const IN_ZONE_MS = 0.1;
@@ -42,7 +46,7 @@
   session?.leave();
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async world => {
+await runCase(RECORD, async world => {
   const {record, groups} = world;
   const platform = await world.startPlatform();
   for (const name of SERVICES) {
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -6,6 +6,10 @@
 import {now, random, sleep} from '../lib/common.mjs';
 import {startGroup} from '../lib/group.mjs';
 
+/** The file to which what was sent, answered and run is written. */
+const RECORD =
+  process.argv[2] ?? fileURLToPath(new URL('record.txt', import.meta.url));
+
 const SERVICE = 'db-a';
 const ZONE = 'fortaleza';
 const MACHINES = 3;
@@ -43,7 +47,7 @@
   await session.ask(`WRITE ${who} data`);
 }
 
-await runCase(fileURLToPath(new URL('.', import.meta.url)), async world => {
+await runCase(RECORD, async world => {
   const {record, groups} = world;
   const platform = await world.startPlatform();
   const group = startGroup({record, name: SERVICE, store: () => platform, workMs});
--- a/review/lib/case.mjs
+++ b/review/lib/case.mjs
@@ -49,11 +49,11 @@
 }
 
 /**
- * Runs a case. `play` gets the deployment and resolves to whether the rule
+ * Runs a case and writes `recordPath`. `play` gets the deployment and resolves to whether the rule
  * held; an error means that the case couldn't run.
  */
-export async function runCase(folder, play) {
-  const record = recorder(path.join(folder, 'record.txt'));
+export async function runCase(recordPath, play) {
+  const record = recorder(recordPath);
   const temporary = mkdtempSync(path.join(os.tmpdir(), 'review-'));
   const daemons = [];
   const groups = new Map();
