--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -39,6 +39,14 @@
   readonly waiting: Set<string>;
 }
 
+/** Where a delta came from. */
+interface DeltaSource {
+  /** Address of the instance that sent it; undefined if it was read. */
+  readonly from: string | undefined;
+  /** Time from the call that read it to the answer, in milliseconds. */
+  readonly askedMs?: number;
+}
+
 /**
  * Share of the interval between beats after which a beat is answered: links
  * without an answer for an interval are closed, as they may be broken.
@@ -136,8 +144,9 @@
   function noteRead(state: KindState, read: KindRead): void {
     const {copy} = state;
     const {kind} = state.followed;
-    const outcome = merge(state, deltaOf(kind, copy, read), undefined);
-    const {isAll, era, revision, events} = read;
+    const {isAll, era, revision, events, askedMs} = read;
+    const source = {from: undefined, askedMs};
+    const outcome = merge(state, deltaOf(kind, copy, read), source);
     const isBehindCopy = copy !== undefined && compareVersions(read, copy) < 0;
     if (!isAll && !isBehindCopy) return;
     context.onEvent({
@@ -152,11 +161,10 @@
     });
   }
 
-  /** Merges a delta, which came from the address `from` unless it was read. */
   function merge(
     state: KindState,
     delta: KindDelta,
-    from: string | undefined,
+    {from, askedMs}: DeltaSource,
   ): Merge['type'] {
     const before = state.copy;
     const merged = mergeDelta(before, delta);
@@ -170,6 +178,11 @@
       return 'known';
     state.copy = merged.copy;
     state.behindSince = undefined;
+    const {kind, era, revision} = delta;
+    const objects = merged.events.length;
+    const source = from ?? 'store';
+    const change = {kind, era, revision, objects, source, askedMs};
+    context.onEvent({event: 'kindChanged', ...change});
     state.followed.onEvents(merged.events);
     if (before) {
       const onward = onwardDelta(before, merged, delta);
@@ -202,7 +215,7 @@
       });
       return;
     }
-    merge(state, delta, from);
+    merge(state, delta, {from});
   }
 
   function sendCopy(address: string, {followed, copy}: KindState): void {
--- a/packages/facts/src/kind-reader.ts
+++ b/packages/facts/src/kind-reader.ts
@@ -16,6 +16,8 @@
 export interface KindRead extends StoreVersion {
   /** Whether `events` list all objects. */
   readonly isAll: boolean;
+  /** Time from the call to its answer, in milliseconds. */
+  readonly askedMs: number;
   readonly events: readonly KindEvent[];
 }
 
@@ -70,20 +72,24 @@
   }
 
   async function list(): Promise<StoreVersion> {
+    const askedAt = clock.now();
     const {objects, era, revision} = await store.list(kind);
     note(true);
     const events = objects.map(object => ({object, deleted: false}));
-    if (!disposed) onRead({isAll: true, era, revision, events});
+    const askedMs = clock.now() - askedAt;
+    if (!disposed) onRead({isAll: true, era, revision, events, askedMs});
     return {era, revision};
   }
 
   async function watch(since: StoreVersion): Promise<StoreVersion> {
+    const askedAt = clock.now();
     const changes = await store.watch(kind, since.revision, watchMs);
     const {events, era, revision} = changes;
     if (era !== since.era) throw new HistoryGoneError(kind, since.revision);
     note(true);
     if (disposed || events.length === 0) return {era, revision};
-    onRead({isAll: false, era, revision, events});
+    const askedMs = clock.now() - askedAt;
+    onRead({isAll: false, era, revision, events, askedMs});
     await clock.sleep(BATCH_MS);
     return {era, revision};
   }
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -4,6 +4,8 @@
 export const TIMES = {
   /** Interval of the periodic checks; a tenth of the shortest objective. */
   tickMs: 50,
+  /** Timers that are later than this are logged. */
+  lateTickMs: 500,
   /** Timeout for a new connection: a fully loaded endpoint takes some 30 ms. */
   connectTimeoutMs: 400,
   /** Delay before the next attempt after a failed connection attempt. */
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -13,6 +13,8 @@
   observeAnswer(rule: ReadRule, answer: Answer, tookMs: number): void;
   /** Records that a statement waited `waitedMs` for a connection. */
   observeWait(rule: ReadRule, waitedMs: number): void;
+  /** Records by how much the periodic work was late. */
+  observeTickDelay(delayMs: number): void;
   /** The metrics in the text format of `contentType`. */
   text(): Promise<string>;
   readonly contentType: string;
@@ -58,6 +60,12 @@
     buckets: BUCKETS,
     registers,
   });
+  const tickDelays = new Histogram({
+    name: 'quetzalreel_timer_delay_seconds',
+    help: 'By how much the timers of the periodic work were late.',
+    buckets: BUCKETS,
+    registers,
+  });
   const gauges = {
     generation: new Gauge({
       name: 'quetzalreel_configuration_generation',
@@ -129,6 +137,9 @@
     observeWait(rule, waitedMs) {
       waits.observe({rule}, waitedMs / MS_PER_SECOND);
     },
+    observeTickDelay(delayMs) {
+      tickDelays.observe(delayMs / MS_PER_SECOND);
+    },
     text() {
       // Drops the series of endpoints that are no longer listed.
       for (const gauge of Object.values(gauges)) gauge.reset();
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -203,7 +203,7 @@
         }
       },
       onLinkError: (other, why) =>
-        log.debug({event: 'peerLinkLost', address: other, why}),
+        log.info({event: 'peerLinkLost', address: other, why}),
     });
     owned.add(transport);
     address = transport.address;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -39,6 +39,7 @@
 import {watchPrimary} from './primary-watch.js';
 import type {StoreFormat, GroupPolicy, RoutingTable} from './routes.js';
 import {joinPeers} from './peers.js';
+import {periodicTick} from './periodic-tick.js';
 import {type CallerSession, callerSession} from './session.js';
 import {storeView} from './store-view.js';
 
@@ -278,14 +279,23 @@
   });
   owned.add(view);
 
-  function tick(): void {
-    view.tick();
-    primaryUse.tick();
-    for (const group of groups.values()) group.tick();
-    for (const session of sessions) session.tick();
-    if (!owned.disposed) clock.after(TIMES.tickMs, tick);
-  }
-  tick();
+  owned.add(
+    periodicTick({
+      clock,
+      everyMs: TIMES.tickMs,
+      run() {
+        view.tick();
+        primaryUse.tick();
+        for (const group of groups.values()) group.tick();
+        for (const session of sessions) session.tick();
+      },
+      onDelay(delayMs) {
+        metrics.observeTickDelay(delayMs);
+        if (delayMs < TIMES.lateTickMs) return;
+        log.warn({event: 'timersLate', delayMs: Math.round(delayMs)});
+      },
+    }),
+  );
   void pollLease();
 
   async function refreshLease(): Promise<void> {
