Answer a peer on the link on which it was last heard

Links were checked once in their time limit, so that a silent one was closed up to twice as late.

Now a peer is answered on the link on which something arrived last, and links are checked four times in the limit.

--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -1,7 +1,8 @@
 /**
  * Transport between instances over TCP, with TLS if it has a key. A link is one
  * connection to a peer. It is closed if nothing is received for some time after
- * a message was sent over it, since a new link may work.
+ * a message was sent over it, since a new link may work. A peer is answered on
+ * the link on which it was last heard: an older one may be silent.
  */
 import net from 'node:net';
 import tls from 'node:tls';
@@ -68,6 +69,9 @@
   readonly address: string;
 }
 
+/** How many times in its time limit a link is checked for an answer. */
+const CHECKS_PER_TIMEOUT = 4;
+
 /** Starts a transport that listens for links from peers. */
 export async function tcpTransport<M>(
   options: TcpTransportOptions<M>,
@@ -105,6 +109,7 @@
           else receiveHello(link, value);
           hasReceivedHello = true;
         }
+        useForAnswers(link);
       } catch (err) {
         failLink(link, messageOf(err));
       }
@@ -119,7 +124,12 @@
       throw new PeerFrameError(`unsupported version ${version}`);
     }
     link.address ??= address;
-    if (!byAddress.has(address)) byAddress.set(address, link);
+    byAddress.set(address, link);
+  }
+
+  function useForAnswers(link: Link): void {
+    const {address} = link;
+    if (address !== undefined && links.has(link)) byAddress.set(address, link);
   }
 
   function receiveMessage(value: unknown): void {
@@ -201,7 +211,7 @@
   ownAddress = `${options.host}:${port}`;
   const sweepTimer = repeatEvery(
     clock,
-    limits.responseTimeoutMs,
+    limits.responseTimeoutMs / CHECKS_PER_TIMEOUT,
     closeStaleLinks,
   );
 
--- a/packages/peer/test/test-tcp-transport.ts
+++ b/packages/peer/test/test-tcp-transport.ts
@@ -2,7 +2,7 @@
 import net from 'node:net';
 import {test} from 'node:test';
 import {manualClock, systemClock} from '@quetzalreel/common';
-import {encodeFrame, tcpTransport} from '../src/index.js';
+import {encodeFrame, frameDecoder, tcpTransport} from '../src/index.js';
 
 interface Note {
   readonly text: string;
@@ -80,6 +80,57 @@
   await until(() => accepted === 2);
 });
 
+test('a peer whose old link is silent is answered on its new link', async t => {
+  let received = 0;
+  const {peer} = await transport(systemClock(), () => received++);
+  const sockets: net.Socket[] = [];
+  t.after(() => {
+    peer.dispose();
+    for (const socket of sockets) socket.destroy();
+  });
+  const PEER_ADDRESS = '127.0.0.1:1';
+  /** Opens a link as a peer does; the texts that it receives. */
+  async function openLink(): Promise<string[]> {
+    const texts: string[] = [];
+    const decoder = frameDecoder(LIMITS.maxFrameBytes);
+    const socket = net.connect(Number(peer.address.split(':')[1]), '127.0.0.1');
+    sockets.push(socket);
+    socket.on('data', chunk => {
+      for (const value of decoder.push(chunk))
+        texts.push((value as Partial<Note>).text ?? 'hello');
+    });
+    socket.write(encodeFrame({version: 1, address: PEER_ADDRESS}));
+    await until(() => texts.length > 0);
+    const before = received;
+    socket.write(encodeFrame({text: 'from the peer'}));
+    await until(() => received > before);
+    return texts;
+  }
+  const onOld = await openLink();
+  peer.send(PEER_ADDRESS, {text: 'first'});
+  await until(() => onOld.includes('first'));
+  const onNew = await openLink();
+  peer.send(PEER_ADDRESS, {text: 'second'});
+  await until(() => [...onOld, ...onNew].includes('second'));
+  assert.deepEqual(onNew, ['hello', 'second']);
+});
+
+test('a silent link is closed soon after the limit, not up to twice as late', async t => {
+  const clock = manualClock();
+  const {peer, errors} = await transport(clock);
+  const silent = net.createServer(socket => socket.resume());
+  await new Promise<void>(resolve => silent.listen(0, '127.0.0.1', resolve));
+  t.after(() => {
+    peer.dispose();
+    silent.close();
+  });
+  clock.advance(LIMITS.responseTimeoutMs * 0.1);
+  const {port} = silent.address() as net.AddressInfo;
+  peer.send(`127.0.0.1:${port}`, {text: 'one'});
+  clock.advance(LIMITS.responseTimeoutMs * 1.3);
+  assert.deepEqual(errors, ['response timeout']);
+});
+
 const INVALID_INPUTS: ReadonlyArray<[string, Buffer[], RegExp]> = [
   ['another version', [encodeFrame({version: 99, address: 'x:1'})], /99/],
   [
