Compare copies with a peer as soon as a link to it is lost

What is sent on a link that goes silent is lost, and was only noticed by the beat after next on a new link: up to a second after the old one was given up, 150 ms more for what may be on its way. A beat also shows only what its reader has, so an instance whose own change was lost on the way to a peer did not tell it again.

A link that has worked and fails now makes its ends compare their copies at once: the instance that notices asks for copies and says what it has, and one that hears of a newer copy asks back. At most once a beat for an address, so that two instances that refuse each other's copies don't ask without end.

Test: a peer learns of a change that was lost on its link from the instance that notices; fails if the one that hears of a newer copy does not ask back.

--- a/packages/facts/src/feed-types.ts
+++ b/packages/facts/src/feed-types.ts
@@ -74,6 +74,11 @@
 /** A running feed. */
 export interface Feed extends Disposable {
   receive(message: FactMessage): void;
+  /**
+   * Compares copies with a linked instance whose link was lost: messages in both
+   * directions may not have arrived.
+   */
+  noteLinkLost(address: string): void;
   /** Runs the periodic work. */
   tick(): void;
   /**
--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -58,6 +58,8 @@
   const {instance, clock, store, times, preferenceOf} = context;
   /** When something was last sent to each address. */
   const sentAt = new Map<string, number>();
+  /** When copies were last compared with each address. */
+  const comparedAt = new Map<string, number>();
   const owned = disposableStore();
   let firstReadAt = clock.now() + times.firstReadMs;
   const states = new Map<string, KindState>();
@@ -229,16 +231,27 @@
     send(address, {type: 'copiesWanted', known});
   }
 
+  /** Limited, so that two instances don't ask each other without end. */
+  function compareCopies(address: string): void {
+    const now = clock.now();
+    if (now - (comparedAt.get(address) ?? -Infinity) < times.beatMs) return;
+    comparedAt.set(address, now);
+    askForCopies(address);
+  }
+
   function answerCopiesWanted(
     message: Extract<FactMessage, {type: 'copiesWanted'}>,
   ): void {
+    let isOlder = false;
     for (const [kind, known] of Object.entries(message.known)) {
       const state = states.get(kind);
       if (!state) continue;
+      const order = compareVersions(versionOf(state.copy), known);
+      isOlder ||= order < 0;
       if (!state.copy) state.waiting.add(message.from);
-      else if (compareVersions(state.copy, known) > 0)
-        sendCopy(message.from, state);
+      else if (order > 0) sendCopy(message.from, state);
     }
+    if (isOlder) compareCopies(message.from);
   }
 
   function readings(): KindReading[] {
@@ -371,6 +384,9 @@
           return;
       }
     },
+    noteLinkLost(address) {
+      if (context.links()?.includes(address)) compareCopies(address);
+    },
     tick() {
       checkSuspension();
       askForFirstCopies();
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -23,6 +23,11 @@
 const STEP_MS = 5;
 const WATCH_MS = 3000;
 const MAX_DELAY_MS = 20;
+/** Time limit of a call to the store, without the wait of a watch. */
+const CALL_TIMEOUT_MS = 1000;
+/** When a silent link is given up at the latest: a beat, its time limit, and the
+ * interval of the checks. */
+const LINK_SILENCE_MS = 2250;
 const PERCENT = 100;
 
 /** Times and limits as on the platform. */
@@ -75,6 +80,15 @@
    * that wait either go on waiting or are cut off.
    */
   restore(revision: number, cutsWatches: boolean): void;
+  /**
+   * All open connections to the store go silent for good: watches get no answer.
+   */
+  silenceStoreConnections(): void;
+  /**
+   * All open links go silent for good: nothing arrives on one until it is given
+   * up, when its ends learn of the loss.
+   */
+  silenceLinks(): void;
   /** Whether all running instances that are reached know the store's state. */
   isCurrent(instance: SimulatedInstance): boolean;
   run(forMs: number): Promise<void>;
@@ -83,6 +97,8 @@
 interface Watcher {
   check(): void;
   cutOff(): void;
+  /** Ends without an answer after the time limit of a call. */
+  silence(): void;
 }
 
 /** How a fleet starts. */
@@ -149,13 +165,20 @@
           if (this.owner().isServed && !isCutOff) resolve(changes());
           else reject(new StoreUnavailableError('cut off', false));
         };
+        let isSilent = false;
         const watcher = {
           cutOff: () => end(true),
           check: () => {
-            if (changes().events.length > 0) end();
+            if (!isSilent && changes().events.length > 0) end();
+          },
+          silence: () => {
+            isSilent = true;
           },
         };
-        const timer = clock.after(waitMs, () => end());
+        const timer = clock.after(waitMs, () => {
+          if (!isSilent) end();
+          else clock.after(CALL_TIMEOUT_MS, () => end(true));
+        });
         watchers.add(watcher);
         watcher.check();
       });
@@ -176,6 +199,8 @@
   }
 
   const byName = new Map<string, SimulatedInstance>();
+  const linksByName = new Map<string, readonly string[]>();
+  let areLinksSilent = false;
   const instances: SimulatedInstance[] = [];
   const fleet: SimulatedFleet = {
     instances,
@@ -214,6 +239,19 @@
       }
       for (const watcher of cutsWatches ? [...watchers] : []) watcher.cutOff();
     },
+    silenceStoreConnections() {
+      for (const watcher of watchers) watcher.silence();
+    },
+    silenceLinks() {
+      areLinksSilent = true;
+      clock.after(LINK_SILENCE_MS, () => {
+        areLinksSilent = false;
+        for (const {name, feed} of instances) {
+          for (const address of linksByName.get(name)!)
+            feed.noteLinkLost(address);
+        }
+      });
+    },
     isCurrent({known}) {
       if (known.size !== objects.size) return false;
       for (const [name, object] of objects) {
@@ -241,6 +279,7 @@
     fleet.encode(message);
     messages++;
     if (uniformInt(random, 0, PERCENT - 1) < fleet.lossPercent) return;
+    if (areLinksSilent) return;
     clock.after(uniformInt(random, 0, MAX_DELAY_MS), () => {
       if (!to.isRunning || !from.isRunning || fleet.isCut(from, to)) return;
       to.feed.receive(message);
@@ -272,6 +311,7 @@
       {instance: name, dataCentre},
       listed.filter(item => item.instance !== name),
     ).map(item => item.instance);
+    linksByName.set(name, links);
     instance.feed = startFeed({
       instance: name,
       clock,
--- a/packages/facts/test/test-feed.ts
+++ b/packages/facts/test/test-feed.ts
@@ -113,6 +113,26 @@
   }
 });
 
+describe('a change after open connections went silent is known in time', () => {
+  it('by peers of an instance that told of it on a lost link', async () => {
+    const fleet = simulatedFleet(6, 3);
+    fleet.put('a');
+    await fleet.run(SETTLE_MS);
+    const [reader] = readersOf(fleet);
+    for (const other of fleet.instances) other.isServed = other === reader;
+    fleet.isCut = () => true;
+    fleet.put('b');
+    await fleet.run(SPREAD_MS / 2);
+    assert.ok(fleet.isCurrent(reader!));
+    fleet.isCut = () => false;
+    for (const {name} of fleet.instances) reader!.feed.noteLinkLost(name);
+    await fleet.run(SPREAD_MS / 2);
+    for (const instance of fleet.instances)
+      assert.ok(fleet.isCurrent(instance), instance.name);
+    fleet.dispose();
+  });
+});
+
 describe('a fleet', () => {
   it('agrees after a cut between halves with changes on the way', async () => {
     const fleet = simulatedFleet(30, 5);
--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -51,8 +51,15 @@
   /** Whether a decoded value is a message; if not, the link is closed. */
   readonly check: (value: unknown) => value is M;
   readonly onMessage: (message: M) => void;
-  /** Called when a link fails; not when it is closed because it was idle. */
-  readonly onLinkError?: (address: string, why: string) => void;
+  /**
+   * Called when a link fails; not when it is closed because it was idle. What was
+   * sent on it may be lost. `wasHeard` is whether anything was received on it.
+   */
+  readonly onLinkError?: (
+    address: string,
+    why: string,
+    wasHeard: boolean,
+  ) => void;
 }
 
 interface Link {
@@ -62,6 +69,8 @@
   /** Send time of the first message since data was last received. */
   unansweredSince: number | undefined;
   lastUsedAt: number;
+  /** Whether anything was received on it. */
+  wasHeard: boolean;
 }
 
 interface Hello {
@@ -92,6 +101,7 @@
       address,
       unansweredSince: undefined,
       lastUsedAt: now,
+      wasHeard: false,
     };
     const decoder = frameDecoder(limits.maxFrameBytes);
     let hasReceivedHello = false;
@@ -103,6 +113,7 @@
       receivedBytes += chunk.length;
       link.unansweredSince = undefined;
       link.lastUsedAt = clock.now();
+      link.wasHeard = true;
       try {
         for (const value of decoder.push(chunk)) {
           if (hasReceivedHello) receiveMessage(value);
@@ -144,9 +155,12 @@
   }
 
   function failLink(link: Link, why: string): void {
-    if (links.has(link)) options.onLinkError?.(link.address ?? 'unknown', why);
+    const isKnown = links.has(link);
     removeLink(link);
     link.socket.destroy();
+    // After its removal, so that what is sent now takes a new link.
+    if (isKnown)
+      options.onLinkError?.(link.address ?? 'unknown', why, link.wasHeard);
   }
 
   function removeLink(link: Link): void {
@@ -159,7 +173,8 @@
   function openLink(address: string): Link | undefined {
     const parsed = parseAddress(address);
     if (!parsed) {
-      options.onLinkError?.(address, 'it is not an address like 10.0.0.1:80');
+      const why = 'it is not an address like 10.0.0.1:80';
+      options.onLinkError?.(address, why, false);
       return undefined;
     }
     const {host, port} = parsed;
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -74,6 +74,8 @@
   readonly onConfiguration: (value: unknown) => void;
   readonly onConfirmed: PeerQueryContext['onConfirmed'];
   readonly onFact: (message: FactMessage) => void;
+  /** Called when a link that has worked fails; what was sent on it may be lost. */
+  readonly onLinkLost: (address: string) => void;
 }
 
 /** The instances that confirm change records; the same on every instance. */
@@ -202,8 +204,10 @@
           log.warn({event: 'peerMessageUnknown', address: from, type});
         }
       },
-      onLinkError: (other, why) =>
-        log.info({event: 'peerLinkLost', address: other, why}),
+      onLinkError(other, why, wasHeard) {
+        log.info({event: 'peerLinkLost', address: other, why, wasHeard});
+        if (wasHeard) context.onLinkLost(other);
+      },
     });
     owned.add(transport);
     address = transport.address;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -148,6 +148,7 @@
     onConfirmed: (group, confirmed, askedAt) =>
       groups.get(group)?.addPeerConfirmed(confirmed, askedAt),
     onFact: message => view.receiveFact(message),
+    onLinkLost: address => view.noteLinkLost(address),
   });
   owned.add(peers);
 
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -73,6 +73,8 @@
   endpointsByGroup(): ReadonlyMap<string, readonly ListedEndpoint[]>;
   /** Handles a message of a linked instance. */
   receiveFact(message: FactMessage): void;
+  /** Handles the loss of a link to an instance. */
+  noteLinkLost(address: string): void;
   /** Drops entries that have been missing for long enough. */
   tick(): void;
 }
@@ -224,6 +226,7 @@
       return byGroup;
     },
     receiveFact: message => feed.receive(message),
+    noteLinkLost: address => feed.noteLinkLost(address),
     tick() {
       feed.tick();
       const before = directory;
