Notice a silent watch of the configuration within the time for a change

Nothing but the end of a watch shows that its connection is silent, and while it hangs the reader's beats say that the store answers, so no other instance reads. Watches lasted 3 s, and 1 s for the answer: 4 s, for a target of 3 s. All readers begin their watches together after each change, so all hang together.

A watch of the configuration now lasts 1.2 s. That costs each of the two or three readers of a fleet 0.5 calls to the store more a second.

The bound on calls in calm follows the duration of a watch, as before.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -42,12 +42,15 @@
    */
   readAttemptFraction: 0.4,
   /**
-   * Duration of one watch of the configuration. Together with the wait for its
-   * answer it stays within the required time for a configuration to come into
-   * force.
+   * Duration of one watch of the configuration. Only its end shows that its
+   * connection is silent: with the wait for the answer, a list and the way to all
+   * instances it stays within the time for a configuration to come into force.
+   */
+  watchConfigurationMs: 1200,
+  /**
+   * Duration of one watch of the endpoints' entries: the same within the time
+   * until an endpoint that leaves must get no more work.
    */
-  watchConfigurationMs: 3000,
-  /** Duration of one watch of the endpoints' entries. */
   watchEndpointsMs: 4500,
   /** Interval between the beats of an instance that reads the store. */
   readerBeatMs: 1000,
