Close a connection whose rollback gets no answer

Each transaction that ended by ROLLBACK, by its idle time or because its caller left on a silent connection kept that connection for good: the rollback had no time limit.

A rollback now has 500 ms, as any other request has its limit; then the connection is closed, which rolls back as well.

The unit test fails without the limit, as nothing is released.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -108,6 +108,8 @@
    * for a newer observation it is longer than a holder's probe interval.
    */
   relayedContactMaxAgeMs: 100,
+  /** Timeout for the answer to a rollback, which takes no slot. */
+  rollBackTimeoutMs: 500,
   /** Polling interval while an endpoint is checked on behalf of a peer. */
   peerCheckPollMs: 20,
   /**
--- a/packages/proxy/src/probe.ts
+++ b/packages/proxy/src/probe.ts
@@ -69,7 +69,7 @@
   try {
     const answer = await openTransaction(context, lease, begin, timeoutMs);
     if (answer.state === SessionState.Idle) lease.release(true);
-    else rollBackAndRelease(lease);
+    else rollBackAndRelease(clock, lease);
   } catch (err) {
     lease.release(false);
     const wasReset = err instanceof ConnectionLostError && err.wasReset;
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -194,7 +194,7 @@
   /** Ends the transaction of a requester that has disconnected or is idle. */
   function rollBack(): void {
     wasRolledBack = true;
-    if (lease) rollBackAndRelease(lease);
+    if (lease) rollBackAndRelease(clock, lease);
     forgetLease();
   }
 
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -11,6 +11,7 @@
   SessionState,
 } from '@quetzalreel/requests';
 import {RelayedConnection} from '@quetzalreel/relay';
+import {TIMES} from './defaults.js';
 import type {GroupRuntime, ConnectionLease} from './group-types.js';
 
 /** Dependencies for running a request. */
@@ -133,12 +134,13 @@
 
 /**
  * Sends a rollback without waiting, and releases the connection after its
- * answer.
+ * answer; without one in time the connection is closed.
  */
-export function rollBackAndRelease(lease: ConnectionLease): void {
-  lease.pooled.send({type: 'rollback'}).then(
+export function rollBackAndRelease(clock: Clock, lease: ConnectionLease): void {
+  const rollback = {type: 'rollback'} as const;
+  sendWithTimeout(clock, lease, rollback, TIMES.rollBackTimeoutMs).then(
     answer => lease.release(answer.state === SessionState.Idle),
-    // The sender of the request in flight logs the cause.
+    // Counted as given up; closing the connection rolls back as well.
     () => lease.release(false),
   );
 }
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -163,7 +163,7 @@
   ): Promise<Answer> {
     switch (req.statement.type) {
       case 'begin':
-        transaction = callerTransaction(req.statement.readOnly, clock.now());
+        transaction = callerTransaction(req.statement.readOnly, clock);
         pinned = serving.route;
         return localAnswer(SessionState.Open);
       case 'read':
--- a/packages/proxy/src/single-statement.ts
+++ b/packages/proxy/src/single-statement.ts
@@ -144,7 +144,7 @@
   const forward = forwardRequest(context, lease, req);
   const bounds = {timeoutMs, commits: false, onPrimary: true};
   const answer = await runStatement(context, lease, forward, bounds);
-  rollBackAndRelease(lease);
+  rollBackAndRelease(context.clock, lease);
   return answer;
 }
 
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -3,7 +3,7 @@
  * endpoint only with its first statement that needs one, so that the endpoint
  * can be chosen by the needs of that statement.
  */
-import {messageOf} from '@quetzalreel/common';
+import {type Clock, messageOf} from '@quetzalreel/common';
 import {
   type Answer,
   type CallerRequest,
@@ -64,12 +64,15 @@
 }
 
 /** Creates the transaction of a caller that has sent BEGIN. */
-export function callerTransaction(readOnly: boolean, now: number): Transaction {
+export function callerTransaction(
+  readOnly: boolean,
+  clock: Clock,
+): Transaction {
   let state: SessionState = SessionState.Open;
   let lease: ConnectionLease | undefined;
   let wrote = false;
   let cutReason: string | undefined;
-  let restsSince = now;
+  let restsSince = clock.now();
   let serving = false;
   let abandoned = false;
   /** Set while the transaction is open at an endpoint as the primary. */
@@ -87,7 +90,7 @@
   }
 
   function rollBack(): void {
-    if (lease) rollBackAndRelease(lease);
+    if (lease) rollBackAndRelease(clock, lease);
     forgetLease();
   }
 
@@ -109,7 +112,7 @@
     context: ServeContext,
     tried: TriedEndpoints,
   ): Promise<ConnectionLease | undefined> {
-    const {clock, route} = context;
+    const {route} = context;
     const limit = deadlineOf(context);
     for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
       const taken = await acquireConnection(
@@ -131,7 +134,7 @@
     atLeast: Position | undefined,
     tried: TriedEndpoints,
   ): Promise<boolean> {
-    const {clock, sessionData: memory, log} = context;
+    const {sessionData: memory, log} = context;
     const endpoint = taken.link.listed.id;
     taken.pooled.applySettings(memory.settings);
     // Without a required position, only a transaction that is not read-only
@@ -177,7 +180,7 @@
         didNotRun(code) &&
         req.statement.type !== 'commit';
       if (!mayRetry) return answer;
-      if (context.clock.now() >= deadlineOf(context)) return answer;
+      if (clock.now() >= deadlineOf(context)) return answer;
       noteRefusal(tried, endpoint, code);
       rollBack();
       state = SessionState.Open;
@@ -196,7 +199,7 @@
     context: ServeContext,
     req: CallerRequest,
   ): Promise<Answer> {
-    const {clock, sessionData: memory} = context;
+    const {sessionData: memory} = context;
     const held = lease!;
     const isCommit = req.statement.type === 'commit';
     const commits = isCommit && wrote;
@@ -319,7 +322,7 @@
         return await serveNow(context, req);
       } finally {
         serving = false;
-        restsSince = context.clock.now();
+        restsSince = clock.now();
         if (abandoned) rollBack();
       }
     },
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -143,7 +143,7 @@
     if (kind >= of.writes + of.transactions)
       return serveRead(context(), requestOf(of, {type: 'read'}));
     const readOnly = of.writes === 0;
-    const transaction = callerTransaction(readOnly, clock.now());
+    const transaction = callerTransaction(readOnly, clock);
     for (let i = 0; i < TRANSACTION_STATEMENTS; i++) {
       const type = !readOnly && i === 0 ? 'write' : 'read';
       const answer = await transaction.serve(context(), requestOf(of, {type}));
--- a/packages/proxy/test/test-run-request.ts
+++ b/packages/proxy/test/test-run-request.ts
@@ -1,7 +1,7 @@
 /** Whose permission counts when an endpoint answers as the primary. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {systemClock} from '@quetzalreel/common';
+import {manualClock, systemClock} from '@quetzalreel/common';
 import {RelayedConnection} from '@quetzalreel/relay';
 import {
   type Answer,
@@ -11,8 +11,14 @@
   localAnswer,
 } from '@quetzalreel/requests';
 import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
+import {TIMES} from '../src/defaults.js';
+import {noLoad} from '../src/load-counts.js';
 import {ANY_ENDPOINT} from '../src/placement.js';
-import {openTransaction, runStatement} from '../src/run-request.js';
+import {
+  openTransaction,
+  rollBackAndRelease,
+  runStatement,
+} from '../src/run-request.js';
 import {listedEndpoint} from './listed.js';
 
 const DONE: Answer = {...localAnswer(SessionState.Idle), signature: 's'};
@@ -46,6 +52,29 @@
   RelayedConnection.prototype,
 ) as EndpointConnection;
 
+describe('a rollback', () => {
+  it('without an answer gives its connection back, so that others can be opened', () => {
+    const clock = manualClock();
+    let closed = 0;
+    const released: boolean[] = [];
+    // Only the members that are used here.
+    const lease = {
+      link: {listed: listedEndpoint('i-1'), load: noLoad()},
+      pooled: {
+        connection: {endpoint: 'i-1', dispose: () => closed++},
+        send: () => new Promise(() => {}),
+      },
+      release: (reusable: boolean) => released.push(reusable),
+    } as unknown as ConnectionLease;
+    rollBackAndRelease(clock, lease);
+    clock.advance(TIMES.rollBackTimeoutMs);
+    return Promise.resolve().then(() => {
+      assert.equal(closed, 1);
+      assert.deepEqual(released, [false]);
+    });
+  });
+});
+
 describe('without permission to use primaries', () => {
   it('an answer on a direct connection is not used, holder or not', async () => {
     const {context, lease, proofs} = withoutPermission(DIRECT);
