Give open transactions half of the grace at a planned stop

Now they are at 55 %, so that a statement which was sent within the first half also arrives and runs.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -243,8 +243,11 @@
   receivePollMs: 15,
   /** How long to wait for an ordered change of primary to be observed. */
   primaryChangeTimeoutMs: 3000,
-  /** Share of the grace period that open transactions have to finish. */
-  transactionGraceFraction: 0.45,
+  /**
+   * Share of the grace period that open transactions have to finish: half of it,
+   * and what a statement that was sent by then takes to arrive and run.
+   */
+  transactionGraceFraction: 0.55,
 } as const;
 
 /** Counts. */
