Give the shutdown of the proxy a module of its own

proxy.ts assembles the parts and held the steps of a planned stop as well. No change of behaviour; the tests of proxy, of sessions and of a stop pass.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -41,6 +41,7 @@
 import {joinPeers} from './peers.js';
 import {periodicTick} from './periodic-tick.js';
 import {type CallerSession, callerSession} from './session.js';
+import {type Shutdown, beginShutdown} from './shutdown.js';
 import {storeView} from './store-view.js';
 
 /** Dependencies of the proxy; the exchangeable ones are abstract classes. */
@@ -100,7 +101,7 @@
   const sessions = new Set<CallerSession>();
   const groups = new Map<string, GroupRuntime>();
   const guard = suspensionDetector(() => clock.now(), options.timeOfDay);
-  let stopping = false;
+  let shutdown: Shutdown | undefined;
   let onConfigured = () => {};
   const configured = new Promise<void>(resolve => {
     onConfigured = resolve;
@@ -330,47 +331,20 @@
       route: () => view.table?.routes.get(database),
       group: name => groups.get(name),
       idleTransactionMs: () => view.table!.idleTransactionMs,
-      stopping: () => stopping && clock.now() >= endSessionsAt,
+      stopping: () => shutdown?.endsSessions ?? false,
       onEnd: () => sessions.delete(session),
     });
     sessions.add(session);
     return session;
   };
 
-  /**
-   * Time from which idle sessions are ended; callers that reconnect then reach
-   * another instance.
-   */
-  let endSessionsAt = Infinity;
-
-  async function drainSessions(): Promise<void> {
-    const start = clock.now();
-    endSessionsAt = start + TIMES.balancerDelayMs;
-    await clock.sleep(TIMES.balancerDelayMs);
-    const rollBackAt = start + options.graceMs * TIMES.transactionGraceFraction;
-    const endAt = start + options.graceMs - TIMES.stopMarginMs;
-    let isCutLogged = false;
-    while (sessions.size + peers.activeRequesters > 0 && clock.now() < endAt) {
-      for (const session of sessions) session.endIfIdle();
-      if (clock.now() >= rollBackAt) {
-        for (const session of sessions) {
-          session.rollBackIfIdle('this instance stops; nothing is kept');
-        }
-        if (!isCutLogged)
-          log.info({event: 'transactionsCut', left: sessions.size});
-        isCutLogged = true;
-      }
-      await clock.sleep(TIMES.tickMs);
-    }
-  }
-
   return {
     accept,
     metrics,
     configured,
     dispose: () => owned.dispose(),
     get ready() {
-      if (stopping || !view.table) return false;
+      if (shutdown || !view.table) return false;
       for (const {group} of view.table.routes.values()) {
         const runtime = groups.get(group);
         if (runtime?.primary) return true;
@@ -378,11 +352,17 @@
       return false;
     },
     async stop() {
-      if (stopping) return;
-      stopping = true;
+      if (shutdown) return;
       log.info({event: 'stopping', sessions: sessions.size});
+      shutdown = beginShutdown({
+        clock,
+        log,
+        graceMs: options.graceMs,
+        sessions,
+        activeRequesters: () => peers.activeRequesters,
+      });
       void peers.leave();
-      await drainSessions();
+      await shutdown.finished;
       owned.dispose();
     },
   };
