--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -32,5 +32,11 @@
 /** Listens for callers that use one protocol. */
 export abstract class CallerListener implements Disposable {
   abstract readonly port: number;
+  /**
+   * Accepts no more callers. Resolves when the network has taken all that was
+   * written to them, or after `atMostMs`.
+   */
+  abstract close(atMostMs: number): Promise<void>;
+  /** Ends all connections, with what is still to be sent on them. */
   abstract dispose(): void;
 }
