Ask a peer for a sign of life before its link is closed as silent

A link counted as silent a second after anything was sent on it that needs no answer: the answer to a question, or the acknowledgement of a beat, whose next beat is due a second later. Each was closed and opened again, with what was on it.

The transport now asks for a sign of life when nothing else came back since the last check, which the peer's transport gives at once; the hello says whether a build does so. The acknowledgement of beats, which served this purpose, is gone; older builds that expect it close such links as before.

Tests: a link on which the peer has nothing to send is kept for twice the limit; fails without the question.

--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -47,17 +47,9 @@
   readonly askedMs?: number;
 }
 
-/**
- * Share of the interval between beats after which a beat is answered: links
- * without an answer for an interval are closed, as they may be broken.
- */
-const HEARD_SHARE = 0.6;
-
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, store, times, preferenceOf} = context;
-  /** When something was last sent to each address. */
-  const sentAt = new Map<string, number>();
   /** When copies were last compared with each address. */
   const comparedAt = new Map<string, number>();
   const owned = disposableStore();
@@ -109,7 +101,6 @@
   /** A message that can't be sent must not undo what this instance learned. */
   function sendToAll(addresses: readonly string[], message: FeedMessage): void {
     if (addresses.length === 0) return;
-    for (const address of addresses) sentAt.set(address, clock.now());
     try {
       context.send(addresses, message);
     } catch (err) {
@@ -123,12 +114,6 @@
     sendToAll([address], message);
   }
 
-  /** Answers on a link that carries beats in one direction only. */
-  function acknowledge(address: string): void {
-    const idleMs = clock.now() - (sentAt.get(address) ?? -Infinity);
-    if (idleMs >= times.beatMs * HEARD_SHARE) send(address, {type: 'heard'});
-  }
-
   function needsFirstRead({copy}: KindState): boolean {
     return copy === undefined && clock.now() >= firstReadAt;
   }
@@ -283,7 +268,6 @@
     beat,
     from,
   }: Extract<FactMessage, {type: 'readerBeat'}>): void {
-    acknowledge(from);
     if (beat.reader === instance || !readers.note(beat, from)) return;
     sendToLinks({type: 'readerBeat', beat}, from);
     for (const reading of beat.kinds) {
--- a/packages/facts/src/messages.ts
+++ b/packages/facts/src/messages.ts
@@ -29,7 +29,7 @@
 } & (
   | {readonly type: 'readerBeat'; readonly beat: ReaderBeat}
   | {readonly type: 'kindDelta'; readonly delta: KindDelta}
-  /** Answers a beat when nothing else goes back: the link works. */
+  /** Sent by older builds when nothing else goes back; has no effect. */
   | {readonly type: 'heard'}
   /** Asks for all objects of the kinds of which the receiver knows more. */
   | {readonly type: 'copiesWanted'; readonly known: VersionByKind}
--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -1,8 +1,9 @@
 /**
  * Transport between instances over TCP, with TLS if it has a key. A link is one
  * connection to a peer. It is closed if nothing is received for some time after
- * a message was sent over it, since a new link may work. A peer is answered on
- * the link on which it was last heard: an older one may be silent.
+ * a message was sent over it, since a new link may work; a peer that has nothing
+ * to send is asked for a sign of life before. A peer is answered on the link on
+ * which it was last heard: an older one may be silent.
  */
 import net from 'node:net';
 import tls from 'node:tls';
@@ -72,15 +73,33 @@
   lastUsedAt: number;
   /** Whether anything was received on it. */
   wasHeard: boolean;
-  /** Whether the peer takes compressed values; false until its hello. */
-  takesCompressed: boolean;
+  /** Minor version of the peer; 0 until its hello. */
+  minor: number;
+  /** Whether a ping was sent since something was received. */
+  isPinged: boolean;
+}
+
+/**
+ * Minor version, which may differ between the ends of a link. From 1 on a peer
+ * takes compressed values and answers pings.
+ */
+const MINOR_VERSION = 1;
+
+/** Sent when nothing else came back; answered by a pong at once. */
+const PING = 'ping';
+const PING_FRAME = encodeFrame({control: PING});
+const PONG_FRAME = encodeFrame({control: 'pong'});
+
+function controlOf(value: unknown): unknown {
+  if (typeof value !== 'object' || value === null) return undefined;
+  return (value as {readonly control?: unknown}).control;
 }
 
 interface Hello {
   readonly version: number;
   readonly address: string;
   /** Missing in the hello of older builds. */
-  readonly takesCompressed?: boolean;
+  readonly minor?: number;
 }
 
 /** How many times in its time limit a link is checked for an answer. */
@@ -107,7 +126,8 @@
       unansweredSince: undefined,
       lastUsedAt: now,
       wasHeard: false,
-      takesCompressed: false,
+      minor: 0,
+      isPinged: false,
     };
     const decoder = frameDecoder(limits.maxFrameBytes);
     let hasReceivedHello = false;
@@ -118,11 +138,12 @@
     socket.on('data', chunk => {
       receivedBytes += chunk.length;
       link.unansweredSince = undefined;
+      link.isPinged = false;
       link.lastUsedAt = clock.now();
       link.wasHeard = true;
       try {
         for (const value of decoder.push(chunk)) {
-          if (hasReceivedHello) receiveMessage(value);
+          if (hasReceivedHello) receiveMessage(link, value);
           else receiveHello(link, value);
           hasReceivedHello = true;
         }
@@ -134,18 +155,18 @@
     const hello: Hello = {
       version: PEER_VERSION,
       address: ownAddress,
-      takesCompressed: true,
+      minor: MINOR_VERSION,
     };
     writeFrame(link, encodeFrame(hello));
     return link;
   }
 
   function receiveHello(link: Link, value: unknown): void {
-    const {version, address, takesCompressed} = value as Hello;
+    const {version, address, minor} = value as Hello;
     if (version !== PEER_VERSION) {
       throw new PeerFrameError(`unsupported version ${version}`);
     }
-    link.takesCompressed = takesCompressed === true;
+    link.minor = minor ?? 0;
     link.address ??= address;
     byAddress.set(address, link);
   }
@@ -155,7 +176,10 @@
     if (address !== undefined && links.has(link)) byAddress.set(address, link);
   }
 
-  function receiveMessage(value: unknown): void {
+  function receiveMessage(link: Link, value: unknown): void {
+    const control = controlOf(value);
+    if (control === PING) writeFrame(link, PONG_FRAME);
+    if (control !== undefined) return;
     if (!options.check(value)) throw new PeerFrameError('unknown message');
     options.onMessage(value);
   }
@@ -211,14 +235,22 @@
     return link;
   }
 
+  function pingOnce(link: Link): void {
+    if (link.minor < 1 || link.isPinged) return;
+    link.isPinged = true;
+    writeFrame(link, PING_FRAME);
+  }
+
+  /** Runs several times within the limit for a response. */
   function closeStaleLinks(): void {
     const now = clock.now();
     for (const link of [...links]) {
       const {unansweredSince, lastUsedAt} = link;
-      const isUnresponsive =
-        unansweredSince !== undefined &&
-        now - unansweredSince > limits.responseTimeoutMs;
-      if (isUnresponsive) failLink(link, 'response timeout');
+      const silentMs =
+        unansweredSince === undefined ? 0 : now - unansweredSince;
+      if (silentMs > limits.responseTimeoutMs)
+        failLink(link, 'response timeout');
+      else if (silentMs > 0) pingOnce(link);
       else if (now - lastUsedAt > limits.idleMs) {
         removeLink(link);
         link.socket.end();
@@ -259,7 +291,7 @@
         link.unansweredSince ??= now;
         link.lastUsedAt = now;
         sentMessages++;
-        if (link.takesCompressed)
+        if (link.minor >= 1)
           writeFrame(link, (compressed ??= encodeCompressedFrame(message)));
         else writeFrame(link, (plain ??= encodeFrame(message)));
       }
--- a/packages/peer/test/test-tcp-transport.ts
+++ b/packages/peer/test/test-tcp-transport.ts
@@ -80,6 +80,25 @@
   await until(() => accepted === 2);
 });
 
+test('a link is kept though the peer has nothing to send on it', async t => {
+  const seen: string[] = [];
+  const a = await transport();
+  const b = await transport(systemClock(), note => seen.push(note.text));
+  t.after(() => {
+    a.peer.dispose();
+    b.peer.dispose();
+  });
+  a.peer.send(b.peer.address, {text: 'one'});
+  await until(() => seen.length === 1 && a.peer.traffic.receivedBytes > 0);
+  a.peer.send(b.peer.address, {text: 'two'});
+  // Twice the time without a response after which a link is closed.
+  const endAt = performance.now() + 2 * LIMITS.responseTimeoutMs;
+  await until(() => performance.now() > endAt);
+  a.peer.send(b.peer.address, {text: 'three'});
+  await until(() => seen.length === 3);
+  assert.deepEqual([...a.errors, ...b.errors], []);
+});
+
 test('a peer whose old link is silent is answered on its new link', async t => {
   let received = 0;
   const {peer} = await transport(systemClock(), () => received++);
