Answer all requests before a stopping instance ends, and refuse late sessions

While fewer than half of a zone's instances are in rotation the balancer goes on sending sessions to those that stop.

New sessions are refused as not run, with the advice to connect again, in the last second of the time for work; and each request has to be answered before that time ends, as not run or in doubt if need be.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -77,6 +77,10 @@
    * a slow machine needs part of it to close everything and exit.
    */
   stopMarginMs: 500,
+  /** Before that time no new sessions are taken, for as long as requests take. */
+  lastSessionMs: 1000,
+  /** Before that time all requests are answered, with or without success. */
+  lastAnswerMs: 100,
   /** Interval at which the lease for changes of primary is read. */
   leasePollMs: 10_000,
   /** Head start of the lease holder when the primary is to be changed. */
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -322,6 +322,11 @@
       log.info({event: 'sessionRefused', database, caller});
       return localError(ErrorCode.NoDatabase, text, SessionState.Idle);
     }
+    if (shutdown && !shutdown.takesSessions) {
+      const text = 'this instance stops; connect again';
+      log.info({event: 'sessionRefused', database, caller, why: text});
+      return localError(ErrorCode.Busy, text, SessionState.Idle);
+    }
     const session = callerSession({
       clock,
       log,
@@ -332,6 +337,7 @@
       group: name => groups.get(name),
       idleTransactionMs: () => view.table!.idleTransactionMs,
       stopping: () => shutdown?.endsSessions ?? false,
+      answerBy: () => shutdown?.answerBy ?? Infinity,
       onEnd: () => sessions.delete(session),
     });
     sessions.add(session);
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -52,6 +52,8 @@
   readonly sessionData: SessionData;
   /** When the request arrived, in monotonic milliseconds. */
   readonly arrivedAt: number;
+  /** When the instance stops answering, in monotonic milliseconds. */
+  readonly answerBy: () => number;
   /** Whether the caller has disconnected. */
   readonly hasDisconnected: () => boolean;
 }
@@ -123,8 +125,8 @@
 }
 
 /** When the request must be answered. */
-export function deadlineOf({route, arrivedAt}: ServeContext): number {
-  return arrivedAt + route.statementTimeoutMs;
+export function deadlineOf({route, arrivedAt, answerBy}: ServeContext): number {
+  return Math.min(arrivedAt + route.statementTimeoutMs, answerBy());
 }
 
 /**
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -35,6 +35,8 @@
   readonly metrics: Metrics;
   /** Whether this instance is stopping. */
   readonly stopping: () => boolean;
+  /** When this instance stops answering, in monotonic milliseconds. */
+  readonly answerBy: () => number;
   readonly onEnd: () => void;
 }
 
@@ -121,6 +123,7 @@
         group,
         sessionData: memory,
         arrivedAt,
+        answerBy: context.answerBy,
         hasDisconnected,
       };
     }
--- a/packages/proxy/src/shutdown.ts
+++ b/packages/proxy/src/shutdown.ts
@@ -21,6 +21,10 @@
 export interface Shutdown {
   /** Whether sessions end with what they have under way. */
   readonly endsSessions: boolean;
+  /** Whether a new session still has the time for a request. */
+  readonly takesSessions: boolean;
+  /** When requests must be answered, in monotonic milliseconds. */
+  readonly answerBy: number;
   /** Resolves when nothing is under way any more, or the grace period ends. */
   readonly finished: Promise<void>;
 }
@@ -57,6 +61,10 @@
     get endsSessions() {
       return clock.now() >= endSessionsAt;
     },
+    get takesSessions() {
+      return clock.now() < endAt - TIMES.lastSessionMs;
+    },
+    answerBy: endAt - TIMES.lastAnswerMs,
     finished: drain(),
   };
 }
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -180,6 +180,7 @@
         group,
         sessionData,
         arrivedAt: clock.now(),
+        answerBy: () => Infinity,
         hasDisconnected: () => clock.now() >= deadline,
       }));
       const code = answer.error?.code;
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -107,6 +107,7 @@
       maxStalenessMs: 2500,
     },
     arrivedAt: clock.now(),
+    answerBy: () => Infinity,
     hasDisconnected: () => false,
   };
   const statement = {type: 'read'} as const;
