Keep acknowledged commits when a primary of a synchronous group is replaced

Where fences are checked a leaving primary went on acknowledging up to the moment of the switch.

In such a group a planned change now makes the old primary step down, and is ordered once the successor has received the end of its log. If it has not in time, no order is sent; the primary is then missing, and the endpoint that has received most is chosen. Groups without SyncReplicas go on as before, since the step down costs them the time that the platform takes to promote.

Two of the new tests fail without the preparation.

--- a/packages/proxy/src/change-preparation.ts
+++ b/packages/proxy/src/change-preparation.ts
@@ -1,7 +1,8 @@
 /**
- * Prepares a change of primary on a platform where a replaced primary goes on
- * acknowledging: before the order it has stepped down, or no instance uses it
- * any more.
+ * Prepares a change of primary. On a platform where a replaced primary goes on
+ * acknowledging, it has stepped down before the order, or no instance uses it any
+ * more. Elsewhere it stops by itself, but what it acknowledges up to that moment
+ * may be missing at its successor.
  */
 import type {Clock} from '@quetzalreel/common';
 import {
@@ -30,6 +31,20 @@
   ) => Promise<Confirmations | undefined>;
 }
 
+/**
+ * Creates the preparation of planned changes of a group whose acknowledged commits
+ * must not be lost, on a platform where a replaced primary stops by itself.
+ */
+export function syncedHandOver(control: EndpointControl): PrepareChange {
+  return async ({from, to, isPlanned}) => {
+    // Without the old primary nothing more is acknowledged, and the successor is
+    // the one that has received most.
+    if (!isPlanned) return true;
+    const end = await control.stepDown(from);
+    return end !== undefined && control.waitUntilReceived(to, end);
+  };
+}
+
 /** Creates the preparation of one group's changes. */
 export function changePreparation(context: PreparationContext): PrepareChange {
   const {instance, clock, log, changer, control} = context;
--- a/packages/proxy/src/endpoint-control.ts
+++ b/packages/proxy/src/endpoint-control.ts
@@ -32,8 +32,11 @@
    * if it did not confirm.
    */
   stepDown(endpoint: string): Promise<Position | undefined>;
-  /** Waits for a bounded time until the endpoint has received its log to `end`. */
-  waitUntilReceived(endpoint: string, end: Position): Promise<void>;
+  /**
+   * Waits for a bounded time until the endpoint has received its log to `end`;
+   * resolves to whether it has.
+   */
+  waitUntilReceived(endpoint: string, end: Position): Promise<boolean>;
 }
 
 type ControlRequest =
@@ -131,10 +134,11 @@
       let received: Position | undefined;
       while (clock.now() < until) {
         received = (await requestState(endpoint))?.received;
-        if (received && comparePositions(received, end) >= 0) return;
+        if (received && comparePositions(received, end) >= 0) return true;
         await clock.sleep(TIMES.receivePollMs);
       }
       log.warn({event: 'lastCommitsMissing', endpoint, end, received});
+      return false;
     },
   };
 }
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -14,6 +14,7 @@
   ChangeOutcome,
   type ChangeRecord,
   type Confirmations,
+  type PrepareChange,
   type PrimaryChanger,
   type PrimaryView,
   ChangeReason,
@@ -22,7 +23,7 @@
 } from '@quetzalreel/failover';
 import {Verdict, type PeerQueries} from '@quetzalreel/peer-queries';
 import {backoffMs} from './backoff.js';
-import {changePreparation} from './change-preparation.js';
+import {changePreparation, syncedHandOver} from './change-preparation.js';
 import {FAILOVER_THRESHOLDS, TIMES} from './defaults.js';
 import {endpointControl} from './endpoint-control.js';
 import type {GroupRuntime} from './group-types.js';
@@ -81,9 +82,15 @@
 ): Disposable {
   const {clock, log, changer, instance} = context;
   const control = endpointControl(group, context);
-  const prepare = context.replacedPrimaryStops
-    ? undefined
+  const preparation = context.replacedPrimaryStops
+    ? syncedHandOver(control)
     : changePreparation({...context, control});
+  /** What a change of primary needs before its order; undefined for nothing. */
+  function prepareNow(): PrepareChange | undefined {
+    const isNeeded =
+      !context.replacedPrimaryStops || group.policy.syncReplicas > 0;
+    return isNeeded ? preparation : undefined;
+  }
   /** Spreads the attempts of instances over time. */
   const delayMs = hashFraction(instance + group.name) * TIMES.changeJitterMs;
   let disposed = false;
@@ -181,7 +188,7 @@
       from: from ?? group.lastPrimary,
       to: best.endpoint,
     };
-    const outcome = await changer.change(planned, isPlanned, prepare);
+    const outcome = await changer.change(planned, isPlanned, prepareNow());
     log.info({event: 'changeEnded', group: group.name, outcome});
     isUnfinished = UNFINISHED.has(outcome);
     if (outcome === ChangeOutcome.Ordered) failures = 0;
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -1,5 +1,4 @@
-/** Which endpoints are told to step down when a primary is missing, on a platform
- * where a replaced primary goes on. */
+/** Which endpoints are told to step down before a change of primary. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {manualClock} from '@quetzalreel/common';
@@ -33,10 +32,21 @@
   readonly offset: number;
 }
 
-/** Watches a group without a known primary; `change` is the newest known one. */
-async function watchMissing(
+/** A planned change on a platform where a replaced primary stops by itself. */
+interface Leaving {
+  /** The primary, which leaves. */
+  readonly primary: string;
+  readonly syncReplicas: number;
+}
+
+/**
+ * Watches a group without a known primary, or with one that leaves; `change` is
+ * the newest known one.
+ */
+async function watchGroup(
   claimants: Readonly<Record<string, Claimant>>,
   change: ChangeRecord,
+  leaving?: Leaving,
 ): Promise<{readonly sent: string[]; readonly begun: PlannedChange[]}> {
   const clock = manualClock();
   const sent: string[] = [];
@@ -71,15 +81,24 @@
   const links = new Map(
     Object.keys(claimants).map(id => [
       id,
-      {listed: listedEndpoint(id), facts: {}, plan: {isHolder: true}},
+      {
+        listed: {...listedEndpoint(id), leaving: id === leaving?.primary},
+        facts: {},
+        plan: {isHolder: true},
+      },
     ]),
   ) as unknown as GroupRuntime['links'];
   const group = {
     name: GROUP,
     links,
-    primary: undefined,
+    primary: leaving && links.get(leaving.primary),
     lastPrimary: 'i-1',
-    missingSince: 0,
+    missingSince: leaving ? undefined : 0,
+    policy: {
+      name: GROUP,
+      maxConnections: 9,
+      syncReplicas: leaving?.syncReplicas ?? 0,
+    },
     acquire: async ({need}) => leaseOf(need().only!),
     acquireForControl: leaseOf,
   } as Partial<GroupRuntime> as GroupRuntime;
@@ -95,8 +114,9 @@
       begun.push(planned);
       const record = {...planned, fence: change.fence + 1, isPlanned};
       const term = {writtenAt: clock.now(), orderUntil: Infinity};
-      const isPrepared = await prepare!(record, term);
-      if (isPrepared) sent.push(`order ${planned.to}`);
+      const isPrepared = prepare === undefined || (await prepare(record, term));
+      if (!isPrepared) return ChangeOutcome.NotPrepared;
+      sent.push(`order ${planned.to}`);
       return ChangeOutcome.Ordered;
     },
   } as Partial<PrimaryChanger> as PrimaryChanger;
@@ -113,7 +133,7 @@
         }),
       }) as Partial<PeerQueries> as PeerQueries,
     readStatus: ({rows}) => JSON.parse(rows[0]!) as EndpointStatus,
-    replacedPrimaryStops: false,
+    replacedPrimaryStops: leaving !== undefined,
     announce: async () => ({
       confirmedBy: clock.now(),
       told: [],
@@ -141,7 +161,7 @@
 
 describe('while a primary is missing', () => {
   it('the one that the newest change names is not told to step down', async () => {
-    const {sent, begun} = await watchMissing(
+    const {sent, begun} = await watchGroup(
       {
         'i-2': {isPrimary: true, offset: 5},
         'i-3': {isPrimary: false, offset: 5},
@@ -153,7 +173,7 @@
   });
 
   it('a replaced one that is chosen steps down before the order', async () => {
-    const {sent, begun} = await watchMissing(
+    const {sent, begun} = await watchGroup(
       {
         'i-1': {isPrimary: true, offset: 9},
         'i-3': {isPrimary: false, offset: 5},
@@ -165,3 +185,38 @@
     assert.ok(steppedDown >= 0 && steppedDown < sent.indexOf('order i-1'));
   });
 });
+
+describe('a primary that leaves', () => {
+  const PLANNED: ChangeRecord = {...CHANGE, isPlanned: true};
+  const PRIMARY = {isPrimary: true, offset: 9};
+  const steps = (sent: readonly string[]) =>
+    sent.filter(text => !text.startsWith('status'));
+
+  it('steps down before the order where acknowledged commits must be kept', async () => {
+    const {sent} = await watchGroup(
+      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 9}},
+      PLANNED,
+      {primary: 'i-1', syncReplicas: 1},
+    );
+    assert.deepEqual(steps(sent).slice(0, 2), ['stepDown i-1', 'order i-3']);
+  });
+
+  it('is not replaced by one that lacks its last commits', async () => {
+    const {sent} = await watchGroup(
+      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
+      PLANNED,
+      {primary: 'i-1', syncReplicas: 1},
+    );
+    assert.ok(sent.includes('stepDown i-1'));
+    assert.ok(!sent.some(text => text.startsWith('order')), sent.join());
+  });
+
+  it('serves until its successor leads where they may be lost', async () => {
+    const {sent} = await watchGroup(
+      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
+      PLANNED,
+      {primary: 'i-1', syncReplicas: 0},
+    );
+    assert.equal(steps(sent)[0], 'order i-3');
+  });
+});
