Tell session variables apart whatever their names and values contain

Names and values were joined by '=' and line ends to the key by which a shared connection is known to have a session's variables, so 'SET mode=strict on' and 'SET mode strict=on' gave the same key, and a statement of one caller ran with the other's value (review, found and no case). The key now quotes them.

Tests: the case of the review, and keys of random variables (3,000 runs); both fail without the change.

--- a/packages/proxy/src/pooled-connection.ts
+++ b/packages/proxy/src/pooled-connection.ts
@@ -36,7 +36,8 @@
   const values = new Map(settings.values);
   values.set(name, value);
   const names = [...values.keys()].sort();
-  const key = names.map(item => `${item}=${values.get(item)}`).join('\n');
+  // Quoted, as names and values may contain any character.
+  const key = JSON.stringify(names.map(item => [item, values.get(item)]));
   return {values, key};
 }
 
