Replace a primary though half of the instances were lost for good

The verdict on a primary that is out of reach needs a majority of the asked peers, and those that were lost stay listed for 105 s.

Peers that have not answered for 5 s no longer keep a primary from being replaced, if none of the others reaches it and the store answers this instance: a part of a fleet without the store may be the minority. It is less than the 12 s in which a fleet must have recovered, and more than a restart takes.

Of four new tests the one of the loss fails without the change.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -148,6 +148,12 @@
    * still in time.
    */
   requestConfirmedIntervalMs: 40,
+  /**
+   * Peers that don't answer for this long keep no primary from being replaced:
+   * longer than instances take to start again, and short of the time in which a
+   * fleet must have recovered.
+   */
+  lostPeersMs: 5000,
   /** Timeout for the answers of peers. */
   peerQueryTimeoutMs: 400,
   /**
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -101,6 +101,8 @@
   };
   /** Times in a row that a change was not begun or not completed. */
   let failures = 0;
+  /** Since when too few peers answer for a verdict; undefined while enough do. */
+  let openSince: number | undefined;
   /** Whether a change was begun here that no order completed. */
   let isUnfinished = false;
 
@@ -165,6 +167,24 @@
     return hasDenied || isReplaced ? '' : lastPrimary;
   }
 
+  /**
+   * Whether the primary may be replaced after the verdict. Peers that don't answer
+   * for long have been lost, and no majority will come about before their entries
+   * expire. They may also be cut off from this instance together with the primary,
+   * so it must be the part with the store.
+   */
+  async function mayReplace(verdict: Verdict): Promise<boolean> {
+    if (verdict !== Verdict.Inconclusive) {
+      openSince = undefined;
+      return verdict === Verdict.Unreached;
+    }
+    openSince ??= clock.now();
+    if (clock.now() - openSince < TIMES.lostPeersMs) return false;
+    await changer.readLease();
+    log.warn({event: 'peersLost', group: group.name, openSince});
+    return true;
+  }
+
   async function changeFor(reason: ChangeReason): Promise<void> {
     const from = group.primary?.listed.id;
     const isPlanned = reason === ChangeReason.Leaving;
@@ -182,7 +202,7 @@
       verdict,
       found,
     });
-    if (!best || verdict !== Verdict.Unreached || found.some(leads)) return;
+    if (!best || found.some(leads) || !(await mayReplace(verdict))) return;
     const planned = {
       group: group.name,
       from: from ?? group.lastPrimary,
@@ -248,6 +268,7 @@
       const reason = reasonNow();
       if (!reason) {
         failures = 0;
+        openSince = undefined;
         continue;
       }
       await clock.sleep(startDelayMs());
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -9,6 +9,7 @@
   type PrepareChange,
   type PrimaryChanger,
 } from '@quetzalreel/failover';
+import {StoreUnavailableError} from '@quetzalreel/object-store';
 import {type PeerQueries, Verdict} from '@quetzalreel/peer-queries';
 import {
   type Answer,
@@ -18,6 +19,7 @@
   localAnswer,
 } from '@quetzalreel/requests';
 import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
+import {TIMES} from '../src/defaults.js';
 import {createLog} from '../src/log.js';
 import {ANY_ENDPOINT} from '../src/placement.js';
 import {watchPrimary} from '../src/primary-watch.js';
@@ -39,6 +41,14 @@
   readonly syncReplicas: number;
 }
 
+/** What differs from a group that has lost its primary, as all peers agree. */
+interface Circumstances {
+  readonly leaving?: Leaving;
+  /** The verdict of the peers. */
+  readonly verdict?: Verdict;
+  readonly isStoreDown?: boolean;
+}
+
 /**
  * Watches a group without a known primary, or with one that leaves; `change` is
  * the newest known one.
@@ -46,11 +56,17 @@
 async function watchGroup(
   claimants: Readonly<Record<string, Claimant>>,
   change: ChangeRecord,
-  leaving?: Leaving,
-): Promise<{readonly sent: string[]; readonly begun: PlannedChange[]}> {
+  {leaving, verdict = Verdict.Unreached, isStoreDown}: Circumstances = {},
+): Promise<{
+  readonly sent: string[];
+  readonly begun: PlannedChange[];
+  /** When the first change was begun; undefined for never. */
+  readonly begunAt: number | undefined;
+}> {
   const clock = manualClock();
   const sent: string[] = [];
   const begun: PlannedChange[] = [];
+  let begunAt: number | undefined;
 
   function run(id: string, req: EndpointRequest): Answer {
     const claimant = claimants[id]!;
@@ -105,6 +121,10 @@
   const changer = {
     isHolder: true,
     changes: new Map([[GROUP, change]]),
+    async readLease() {
+      if (isStoreDown) throw new StoreUnavailableError('away', true);
+      return true;
+    },
     addChanges() {},
     async change(
       planned: PlannedChange,
@@ -112,6 +132,7 @@
       prepare?: PrepareChange,
     ) {
       begun.push(planned);
+      begunAt ??= clock.now();
       const record = {...planned, fence: change.fence + 1, isPlanned};
       const term = {writtenAt: clock.now(), orderUntil: Infinity};
       const isPrepared = prepare === undefined || (await prepare(record, term));
@@ -128,7 +149,7 @@
     peerQueries: () =>
       ({
         queryReachability: async () => ({
-          verdict: Verdict.Unreached,
+          verdict,
           relay: undefined,
         }),
       }) as Partial<PeerQueries> as PeerQueries,
@@ -143,12 +164,12 @@
       renewed: new Set(),
     }),
   });
-  for (let ms = 0; ms < RECENT_MS + 3000; ms += 50) {
+  for (let ms = 0; ms < RECENT_MS + 8000; ms += 50) {
     clock.advance(50);
     await new Promise(resolve => setImmediate(resolve));
   }
   watch.dispose();
-  return {sent, begun};
+  return {sent, begun, begunAt};
 }
 
 const CHANGE: ChangeRecord = {
@@ -196,7 +217,7 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 9}},
       PLANNED,
-      {primary: 'i-1', syncReplicas: 1},
+      {leaving: {primary: 'i-1', syncReplicas: 1}},
     );
     assert.deepEqual(steps(sent).slice(0, 2), ['stepDown i-1', 'order i-3']);
   });
@@ -205,7 +226,7 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
       PLANNED,
-      {primary: 'i-1', syncReplicas: 1},
+      {leaving: {primary: 'i-1', syncReplicas: 1}},
     );
     assert.ok(sent.includes('stepDown i-1'));
     assert.ok(!sent.some(text => text.startsWith('order')), sent.join());
@@ -215,8 +236,39 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
       PLANNED,
-      {primary: 'i-1', syncReplicas: 0},
+      {leaving: {primary: 'i-1', syncReplicas: 0}},
     );
     assert.equal(steps(sent)[0], 'order i-3');
   });
 });
+
+describe('a missing primary of which too few peers tell', () => {
+  const REPLICAS = {'i-3': {isPrimary: false, offset: 9}};
+  /** Time without writes that a loss of half of the instances may cause. */
+  const RECOVERY_MS = 12_000;
+  const open = {verdict: Verdict.Inconclusive};
+
+  it('is replaced in time though half of the instances were lost for good', async () => {
+    const {begunAt} = await watchGroup(REPLICAS, CHANGE, open);
+    assert.ok(begunAt !== undefined && begunAt < RECOVERY_MS, `${begunAt}`);
+  });
+
+  it('is not replaced while they may only be restarting', async () => {
+    const {begunAt} = await watchGroup(REPLICAS, CHANGE, open);
+    assert.ok(begunAt === undefined || begunAt >= TIMES.lostPeersMs);
+  });
+
+  it('is not replaced by a part of the fleet without the store', async () => {
+    const {begun} = await watchGroup(REPLICAS, CHANGE, {
+      ...open,
+      isStoreDown: true,
+    });
+    assert.deepEqual(begun, []);
+  });
+
+  it('is not replaced while one of them reaches it', async () => {
+    const verdict = Verdict.Reached;
+    const {begun} = await watchGroup(REPLICAS, CHANGE, {verdict});
+    assert.deepEqual(begun, []);
+  });
+});
