End each run of the soak with a silence of all connections and a configuration

The soak silenced connections of one instance at a time, and asked for the last configuration only when all was well again, so it could not see that a silence of all delays one. Each run now ends with both, 40 ms apart, and the 3 s that a configuration has anyway.

Links between instances have no proxy, so they stay open.

--- a/packages/soak/src/faults.ts
+++ b/packages/soak/src/faults.ts
@@ -81,6 +81,15 @@
   }
 }
 
+/** Makes the current links of all instances to the store and to endpoints stop
+ * forwarding permanently; new links work. */
+export function silenceAll(fleet: SoakFleet): void {
+  for (const {name, store} of fleet.instances) {
+    store.silence(STORE_CLIENT);
+    for (const id of fleet.endpoints) fleet.linksTo(id).silence(name);
+  }
+}
+
 /** Faults of the endpoint itself. */
 async function playOnEndpoint(
   {platform}: SoakFleet,
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -1,6 +1,6 @@
 /** One run: a fleet, callers, the faults of a seed, and its verdict. */
 import {runCaller} from './caller.js';
-import {playFault} from './faults.js';
+import {playFault, silenceAll} from './faults.js';
 import {type SoakFleet, databasesOf, GROUPS, startFleet} from './fleet.js';
 import {type RunVerdict, checkRun} from './run-verdict.js';
 import {type Records, noRecords} from './records.js';
@@ -36,6 +36,9 @@
 /** Time within which a configuration must be in force everywhere, in
  * milliseconds. */
 const CONFIGURE_MS = 3000;
+/** From the silence of all connections at the end of a run to the last
+ * configuration, in milliseconds. */
+const CONFIGURE_AFTER_MS = 40;
 /** Time for which callers continue after the last fault, in milliseconds. */
 const QUIET_PERIOD_MS = 500;
 
@@ -60,6 +63,8 @@
   };
   await playAll(playing, faults);
   const failures = await settle(fleet, records);
+  silenceAll(fleet);
+  await sleep(CONFIGURE_AFTER_MS);
   version = fleet.configure();
   const late = await watch.settle(version, CONFIGURE_MS);
   if (late > 0) failures.push(`${late} instances lack the last configuration`);
