Give a leaving primary no new work past its time while it can't be replaced

A primary that leaves now gets no new statement or transaction from 2 s before that time on, counted from when the instance learned of it, and none after a suspension, whose length the clock does not tell. Open transactions go on.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -112,6 +112,11 @@
    * for a newer observation it is longer than a holder's probe interval.
    */
   relayedContactMaxAgeMs: 100,
+  /**
+   * A primary that leaves gets no new work so long before the platform's limit:
+   * what is known of it may be this old, and work takes time to arrive.
+   */
+  leavingMarginMs: 2000,
   /** Timeout for the answer to a rollback, which takes no slot. */
   rollBackTimeoutMs: 500,
   /** Polling interval while an endpoint is checked on behalf of a peer. */
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -59,6 +59,8 @@
   readonly driver: EndpointDriver;
   readonly relayDriver: RelayDriver;
   readonly suspensionDetector: SuspensionDetector;
+  /** For how long an endpoint that leaves may get new work, in milliseconds. */
+  readonly leavingMs: number;
   /**
    * Asks peers whether they reach an endpoint; resolves to undefined while
    * there are no peers.
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -21,6 +21,7 @@
   ConnectionRequest,
 } from './group-types.js';
 import {groupPrimary} from './group-primary.js';
+import {leavingEndpoints} from './leaving-endpoints.js';
 import {placementOf} from './link-placement.js';
 import {overloadLog} from './overload-log.js';
 import {
@@ -65,6 +66,7 @@
       ),
   });
   const primary = groupPrimary({...context, links, onChange: serveWaiting});
+  const leaving = leavingEndpoints(context);
   let askedHoldersAt = -Infinity;
 
   function replan(link: EndpointLink): void {
@@ -74,7 +76,8 @@
   }
 
   function optionOf(link: EndpointLink): PlacementOption {
-    const isPrimary = link.listed.id === primary.id;
+    const {id} = link.listed;
+    const isPrimary = id === primary.id && !leaving.isOver(id);
     return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
   }
 
@@ -355,6 +358,7 @@
         link.dispose();
         links.delete(id);
         primary.forget(id);
+        leaving.forget(id);
         reachability.forget(id);
       }
       for (const endpoint of endpoints) updateEntry(endpoint);
@@ -385,6 +389,7 @@
   function updateEntry(endpoint: ListedEndpoint): void {
     const {id} = endpoint;
     const known = links.get(id);
+    leaving.note(endpoint);
     const isSame =
       known?.listed.startedAt === endpoint.startedAt &&
       known.listed.host === endpoint.host &&
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -54,6 +54,8 @@
   readonly relay: {readonly host: string; readonly port: number};
   /** Time between the stop request and the kill, in milliseconds. */
   readonly graceMs: number;
+  /** For how long an endpoint that leaves may get new work, in milliseconds. */
+  readonly leavingMs: number;
   readonly clock: Clock;
   /** The time of day in Unix milliseconds; only compared with the clock. */
   readonly timeOfDay: () => number;
--- a/packages/proxy/test/simulated-fleet.ts
+++ b/packages/proxy/test/simulated-fleet.ts
@@ -93,6 +93,7 @@
           () => clock.now(),
           () => clock.now(),
         ),
+        leavingMs: Infinity,
         askPeers: async () => undefined,
         requestConfirmedPosition: (_group, asked) =>
           answerPosition(self.relay, asked),
