--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -34,12 +34,7 @@
 } from './placement.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
-import {waitQueue} from './wait-queue.js';
-
-interface Waiter extends ConnectionRequest {
-  resolve(lease: ConnectionLease | undefined): void;
-  done: boolean;
-}
+import {waitingRequests} from './waiting-requests.js';
 
 /** Creates a group without endpoints. */
 export function groupRuntime(
@@ -48,7 +43,11 @@
 ): GroupRuntime {
   const {clock, log, dataCentre, primaryUse} = context;
   const links = new Map<string, EndpointLink>();
-  const queue = waitQueue<Waiter>();
+  const waiting = waitingRequests({
+    clock,
+    tryAcquire,
+    isHopeless: req => isOutOfReach(req.need()),
+  });
   const probing = new Set<string>();
   const overload = overloadLog(context);
   const reachability = endpointReachability({
@@ -65,7 +64,7 @@
         addressesOf(group.primary),
       ),
   });
-  const primary = groupPrimary({...context, links, onChange: serveWaiting});
+  const primary = groupPrimary({...context, links, onChange: waiting.serve});
   const leaving = leavingEndpoints(context);
   let askedHoldersAt = -Infinity;
 
@@ -147,45 +146,6 @@
     return reachability.isUnreachableLocally(link);
   }
 
-  function serveWaiting(): void {
-    if (queue.size === 0) return;
-    queue.dispatch(
-      waiter => {
-        if (waiter.hasDisconnected()) {
-          settle(waiter, undefined);
-          return true;
-        }
-        const lease = tryAcquire(waiter);
-        if (!lease && !isOutOfReach(waiter.need())) return false;
-        settle(waiter, lease);
-        return true;
-      },
-      LIMITS.laneLookAhead,
-      clock.now(),
-    );
-  }
-
-  function settle(waiter: Waiter, lease: ConnectionLease | undefined): void {
-    if (waiter.done) {
-      lease?.release(true);
-      return;
-    }
-    waiter.done = true;
-    waiter.resolve(lease);
-  }
-
-  function wait(req: ConnectionRequest): Promise<ConnectionLease | undefined> {
-    return new Promise(resolve => {
-      const waiter: Waiter = {...req, resolve, done: false};
-      queue.add(waiter);
-      clock.after(Math.max(0, req.deadline - clock.now()), () => {
-        if (waiter.done) return;
-        queue.remove(waiter);
-        settle(waiter, undefined);
-      });
-    });
-  }
-
   function needsProbe({facts, listed, plan}: EndpointLink): boolean {
     return isProbeDue({
       isHolder: plan.isHolder,
@@ -280,7 +240,7 @@
     async acquire(req) {
       const lease = tryAcquire(req);
       if (lease || isOutOfReach(req.need())) return lease;
-      return wait(req);
+      return waiting.wait(req);
     },
     acquireForControl(endpoint) {
       const link = links.get(endpoint);
@@ -328,7 +288,7 @@
         );
         primary.find();
       }
-      serveWaiting();
+      waiting.serve();
     },
     async checkReachable(wanted, withinMs) {
       const endpoint = wanted === '' ? (primary.id ?? '') : wanted;
@@ -375,11 +335,11 @@
         reachability.askPeersIfDue(link);
         overload.observe(link, {
           isPrimary: link.listed.id === primary.id,
-          waiting: queue.size,
+          waiting: waiting.size,
         });
       }
       askHolders();
-      serveWaiting();
+      waiting.serve();
     },
     dispose() {
       for (const link of links.values()) link.dispose();
@@ -404,7 +364,7 @@
     }
     known?.dispose();
     logListed(endpoint);
-    const onIdle = () => serveWaiting();
+    const onIdle = waiting.serve;
     const link = endpointLink(endpoint, {...context, onIdle});
     links.set(id, link);
     replan(link);
--- /dev/null
+++ b/packages/proxy/src/waiting-requests.ts
@@ -0,0 +1,81 @@
+/**
+ * Requests of one group that wait for a connection, until one is free, their
+ * deadline passes or their caller is gone.
+ */
+import type {Clock} from '@quetzalreel/common';
+import {LIMITS} from './defaults.js';
+import type {ConnectionLease, ConnectionRequest} from './group-types.js';
+import {waitQueue} from './wait-queue.js';
+
+/** Dependencies of waiting requests. */
+export interface WaitingContext {
+  readonly clock: Clock;
+  /** Takes a connection for the request; undefined if none is free. */
+  readonly tryAcquire: (req: ConnectionRequest) => ConnectionLease | undefined;
+  /** Whether waiting is of no use for the request. */
+  readonly isHopeless: (req: ConnectionRequest) => boolean;
+}
+
+/** The requests that wait. */
+export interface WaitingRequests {
+  readonly size: number;
+  /** Resolves to undefined when no connection became free in time. */
+  wait(req: ConnectionRequest): Promise<ConnectionLease | undefined>;
+  /** Serves those for which a connection is free now. */
+  serve(): void;
+}
+
+interface Waiter extends ConnectionRequest {
+  resolve(lease: ConnectionLease | undefined): void;
+  done: boolean;
+}
+
+/** Starts without waiting requests. */
+export function waitingRequests({
+  clock,
+  tryAcquire,
+  isHopeless,
+}: WaitingContext): WaitingRequests {
+  const queue = waitQueue<Waiter>();
+
+  function settle(waiter: Waiter, lease: ConnectionLease | undefined): void {
+    if (waiter.done) {
+      lease?.release(true);
+      return;
+    }
+    waiter.done = true;
+    waiter.resolve(lease);
+  }
+
+  /** Returns whether the request waits no longer. */
+  function serveOne(waiter: Waiter): boolean {
+    if (waiter.hasDisconnected()) {
+      settle(waiter, undefined);
+      return true;
+    }
+    const lease = tryAcquire(waiter);
+    if (!lease && !isHopeless(waiter)) return false;
+    settle(waiter, lease);
+    return true;
+  }
+
+  return {
+    get size() {
+      return queue.size;
+    },
+    wait: req =>
+      new Promise(resolve => {
+        const waiter: Waiter = {...req, resolve, done: false};
+        queue.add(waiter);
+        clock.after(Math.max(0, req.deadline - clock.now()), () => {
+          if (waiter.done) return;
+          queue.remove(waiter);
+          settle(waiter, undefined);
+        });
+      }),
+    serve() {
+      if (queue.size === 0) return;
+      queue.dispatch(serveOne, LIMITS.laneLookAhead, clock.now());
+    },
+  };
+}
