Close idle connections through a relay that does not answer

Those through the same relay are now closed with the one on which it did not answer; a new one costs the endpoint nothing.

Test: fails without the change.

--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -82,7 +82,10 @@
   noteAnswer(answer: Answer): void;
   /** Records the observation of a holder that was asked at `askedAt`. */
   noteObservation(observation: EndpointObservation, askedAt: number): void;
-  /** Records that a relay did not answer. */
+  /**
+   * Records that a relay did not answer, and closes the idle connections through
+   * it: they may be silent as well.
+   */
   noteRelayFailure(relay: RelayAddress): void;
   /** Records that a request sent at `sentAt` got no answer. */
   noteUnanswered(sentAt: number, wasReset: boolean): void;
@@ -361,7 +364,12 @@
       if (silentMs === undefined) return;
       noteUnanswered(clock.now() - silentMs, isRefusing);
     },
-    noteRelayFailure: path.noteRelayFailure,
+    noteRelayFailure(relay) {
+      path.noteRelayFailure(relay);
+      for (const member of [...idle]) {
+        if (member.relay === relay) member.pooled.connection.dispose();
+      }
+    },
     dispose() {
       disposed = true;
       for (const {pooled} of [...idle]) pooled.connection.dispose();
--- a/packages/proxy/test/test-endpoint-link.ts
+++ b/packages/proxy/test/test-endpoint-link.ts
@@ -2,7 +2,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {manualClock} from '@quetzalreel/common';
-import {tcpRelayDriver} from '@quetzalreel/relay';
+import {
+  RelayDriver,
+  type RelayedConnection,
+  tcpRelayDriver,
+} from '@quetzalreel/relay';
 import {NO_CONNECTIONS_PLAN} from '../src/connection-sharing.js';
 import {TIMES} from '../src/defaults.js';
 import {endpointLink} from '../src/endpoint-link.js';
@@ -43,6 +47,55 @@
   return link.connections;
 }
 
+/** A relay that accepts every connection. */
+class AcceptingRelays extends RelayDriver {
+  async connect(relay: string): Promise<RelayedConnection> {
+    const closeCallbacks: Array<() => void> = [];
+    const connection = {
+      endpoint: 'e-0',
+      relay,
+      isOpen: true,
+      onClose: (callback: () => void) => void closeCallbacks.push(callback),
+      dispose() {
+        this.isOpen = false;
+        for (const callback of closeCallbacks.splice(0)) callback();
+      },
+    };
+    return connection as unknown as RelayedConnection;
+  }
+}
+
+describe('a relay that does not answer', () => {
+  it('gets no statement on another idle connection, which may be silent too', async () => {
+    const clock = manualClock();
+    const link = endpointLink(listedEndpoint('e-0'), {
+      clock,
+      log: createLog('test', {write: () => {}}),
+      driver: simulatedGroup(clock, ['e-0'], TRAITS).driver,
+      relayDriver: new AcceptingRelays(),
+      onIdle: () => {},
+    });
+    const holders = ['r-1', 'r-2'].map(relay => ({
+      instance: relay,
+      dataCentre: 'z',
+      address: relay,
+      relay,
+    }));
+    async function openThrough(first: string): Promise<void> {
+      const order = [...holders].sort(({relay}) => (relay === first ? -1 : 1));
+      link.applyPlan({...NO_CONNECTIONS_PLAN, holders: order});
+      link.open();
+      await new Promise(resolve => setImmediate(resolve));
+    }
+    for (const relay of ['r-1', 'r-1', 'r-2']) await openThrough(relay);
+    assert.equal(link.idle, 3);
+    link.noteRelayFailure('r-1');
+    assert.equal(link.idle, 1);
+    const left = link.acquire('')!.connection as RelayedConnection;
+    assert.equal(left.relay, 'r-2');
+  });
+});
+
 describe('unused connections', () => {
   it('are closed down to the minimum beyond those that the plan keeps', async () => {
     assert.equal(await leftUnused(0), 1);
