Ask for a sign of life only after half of a link's time limit

Each message on a link without an answer was followed by a ping at the next check, also where the peer's own beat was about to arrive. Tests of the transport and of silent connections pass (50 with the HTTP client's).

--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -2,7 +2,7 @@
  * Transport between instances over TCP, with TLS if it has a key. A link is one
  * connection to a peer. It is closed if nothing is received for some time after
  * a message was sent over it, since a new link may work; a peer that has nothing
- * to send is asked for a sign of life before. A peer is answered on the link on
+ * to send is asked for a sign of life after half of that time. A peer is answered on the link on
  * which it was last heard: an older one may be silent.
  */
 import net from 'node:net';
@@ -250,8 +250,8 @@
         unansweredSince === undefined ? 0 : now - unansweredSince;
       if (silentMs > limits.responseTimeoutMs)
         failLink(link, 'response timeout');
-      else if (silentMs > 0) pingOnce(link);
-      else if (now - lastUsedAt > limits.idleMs) {
+      else if (silentMs > limits.responseTimeoutMs / 2) pingOnce(link);
+      else if (silentMs === 0 && now - lastUsedAt > limits.idleMs) {
         removeLink(link);
         link.socket.end();
       }
