Write the test of compressed frames in the product's own words

It spelled a configuration with the platform's names, which stand in platform/ only. The bound and the number of routes are the same; it passes.

--- a/packages/peer/test/test-codec.ts
+++ b/packages/peer/test/test-codec.ts
@@ -9,24 +9,24 @@
 
 const LIMIT_BYTES = 1 << 20;
 
-/** A configuration as the platform writes it. */
+/** A configuration as large as those of the platform. */
 function configurationOf(routes: number): unknown {
   const list = [];
   for (let i = 0; i < routes; i++) {
-    // Names are drawn at random there.
+    // Different for each route, as random names are.
     const name = ((i + 1) * 7_777_777).toString(36);
     list.push({
-      Name: `r-${name}`,
-      Host: `db${name}`,
-      Kind: i % 2 ? 'primary' : 'bounded_stale',
-      TimeoutMs: 800 + i,
-      TargetLatencyMs: 250,
-      Priority: i % 3,
-      Service: `s${i % 6}`,
-      MaxStalenessMs: 1500,
+      name: `r-${name}`,
+      database: `db${name}`,
+      rule: i % 2 ? 'primary' : 'bounded',
+      statementTimeoutMs: 800 + i,
+      objectiveMs: 250,
+      priority: i % 3,
+      group: `s${i % 6}`,
+      stalenessLimitMs: 1500,
     });
   }
-  return {Version: 7, Routes: list};
+  return {generation: 7, routes: list};
 }
 
 test('values are decoded wherever the stream is split into chunks', () => {
