Replace a primary that leaves and is lost before it has handed over

Callers of a group with SyncReplicas had no write acknowledged for 4.4 to 9.6 s when a primary crashed or hung right after it had begun to leave; a crash of one that does not leave is over in 1.1 to 1.7 s.

Cause: a primary that leaves was always replaced by a planned change. The verdict of a planned change is a constant, since it asks no peer, and its preparation wants the old primary to confirm that it has stepped down. A dead one can't: notPrepared repeatedly, each time with a new lease that keeps all other instances from acting, until the entry lapses and the reason becomes `missing`.

A primary that leaves, must hand over, and is down by the thresholds of any other is now replaced like one that crashed: peers are asked, and nothing is wanted of it. One that only this instance does not reach is left to those that do; the lease is not taken from them. The reason is determined again after the delay of an instance: it was up to 0.8 s old, and named a primary that was gone.

Ruled out: the verdict of the peers (not asked) and the store (lease written each time, by the log).

--- a/packages/failover/src/change-reason.ts
+++ b/packages/failover/src/change-reason.ts
@@ -5,7 +5,7 @@
 export const ChangeReason = {
   /** It refuses connections, or has been unresponsive for too long. */
   Down: 'down',
-  /** It is listed as leaving. */
+  /** It is listed as leaving, and able to hand over if it must. */
   Leaving: 'leaving',
   /** No endpoint of the group accepts writes. */
   Missing: 'missing',
@@ -19,6 +19,11 @@
   /** The endpoint believed to be the primary; undefined if there is none. */
   readonly primary: string | undefined;
   readonly leaving: boolean;
+  /**
+   * Whether the successor of one that leaves must hold its whole log. A planned
+   * change then needs its answers.
+   */
+  readonly mustHandOver: boolean;
   /** Time since which every connection attempt was refused immediately. */
   readonly refusingSince: number | undefined;
   /** Send time of the oldest request without a response from it. */
@@ -47,12 +52,12 @@
       ? ChangeReason.Missing
       : undefined;
   }
-  if (view.leaving) return ChangeReason.Leaving;
-  if (hasLasted(view.refusingSince, thresholds.refusingMs))
-    return ChangeReason.Down;
-  if (hasLasted(view.unresponsiveSince, thresholds.unresponsiveMs))
-    return ChangeReason.Down;
-  return undefined;
+  const isDown =
+    hasLasted(view.refusingSince, thresholds.refusingMs) ||
+    hasLasted(view.unresponsiveSince, thresholds.unresponsiveMs);
+  const canLeave = !isDown || !view.mustHandOver;
+  if (view.leaving && canLeave) return ChangeReason.Leaving;
+  return isDown ? ChangeReason.Down : undefined;
 }
 
 /** An endpoint that may become the primary. */
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -52,6 +52,7 @@
   return {
     primary: primary?.listed.id,
     leaving: primary?.listed.leaving ?? false,
+    mustHandOver: group.policy.syncReplicas > 0,
     refusingSince: primary?.facts.refusingSince,
     unresponsiveSince: primary?.facts.unansweredSince,
     missingSince: group.missingSince,
@@ -272,9 +273,10 @@
         continue;
       }
       await clock.sleep(startDelayMs());
-      if (!reasonNow()) continue;
+      const reasonAfterDelay = reasonNow();
+      if (!reasonAfterDelay) continue;
       try {
-        await changeFor(reason);
+        await changeFor(reasonAfterDelay);
       } catch (err) {
         log.error({
           event: 'changeFailed',
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -21,6 +21,7 @@
 import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
 import {TIMES} from '../src/defaults.js';
 import {createLog} from '../src/log.js';
+import {noLoad} from '../src/load-counts.js';
 import {ANY_ENDPOINT} from '../src/placement.js';
 import {watchPrimary} from '../src/primary-watch.js';
 import {listedEndpoint} from './listed.js';
@@ -41,12 +42,21 @@
   readonly syncReplicas: number;
 }
 
+/** What makes a primary that leaves unavailable. */
+interface Loss {
+  /** The last request that it answers; 'none' if it is lost from the start. */
+  readonly after: 'none' | 'stepDown' | 'order';
+  /** Whether it refuses connections; else it accepts them and is silent. */
+  readonly refuses: boolean;
+}
+
 /** What differs from a group that has lost its primary, as all peers agree. */
 interface Circumstances {
   readonly leaving?: Leaving;
   /** The verdict of the peers. */
   readonly verdict?: Verdict;
   readonly isStoreDown?: boolean;
+  readonly loss?: Loss;
 }
 
 /**
@@ -56,21 +66,37 @@
 async function watchGroup(
   claimants: Readonly<Record<string, Claimant>>,
   change: ChangeRecord,
-  {leaving, verdict = Verdict.Unreached, isStoreDown}: Circumstances = {},
+  {leaving, verdict = Verdict.Unreached, isStoreDown, loss}: Circumstances = {},
 ): Promise<{
   readonly sent: string[];
   readonly begun: PlannedChange[];
   /** When the first change was begun; undefined for never. */
   readonly begunAt: number | undefined;
+  /** When the first order was sent; undefined for never. */
+  readonly orderedAt: number | undefined;
 }> {
   const clock = manualClock();
+  let primary = leaving?.primary;
+  let isLost = false;
+  let orderedAt: number | undefined;
   const sent: string[] = [];
   const begun: PlannedChange[] = [];
   let begunAt: number | undefined;
 
-  function run(id: string, req: EndpointRequest): Answer {
+  function loseAfter(event: Loss['after']): void {
+    if (!leaving || loss?.after !== event) return;
+    isLost = true;
+    const {facts} = links.get(leaving.primary)!;
+    if (loss.refuses) facts.refusingSince = clock.now();
+    facts.unansweredSince = clock.now();
+  }
+
+  const isAway = (id: string) => isLost && id === leaving?.primary;
+
+  function run(id: string, req: EndpointRequest): Answer | Promise<Answer> {
     const claimant = claimants[id]!;
     sent.push(`${req.type} ${id}`);
+    if (isAway(id)) return new Promise(() => {});
     if (req.type === 'stepDown') claimant.isPrimary = false;
     const status: EndpointStatus = {
       isPrimary: claimant.isPrimary,
@@ -81,6 +107,7 @@
       busy: 0,
       connections: 1,
     };
+    if (req.type === 'stepDown') loseAfter('stepDown');
     return {...localAnswer(SessionState.Idle), rows: [JSON.stringify(status)]};
   }
 
@@ -100,6 +127,7 @@
       {
         listed: {...listedEndpoint(id), leaving: id === leaving?.primary},
         facts: {},
+        load: noLoad(),
         plan: {isHolder: true},
       },
     ]),
@@ -107,7 +135,9 @@
   const group = {
     name: GROUP,
     links,
-    primary: leaving && links.get(leaving.primary),
+    get primary() {
+      return primary === undefined ? undefined : links.get(primary);
+    },
     lastPrimary: 'i-1',
     missingSince: leaving ? undefined : 0,
     policy: {
@@ -116,7 +146,8 @@
       syncReplicas: leaving?.syncReplicas ?? 0,
     },
     acquire: async ({need}) => leaseOf(need().only!),
-    acquireForControl: leaseOf,
+    acquireForControl: id =>
+      isAway(id) && loss?.refuses ? undefined : leaseOf(id),
   } as Partial<GroupRuntime> as GroupRuntime;
   const changer = {
     isHolder: true,
@@ -138,6 +169,9 @@
       const isPrepared = prepare === undefined || (await prepare(record, term));
       if (!isPrepared) return ChangeOutcome.NotPrepared;
       sent.push(`order ${planned.to}`);
+      orderedAt ??= clock.now();
+      loseAfter('order');
+      primary &&= planned.to;
       return ChangeOutcome.Ordered;
     },
   } as Partial<PrimaryChanger> as PrimaryChanger;
@@ -164,12 +198,13 @@
       renewed: new Set(),
     }),
   });
+  loseAfter('none');
   for (let ms = 0; ms < RECENT_MS + 8000; ms += 50) {
     clock.advance(50);
     await new Promise(resolve => setImmediate(resolve));
   }
   watch.dispose();
-  return {sent, begun, begunAt};
+  return {sent, begun, begunAt, orderedAt};
 }
 
 const CHANGE: ChangeRecord = {
@@ -242,6 +277,45 @@
   });
 });
 
+describe('a primary that leaves and is lost meanwhile', () => {
+  /** Time in which a change of primary has to be over. */
+  const CHANGE_MS = 7000;
+  const claimants = (offset: number) => ({
+    'i-1': {isPrimary: true, offset: 9},
+    'i-3': {isPrimary: false, offset},
+  });
+  const leaving = {primary: 'i-1', syncReplicas: 1};
+  const losses: ReadonlyArray<readonly [string, Loss['after'], number]> = [
+    ['before it steps down', 'none', 9],
+    ['before its successor has its last commit', 'stepDown', 8],
+    ['after the order', 'order', 9],
+  ];
+  for (const [what, after, offset] of losses) {
+    for (const refuses of [true, false]) {
+      const how = refuses ? 'crashes' : 'hangs';
+      it(`is replaced in time when it ${how} ${what}`, async () => {
+        const {sent, orderedAt} = await watchGroup(claimants(offset), CHANGE, {
+          leaving,
+          loss: {after, refuses},
+        });
+        const orders = sent.filter(text => text.startsWith('order'));
+        assert.deepEqual(orders, ['order i-3']);
+        assert.ok(orderedAt! < CHANGE_MS, `ordered after ${orderedAt} ms`);
+      });
+    }
+  }
+
+  it('is left to the instances that reach it, without taking the lease from them', async () => {
+    const {begun} = await watchGroup(claimants(9), CHANGE, {
+      leaving,
+      verdict: Verdict.Reached,
+      loss: {after: 'none', refuses: true},
+    });
+    // One may begin before the loss is noticed.
+    assert.ok(begun.length <= 1, `${begun.length} begun`);
+  });
+});
+
 describe('a missing primary of which too few peers tell', () => {
   const REPLICAS = {'i-3': {isPrimary: false, offset: 9}};
   /** Time without writes that a loss of half of the instances may cause. */
