Keep commits that only a replica that leaves has confirmed

Callers lost acknowledged writes in a group with SyncReplicas when its primary crashed while one replica was leaving and the others received nothing: a replica that leaves counts for SyncReplicas until it ends, but was never asked for its position, so one that lacked the commits was promoted.

In such a group replicas that leave are asked as well when the change is not planned, past the queue, which has no work for them. The one that has received most takes over; if it leaves, a planned change follows. One that stays goes first at the same position.

The new test fails without the change; its stand-in of the queue refuses endpoints that leave.

--- a/packages/failover/src/change-reason.ts
+++ b/packages/failover/src/change-reason.ts
@@ -65,20 +65,27 @@
   readonly endpoint: string;
   /** The end of the log that it has received. */
   readonly received: Position;
+  /** Whether it leaves, and will have to be replaced again. */
+  readonly isLeaving: boolean;
 }
 
-/** The candidate with the latest position; the first by name if several have
- * it, so that all instances choose the same one. */
+/**
+ * The candidate with the latest position. Of several that have it, one that stays
+ * comes first, then the first by name, so that all instances choose the same one.
+ */
 export function mostAdvanced(
   candidates: readonly Candidate[],
 ): Candidate | undefined {
   let best: Candidate | undefined;
   for (const candidate of candidates) {
-    const order = best
-      ? comparePositions(candidate.received, best.received)
-      : 1;
-    const isFirst = best !== undefined && candidate.endpoint < best.endpoint;
-    if (order > 0 || (order === 0 && isFirst)) best = candidate;
+    if (!best || comesBefore(candidate, best)) best = candidate;
   }
   return best;
 }
+
+function comesBefore(a: Candidate, b: Candidate): boolean {
+  const order = comparePositions(a.received, b.received);
+  if (order !== 0) return order > 0;
+  if (a.isLeaving !== b.isLeaving) return b.isLeaving;
+  return a.endpoint < b.endpoint;
+}
--- a/packages/proxy/src/endpoint-control.ts
+++ b/packages/proxy/src/endpoint-control.ts
@@ -75,11 +75,27 @@
     return undefined;
   }
 
-  async function requestState(
+  /** Takes a connection without a place in the queue of statements. */
+  async function pollForLease(
     endpoint: string,
-  ): Promise<ReportedState | undefined> {
-    const deadline = clock.now() + TIMES.statusTimeoutMs;
-    const lease = await group.acquire({
+    until: number,
+  ): Promise<ConnectionLease | undefined> {
+    while (clock.now() < until) {
+      const lease = group.acquireForControl(endpoint);
+      if (lease) return lease;
+      await clock.sleep(TIMES.receivePollMs);
+    }
+    return undefined;
+  }
+
+  async function leaseForStatus(
+    endpoint: string,
+    deadline: number,
+  ): Promise<ConnectionLease | undefined> {
+    // The queue has no statements for an endpoint that leaves.
+    if (group.links.get(endpoint)?.listed.leaving)
+      return pollForLease(endpoint, deadline);
+    return group.acquire({
       primaryOnly: false,
       need: () => ({...ANY_ENDPOINT, only: endpoint}),
       priority: 0,
@@ -88,6 +104,13 @@
       deadline,
       hasDisconnected: () => false,
     });
+  }
+
+  async function requestState(
+    endpoint: string,
+  ): Promise<ReportedState | undefined> {
+    const deadline = clock.now() + TIMES.statusTimeoutMs;
+    const lease = await leaseForStatus(endpoint, deadline);
     if (!lease) return undefined;
     const {facts} = lease.link;
     const answer = await send(lease, {type: 'status'}, TIMES.statusTimeoutMs);
@@ -112,12 +135,9 @@
     async stepDown(endpoint) {
       let term = nextTerm();
       const until = clock.now() + TIMES.stepDownTimeoutMs;
-      while (clock.now() < until) {
-        const lease = group.acquireForControl(endpoint);
-        if (!lease) {
-          await clock.sleep(TIMES.receivePollMs);
-          continue;
-        }
+      for (;;) {
+        const lease = await pollForLease(endpoint, until);
+        if (!lease) return undefined;
         const req = {type: 'stepDown', term} as const;
         const answer = await send(lease, req, until - clock.now());
         const status = answer && parse(endpoint, answer);
@@ -127,7 +147,6 @@
         // A new primary without commits has a term that no position shows.
         term = Math.max(status.term, status.termHeld) + 1;
       }
-      return undefined;
     },
     async waitUntilReceived(endpoint, end) {
       const until = clock.now() + TIMES.receiveLastCommitMs;
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -28,6 +28,7 @@
 import {endpointControl} from './endpoint-control.js';
 import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
+import type {ListedEndpoint} from './routes.js';
 
 /** Dependencies of a watch. */
 export interface PrimaryWatchContext {
@@ -107,14 +108,19 @@
   /** Whether a change was begun here that no order completed. */
   let isUnfinished = false;
 
-  /** The endpoints that may become the primary. */
+  /**
+   * The endpoints that may become the primary. One that leaves may only if it can
+   * be the only one with acknowledged commits: it confirms them until it ends.
+   */
   async function candidates(
     from: string | undefined,
+    isPlanned: boolean,
   ): Promise<StatedCandidate[]> {
+    const mayLeave = !isPlanned && group.policy.syncReplicas > 0;
     const requests: Array<Promise<StatedCandidate | undefined>> = [];
     for (const {listed} of group.links.values()) {
-      if (listed.id === from || listed.leaving) continue;
-      requests.push(candidateOf(listed.id));
+      if (listed.id === from || (listed.leaving && !mayLeave)) continue;
+      requests.push(candidateOf(listed));
     }
     const found: StatedCandidate[] = [];
     for (const candidate of await Promise.all(requests)) {
@@ -123,11 +129,12 @@
     return found;
   }
 
-  async function candidateOf(
-    endpoint: string,
-  ): Promise<StatedCandidate | undefined> {
+  async function candidateOf({
+    id: endpoint,
+    leaving: isLeaving,
+  }: ListedEndpoint): Promise<StatedCandidate | undefined> {
     const state = await control.requestState(endpoint);
-    return state && {endpoint, ...state};
+    return state && {endpoint, isLeaving, ...state};
   }
 
   /**
@@ -190,7 +197,7 @@
     const from = group.primary?.listed.id;
     const isPlanned = reason === ChangeReason.Leaving;
     const [found, verdict] = await Promise.all([
-      candidates(from),
+      candidates(from, isPlanned),
       isPlanned ? Verdict.Unreached : verdictOfPeers(from),
     ]);
     const best = mostAdvanced(found);
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -33,13 +33,7 @@
 interface Claimant {
   isPrimary: boolean;
   readonly offset: number;
-}
-
-/** A planned change on a platform where a replaced primary stops by itself. */
-interface Leaving {
-  /** The primary, which leaves. */
-  readonly primary: string;
-  readonly syncReplicas: number;
+  readonly leaves?: boolean;
 }
 
 /** What makes a primary that leaves unavailable. */
@@ -52,7 +46,10 @@
 
 /** What differs from a group that has lost its primary, as all peers agree. */
 interface Circumstances {
-  readonly leaving?: Leaving;
+  /** The primary, which leaves. */
+  readonly leaving?: string;
+  /** Set on a platform where a replaced primary stops by itself. */
+  readonly syncReplicas?: number;
   /** The verdict of the peers. */
   readonly verdict?: Verdict;
   readonly isStoreDown?: boolean;
@@ -66,7 +63,13 @@
 async function watchGroup(
   claimants: Readonly<Record<string, Claimant>>,
   change: ChangeRecord,
-  {leaving, verdict = Verdict.Unreached, isStoreDown, loss}: Circumstances = {},
+  {
+    leaving,
+    syncReplicas,
+    verdict = Verdict.Unreached,
+    isStoreDown,
+    loss,
+  }: Circumstances = {},
 ): Promise<{
   readonly sent: string[];
   readonly begun: PlannedChange[];
@@ -76,7 +79,7 @@
   readonly orderedAt: number | undefined;
 }> {
   const clock = manualClock();
-  let primary = leaving?.primary;
+  let primary = leaving;
   let isLost = false;
   let orderedAt: number | undefined;
   const sent: string[] = [];
@@ -86,12 +89,12 @@
   function loseAfter(event: Loss['after']): void {
     if (!leaving || loss?.after !== event) return;
     isLost = true;
-    const {facts} = links.get(leaving.primary)!;
+    const {facts} = links.get(leaving)!;
     if (loss.refuses) facts.refusingSince = clock.now();
     facts.unansweredSince = clock.now();
   }
 
-  const isAway = (id: string) => isLost && id === leaving?.primary;
+  const isAway = (id: string) => isLost && id === leaving;
 
   function run(id: string, req: EndpointRequest): Answer | Promise<Answer> {
     const claimant = claimants[id]!;
@@ -125,7 +128,10 @@
     Object.keys(claimants).map(id => [
       id,
       {
-        listed: {...listedEndpoint(id), leaving: id === leaving?.primary},
+        listed: {
+          ...listedEndpoint(id),
+          leaving: id === leaving || (claimants[id]!.leaves ?? false),
+        },
         facts: {},
         load: noLoad(),
         plan: {isHolder: true},
@@ -143,9 +149,13 @@
     policy: {
       name: GROUP,
       maxConnections: 9,
-      syncReplicas: leaving?.syncReplicas ?? 0,
+      syncReplicas: syncReplicas ?? 0,
+    },
+    // An endpoint that leaves gets no more work through the queue.
+    async acquire({need}) {
+      const id = need().only!;
+      return links.get(id)!.listed.leaving ? undefined : leaseOf(id);
     },
-    acquire: async ({need}) => leaseOf(need().only!),
     acquireForControl: id =>
       isAway(id) && loss?.refuses ? undefined : leaseOf(id),
   } as Partial<GroupRuntime> as GroupRuntime;
@@ -188,7 +198,7 @@
         }),
       }) as Partial<PeerQueries> as PeerQueries,
     readStatus: ({rows}) => JSON.parse(rows[0]!) as EndpointStatus,
-    replacedPrimaryStops: leaving !== undefined,
+    replacedPrimaryStops: syncReplicas !== undefined,
     announce: async () => ({
       confirmedBy: clock.now(),
       told: [],
@@ -252,7 +262,7 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 9}},
       PLANNED,
-      {leaving: {primary: 'i-1', syncReplicas: 1}},
+      {leaving: 'i-1', syncReplicas: 1},
     );
     assert.deepEqual(steps(sent).slice(0, 2), ['stepDown i-1', 'order i-3']);
   });
@@ -261,7 +271,7 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
       PLANNED,
-      {leaving: {primary: 'i-1', syncReplicas: 1}},
+      {leaving: 'i-1', syncReplicas: 1},
     );
     assert.ok(sent.includes('stepDown i-1'));
     assert.ok(!sent.some(text => text.startsWith('order')), sent.join());
@@ -271,7 +281,7 @@
     const {sent} = await watchGroup(
       {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
       PLANNED,
-      {leaving: {primary: 'i-1', syncReplicas: 0}},
+      {leaving: 'i-1', syncReplicas: 0},
     );
     assert.equal(steps(sent)[0], 'order i-3');
   });
@@ -284,7 +294,7 @@
     'i-1': {isPrimary: true, offset: 9},
     'i-3': {isPrimary: false, offset},
   });
-  const leaving = {primary: 'i-1', syncReplicas: 1};
+  const leaves = {leaving: 'i-1', syncReplicas: 1};
   const losses: ReadonlyArray<readonly [string, Loss['after'], number]> = [
     ['before it steps down', 'none', 9],
     ['before its successor has its last commit', 'stepDown', 8],
@@ -295,7 +305,7 @@
       const how = refuses ? 'crashes' : 'hangs';
       it(`is replaced in time when it ${how} ${what}`, async () => {
         const {sent, orderedAt} = await watchGroup(claimants(offset), CHANGE, {
-          leaving,
+          ...leaves,
           loss: {after, refuses},
         });
         const orders = sent.filter(text => text.startsWith('order'));
@@ -307,7 +317,7 @@
 
   it('is left to the instances that reach it, without taking the lease from them', async () => {
     const {begun} = await watchGroup(claimants(9), CHANGE, {
-      leaving,
+      ...leaves,
       verdict: Verdict.Reached,
       loss: {after: 'none', refuses: true},
     });
@@ -316,6 +326,30 @@
   });
 });
 
+describe('the endpoint that replaces a lost primary', () => {
+  /** The replica that leaves has received the last commit, alone or not. */
+  const replicas = (offset: number) => ({
+    'i-2': {isPrimary: false, offset: 9, leaves: true},
+    'i-3': {isPrimary: false, offset},
+  });
+  const firstBegun = async (offset: number, syncReplicas: number) => {
+    const {begun} = await watchGroup(replicas(offset), CHANGE, {syncReplicas});
+    return begun[0]?.to;
+  };
+
+  it('keeps commits that only a replica that leaves has confirmed', async () => {
+    assert.equal(await firstBegun(8, 1), 'i-2');
+  });
+
+  it('stays if it has received as much as one that leaves', async () => {
+    assert.equal(await firstBegun(9, 1), 'i-3');
+  });
+
+  it('stays where a commit needs no replica', async () => {
+    assert.equal(await firstBegun(8, 0), 'i-3');
+  });
+});
+
 describe('a missing primary of which too few peers tell', () => {
   const REPLICAS = {'i-3': {isPrimary: false, offset: 9}};
   /** Time without writes that a loss of half of the instances may cause. */
