Keep acknowledged commits at a hand-over where a replaced primary goes on

On a platform that does not check fences a planned change went on to its order though the successor had not received the last commits of a primary that had stepped down, or that did not confirm it: with SyncReplicas these may be acknowledged.

With SyncReplicas no order is sent then. The test plays the hand-over on both kinds of platform and fails on this one without the change.

--- a/packages/proxy/src/change-preparation.ts
+++ b/packages/proxy/src/change-preparation.ts
@@ -23,6 +23,8 @@
   readonly log: Log;
   readonly changer: PrimaryChanger;
   readonly control: EndpointControl;
+  /** Whether acknowledged commits have to be in the successor's log. */
+  readonly mustKeepCommits: () => boolean;
   /**
    * Announces a change to all instances; undefined while they are not known.
    */
@@ -47,7 +49,7 @@
 
 /** Creates the preparation of one group's changes. */
 export function changePreparation(context: PreparationContext): PrepareChange {
-  const {instance, clock, log, changer, control} = context;
+  const {instance, clock, log, changer, control, mustKeepCommits} = context;
 
   async function announce(
     change: ChangeRecord,
@@ -66,11 +68,12 @@
     return answers;
   }
 
-  /** Whether the old primary has stepped down with its log at the successor. */
+  /** Whether the old primary has stepped down, with its log at the successor. */
   async function handOver({from, to}: ChangeRecord): Promise<boolean> {
     const end = await control.stepDown(from);
-    if (end) await control.waitUntilReceived(to, end);
-    return end !== undefined;
+    if (!end) return false;
+    const isReceived = await control.waitUntilReceived(to, end);
+    return isReceived || !mustKeepCommits();
   }
 
   /**
@@ -88,6 +91,8 @@
       const answers = await announce(change);
       if (!answers || answers.isOutdated) return false;
       if (await handOver(change)) return true;
+      // The successor was chosen while the old primary acknowledged commits.
+      if (mustKeepCommits()) return false;
     }
     const unplanned = {...change, isPlanned: false};
     const answers = await announce(unplanned);
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -84,13 +84,14 @@
 ): Disposable {
   const {clock, log, changer, instance} = context;
   const control = endpointControl(group, context);
+  /** Whether acknowledged commits have to be in the log of a successor. */
+  const mustKeepCommits = () => group.policy.syncReplicas > 0;
   const preparation = context.replacedPrimaryStops
     ? syncedHandOver(control)
-    : changePreparation({...context, control});
+    : changePreparation({...context, control, mustKeepCommits});
   /** What a change of primary needs before its order; undefined for nothing. */
   function prepareNow(): PrepareChange | undefined {
-    const isNeeded =
-      !context.replacedPrimaryStops || group.policy.syncReplicas > 0;
+    const isNeeded = !context.replacedPrimaryStops || mustKeepCommits();
     return isNeeded ? preparation : undefined;
   }
   /** Spreads the attempts of instances over time. */
@@ -116,7 +117,7 @@
     from: string | undefined,
     isPlanned: boolean,
   ): Promise<StatedCandidate[]> {
-    const mayLeave = !isPlanned && group.policy.syncReplicas > 0;
+    const mayLeave = !isPlanned && mustKeepCommits();
     const requests: Array<Promise<StatedCandidate | undefined>> = [];
     for (const {listed} of group.links.values()) {
       if (listed.id === from || (listed.leaving && !mayLeave)) continue;
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -48,8 +48,9 @@
 interface Circumstances {
   /** The primary, which leaves. */
   readonly leaving?: string;
-  /** Set on a platform where a replaced primary stops by itself. */
   readonly syncReplicas?: number;
+  /** Whether a replaced primary stops by itself; by default with `syncReplicas`. */
+  readonly replacedStops?: boolean;
   /** The verdict of the peers. */
   readonly verdict?: Verdict;
   readonly isStoreDown?: boolean;
@@ -66,6 +67,7 @@
   {
     leaving,
     syncReplicas,
+    replacedStops = syncReplicas !== undefined,
     verdict = Verdict.Unreached,
     isStoreDown,
     loss,
@@ -198,7 +200,7 @@
         }),
       }) as Partial<PeerQueries> as PeerQueries,
     readStatus: ({rows}) => JSON.parse(rows[0]!) as EndpointStatus,
-    replacedPrimaryStops: syncReplicas !== undefined,
+    replacedPrimaryStops: replacedStops,
     announce: async () => ({
       confirmedBy: clock.now(),
       told: [],
@@ -254,32 +256,35 @@
 
 describe('a primary that leaves', () => {
   const PLANNED: ChangeRecord = {...CHANGE, isPlanned: true};
-  const PRIMARY = {isPrimary: true, offset: 9};
+  const primary = () => ({isPrimary: true, offset: 9});
   const steps = (sent: readonly string[]) =>
     sent.filter(text => !text.startsWith('status'));
 
   it('steps down before the order where acknowledged commits must be kept', async () => {
     const {sent} = await watchGroup(
-      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 9}},
+      {'i-1': primary(), 'i-3': {isPrimary: false, offset: 9}},
       PLANNED,
       {leaving: 'i-1', syncReplicas: 1},
     );
     assert.deepEqual(steps(sent).slice(0, 2), ['stepDown i-1', 'order i-3']);
   });
 
-  it('is not replaced by one that lacks its last commits', async () => {
-    const {sent} = await watchGroup(
-      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
-      PLANNED,
-      {leaving: 'i-1', syncReplicas: 1},
-    );
-    assert.ok(sent.includes('stepDown i-1'));
-    assert.ok(!sent.some(text => text.startsWith('order')), sent.join());
-  });
+  for (const replacedStops of [true, false]) {
+    const where = replacedStops ? 'stops' : 'goes on';
+    it(`is not replaced by one that lacks its last commits where it ${where}`, async () => {
+      const {sent} = await watchGroup(
+        {'i-1': primary(), 'i-3': {isPrimary: false, offset: 8}},
+        PLANNED,
+        {leaving: 'i-1', syncReplicas: 1, replacedStops},
+      );
+      assert.ok(sent.includes('stepDown i-1'));
+      assert.ok(!sent.some(text => text.startsWith('order')), sent.join());
+    });
+  }
 
   it('serves until its successor leads where they may be lost', async () => {
     const {sent} = await watchGroup(
-      {'i-1': PRIMARY, 'i-3': {isPrimary: false, offset: 8}},
+      {'i-1': primary(), 'i-3': {isPrimary: false, offset: 8}},
       PLANNED,
       {leaving: 'i-1', syncReplicas: 0},
     );
