Send the answers that a relay owes before its instance stops

A stopping instance that relays requests of peers counted an answer as delivered once it was written, and destroyed the connections right after the last one: what the network had not taken yet was cut. The peer then tells its caller that a write is in doubt, or repeats a read.

A requester counts as active until the network has taken its answers; the grace period bounds this.

--- a/packages/proxy/src/shutdown.ts
+++ b/packages/proxy/src/shutdown.ts
@@ -13,7 +13,7 @@
   readonly log: Log;
   readonly graceMs: number;
   readonly sessions: ReadonlySet<CallerSession>;
-  /** Requesters with a request in flight or an open transaction here. */
+  /** Requesters with work under way here; see `Relay`. */
   readonly activeRequesters: () => number;
 }
 
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -54,7 +54,10 @@
 /** A running relay. */
 export interface Relay extends Disposable {
   readonly port: number;
-  /** Requesters with a request in flight or an open transaction. */
+  /**
+   * Requesters with a request in flight, an open transaction, or an answer that
+   * is not sent yet.
+   */
   readonly activeRequesters: number;
   /**
    * Accepts no more requesters, and notifies the connected ones so that they
@@ -65,7 +68,10 @@
 
 /** The connection of one requester. */
 interface RequesterConnection extends Disposable {
-  /** Whether a request is in flight or a transaction is open. */
+  /**
+   * Whether a request is in flight, a transaction is open, or an answer is not
+   * sent yet.
+   */
   readonly isOpen: boolean;
   notifyStopping(): void;
 }
@@ -162,7 +168,8 @@
   });
   return {
     get isOpen() {
-      return isServing || state !== SessionState.Idle;
+      const isSending = !socket.destroyed && socket.writableLength > 0;
+      return isServing || isSending || state !== SessionState.Idle;
     },
     notifyStopping: () => sendMessage({type: 'stopping'}),
     dispose: () => void socket.destroy(),
