Bound the memory of long answers, and make endpoints wait for callers

Sixteen callers that read 12.6 MB each at once ended a daemon (SIGABRT: the heap's limit of 160 MB was reached), and with it all its sessions. Answers were gathered whole, copied once to be formatted, and written to callers however slowly these read.

A relay passes on what does not fit in one frame; before, such an answer, or a row of 1 MiB with bytes over 127, lost the connection. Older instances beside this build lose it for answers between 1 and 2 MiB as well.

Ruled out on the way: one limit for all (heap 140 MB with 60 held: the oldest answer went on while callers held the rest, and rows kept their chunks).

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -293,6 +293,17 @@
   maxQueriedPeers: 9,
 } as const;
 
+/**
+ * Memory for long answers, in bytes; together with what a statement takes less
+ * than the heap of a process, which is 160 MB.
+ */
+export const ANSWER_LIMITS = {
+  sharedBytes: 24 * 1024 * 1024,
+  heldBytes: 64 * 1024 * 1024,
+  shortBytes: 64 * 1024,
+  answerBytes: 40 * 1024 * 1024,
+} as const;
+
 /**
  * How long each symptom must last before the primary counts as down, in
  * milliseconds.
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -27,6 +27,7 @@
   /** Number of times the store was restored. */
   storeEra(): number;
   sessions(): number;
+  heldAnswerBytes(): number;
   now(): number;
 }
 
@@ -82,6 +83,11 @@
       help: 'Sessions that are open.',
       registers,
     }),
+    heldAnswers: new Gauge({
+      name: 'quetzalreel_held_answer_bytes',
+      help: 'Long answers that callers have not received yet; more of them wait above a limit.',
+      registers,
+    }),
     silent: new Gauge({
       name: 'quetzalreel_endpoint_silent_seconds',
       help: 'Time since an endpoint was last heard of; the age of what is believed of it.',
@@ -147,6 +153,7 @@
       gauges.generation.set(source.generation());
       gauges.storeEra.set(source.storeEra());
       gauges.sessions.set(source.sessions());
+      gauges.heldAnswers.set(source.heldAnswerBytes());
       for (const group of source.groups()) readGroup(group);
       return registry.metrics();
     },
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -18,6 +18,7 @@
   linksOf,
 } from '@quetzalreel/facts';
 import type {KindStore} from '@quetzalreel/object-store';
+import type {AnswerMemory} from '@quetzalreel/requests';
 import {type PeerTransport, tcpTransport} from '@quetzalreel/peer';
 import {
   type Relay,
@@ -55,6 +56,7 @@
   readonly peers: {readonly host: string; readonly port: number};
   /** Address of the relay that peers use to reach endpoints. */
   readonly relay: {readonly host: string; readonly port: number};
+  readonly answerMemory: AnswerMemory;
   /**
    * Creates the executor for a requester at an endpoint; undefined for an
    * unknown endpoint.
@@ -214,6 +216,7 @@
     relay = await startRelay({
       ...context.relay,
       idleTimeoutMs: TIMES.requesterIdleTimeoutMs,
+      memory: context.answerMemory,
       serve: context.serveRelayed,
       onEnd: (target, why) => log.info({event: 'relayEnded', ...target, why}),
     });
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -6,6 +6,7 @@
 import {
   type AcceptCaller,
   type Answer,
+  type AnswerMemory,
   type EndpointDriver,
   type EndpointStatus,
   ErrorCode,
@@ -63,6 +64,8 @@
   readonly store: KindStore;
   readonly catalog: StoreFormat;
   readonly driver: EndpointDriver;
+  /** Shared with `driver` and the listener for callers. */
+  readonly answerMemory: AnswerMemory;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
   readonly orders: PromotionOrders;
   /**
@@ -114,6 +117,7 @@
     generation: () => view.table?.generation ?? 0,
     storeEra: () => options.store.era.current,
     sessions: () => sessions.size,
+    heldAnswerBytes: () => options.answerMemory.heldBytes,
     now: () => clock.now(),
   });
 
@@ -231,7 +235,7 @@
     const group = groupRuntime(policy, {
       ...options,
       name: policy.name,
-      relayDriver: tcpRelayDriver(),
+      relayDriver: tcpRelayDriver(options.answerMemory),
       suspensionDetector: guard,
       askPeers: async (name, endpoint) =>
         peers.peerQueries?.queryReachability(name, endpoint),
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -198,12 +198,14 @@
         end();
         break;
       }
-      queue.shift();
       const rule = (pinned ?? context.route())?.rule;
       if (rule)
         context.metrics.observeAnswer(rule, answer, clock.now() - arrivedAt);
       if (ended) break;
-      connection.answer(answer);
+      const sending = connection.answer(answer);
+      // Until then the session counts as busy.
+      if (sending) await sending;
+      queue.shift();
       if (answer.error?.code === ErrorCode.NoDatabase) closeSession();
     }
     serving = false;
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -96,6 +96,7 @@
     generation: () => 0,
     storeEra: () => 0,
     sessions: () => 0,
+    heldAnswerBytes: () => 0,
     now: () => clock.now(),
   });
   const {endpoints, driver} = simulatedGroup(
--- a/packages/proxy/test/test-endpoint-link.ts
+++ b/packages/proxy/test/test-endpoint-link.ts
@@ -8,12 +8,14 @@
   tcpRelayDriver,
 } from '@quetzalreel/relay';
 import {NO_CONNECTIONS_PLAN} from '../src/connection-sharing.js';
-import {TIMES} from '../src/defaults.js';
+import {ANSWER_LIMITS, TIMES} from '../src/defaults.js';
 import {endpointLink} from '../src/endpoint-link.js';
 import {createLog} from '../src/log.js';
 import {listedEndpoint} from './listed.js';
 import {simulatedGroup} from './simulated-endpoint.js';
+import {answerMemory} from '@quetzalreel/requests';
 
+const MEMORY = answerMemory(ANSWER_LIMITS);
 const TRAITS = {
   slots: 3,
   queueLength: 24,
@@ -32,7 +34,7 @@
     clock,
     log: createLog('test', {write: () => {}}),
     driver,
-    relayDriver: tcpRelayDriver(),
+    relayDriver: tcpRelayDriver(MEMORY),
     onIdle: () => {},
   });
   const plan = {...NO_CONNECTIONS_PLAN, isHolder: true, keptConnections};
--- a/packages/proxy/test/test-probe-schedule.ts
+++ b/packages/proxy/test/test-probe-schedule.ts
@@ -21,7 +21,10 @@
 import {endpointLink} from '../src/endpoint-link.js';
 import {createLog} from '../src/log.js';
 import {listedEndpoint} from './listed.js';
+import {answerMemory} from '@quetzalreel/requests';
+import {ANSWER_LIMITS} from '../src/defaults.js';
 
+const MEMORY = answerMemory(ANSWER_LIMITS);
 const NOT_DUE: ProbeInputs = {
   isHolder: true,
   hasPrimary: true,
@@ -137,7 +140,7 @@
     const listed = listedEndpoint('i-1');
     const log = createLog('test', {write: () => {}});
     const driver = new NoDriver();
-    const relayDriver = tcpRelayDriver();
+    const relayDriver = tcpRelayDriver(MEMORY);
     const rest = {relayDriver, onIdle: () => {}};
     return endpointLink(listed, {clock, log, driver, ...rest});
   }
--- a/packages/proxy/test/test-probe.ts
+++ b/packages/proxy/test/test-probe.ts
@@ -17,7 +17,10 @@
 import {ANY_ENDPOINT} from '../src/placement.js';
 import {pooledConnection} from '../src/pooled-connection.js';
 import {probe} from '../src/probe.js';
+import {answerMemory} from '@quetzalreel/requests';
+import {ANSWER_LIMITS} from '../src/defaults.js';
 
+const MEMORY = answerMemory(ANSWER_LIMITS);
 const OBSERVATION: EndpointObservation = {
   position: {term: 1, offset: 5},
   heardMsAgo: 3,
@@ -34,6 +37,7 @@
       host: '127.0.0.1',
       port: 0,
       idleTimeoutMs: 1000,
+      memory: MEMORY,
       serve: () => ({
         async send(req) {
           asked.push(req.type);
@@ -49,7 +53,7 @@
     });
     const target = {group: 'g', endpoint: 'i-1'};
     const via = `127.0.0.1:${relay.port}`;
-    const connection = await connectViaRelay(via, target, 1000);
+    const connection = await connectViaRelay(via, target, 1000, MEMORY);
     const observations: EndpointObservation[] = [];
     const before = clock.now();
     let countedFrom = -Infinity;
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -94,6 +94,7 @@
       generation: () => 0,
       storeEra: () => 0,
       sessions: () => 0,
+      heldAnswerBytes: () => 0,
       now: () => clock.now(),
     }),
     route: {
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -38,7 +38,9 @@
 export type RelayMessage =
   /** The target is accepted; requests may follow. */
   | {readonly type: 'open'}
-  /** The answer to the oldest unanswered request. */
+  /** The first rows of a long answer, which follows. */
+  | {readonly type: 'rows'; readonly rows: readonly string[]}
+  /** The answer to the oldest unanswered request, with its last rows. */
   | {readonly type: 'answer'; readonly answer: Answer}
   /** The answer to the oldest unanswered `sign` request. */
   | {readonly type: 'sign'; readonly sign: EndpointObservation}
@@ -58,11 +60,34 @@
    */
   | {readonly type: 'stopping'};
 
+/** Longest text of a statement or row, in characters; set by the callers'
+ * protocol. */
+const MAX_TEXT_LENGTH = 1024 * 1024;
+
+/**
+ * Maximum frame size, in bytes: the longest text, whose characters may take two
+ * bytes each, and other rows or metadata.
+ */
+export const MAX_FRAME_BYTES = 4 * MAX_TEXT_LENGTH;
+
 /**
- * Maximum frame size, in bytes: a statement or answer of one mebibyte, which is
- * the most that callers may send, plus its metadata.
+ * Divides an answer into messages of which each fits in a frame. Short answers
+ * are one message.
  */
-export const MAX_FRAME_BYTES = 2 * 1024 * 1024;
+export function* answerMessages(answer: Answer): Generator<RelayMessage> {
+  let rows: string[] = [];
+  let length = 0;
+  for (const row of answer.rows) {
+    if (length + row.length > MAX_TEXT_LENGTH && rows.length > 0) {
+      yield {type: 'rows', rows};
+      rows = [];
+      length = 0;
+    }
+    rows.push(row);
+    length += row.length;
+  }
+  yield {type: 'answer', answer: {...answer, rows}};
+}
 
 const REQUEST_TYPES: ReadonlySet<string> = new Set<EndpointRequest['type']>([
   'forward',
@@ -82,6 +107,7 @@
 
 const MESSAGE_TYPES: ReadonlySet<string> = new Set<RelayMessage['type']>([
   'open',
+  'rows',
   'answer',
   'sign',
   'lost',
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -6,6 +6,7 @@
 import {type Disposable, messageOf} from '@quetzalreel/common';
 import {
   type Answer,
+  type AnswerMemory,
   ConnectionLostError,
   type EndpointRequest,
   SessionState,
@@ -16,6 +17,7 @@
   type EndpointObservation,
   type RelayMessage,
   type RelayTarget,
+  answerMessages,
   isRelayTarget,
   isRequest,
   isObservationRequest,
@@ -47,6 +49,8 @@
    * to this instance.
    */
   readonly serve: (target: RelayTarget) => ServedConnection | undefined;
+  /** Counts the answers until requesters have received them. */
+  readonly memory: AnswerMemory;
   /** Called with the reason when a requester is rejected or disconnected. */
   readonly onEnd: (target: RelayTarget | undefined, why: string) => void;
 }
@@ -97,6 +101,17 @@
     if (!socket.destroyed) socket.write(encodeFrame(message));
   }
 
+  function sendAnswer(answer: Answer): void {
+    let length = 0;
+    for (const row of answer.rows) length += row.length;
+    const held = options.memory.hold(length);
+    const messages = [...answerMessages(answer)];
+    for (const message of messages.slice(0, -1)) sendMessage(message);
+    const last = encodeFrame(messages[messages.length - 1]);
+    // Also called, with an error, for a connection that was closed.
+    socket.write(last, () => held.dispose());
+  }
+
   function close(why: string): void {
     if (socket.destroyed) return;
     options.onEnd(target, why);
@@ -127,7 +142,7 @@
     try {
       const answer = await served!.send(req);
       state = answer.state;
-      sendMessage({type: 'answer', answer});
+      sendAnswer(answer);
     } catch (err) {
       isLost = true;
       const wasReset = err instanceof ConnectionLostError && err.wasReset;
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -2,10 +2,14 @@
 import net from 'node:net';
 import {
   type Answer,
+  type AnswerMemory,
   ConnectionLostError,
   EndpointConnection,
   type EndpointRequest,
+  ErrorCode,
+  type GatheredAnswer,
   SessionState,
+  localError,
 } from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
 import {messageOf} from '@quetzalreel/common';
@@ -68,18 +72,24 @@
 }
 
 class TcpRelayDriver extends RelayDriver {
+  constructor(private readonly memory: AnswerMemory) {
+    super();
+  }
+
   connect(
     via: RelayAddress,
     target: RelayTarget,
     timeoutMs: number,
   ): Promise<RelayedConnection> {
-    return connectViaRelay(via, target, timeoutMs);
+    return connectViaRelay(via, target, timeoutMs, this.memory);
   }
 }
 
-/** Connects to relays over TCP. */
-export function tcpRelayDriver(): RelayDriver {
-  return new TcpRelayDriver();
+/**
+ * Connects to relays over TCP. The answers that arrive take part in `memory`.
+ */
+export function tcpRelayDriver(memory: AnswerMemory): RelayDriver {
+  return new TcpRelayDriver(memory);
 }
 
 class TcpRelayedConnection extends RelayedConnection {
@@ -92,14 +102,20 @@
   > = [];
   private readonly closeCallbacks: Array<() => void> = [];
   private readonly decoder = frameDecoder(MAX_FRAME_BYTES);
+  /** The first rows of the answer that is arriving. */
+  private rows: string[] = [];
+  /** Counts the answer that is arriving. */
+  private readonly arriving: GatheredAnswer;
 
   constructor(
     readonly endpoint: string,
     readonly relay: RelayAddress,
     private readonly socket: net.Socket,
+    memory: AnswerMemory,
     private readonly onOpen: () => void,
   ) {
     super();
+    this.arriving = memory.gather(socket);
     socket.on('data', chunk => this.read(chunk));
     socket.on('error', err => this.failRelay(err.message));
     socket.on('close', () => this.failRelay('the relay closed the connection'));
@@ -152,6 +168,10 @@
   }
 
   private read(chunk: Buffer): void {
+    if (!this.arriving.add(chunk.length)) {
+      this.giveUpLongAnswer();
+      return;
+    }
     try {
       for (const value of this.decoder.push(chunk)) {
         if (!isRelayMessage(value))
@@ -168,9 +188,12 @@
       case 'open':
         this.onOpen();
         return;
+      case 'rows':
+        this.rows.push(...message.rows);
+        return;
       case 'answer':
         this.state = message.answer.state;
-        this.pendingAnswers.shift()?.resolve(message.answer);
+        this.pendingAnswers.shift()?.resolve(this.wholeAnswer(message.answer));
         break;
       case 'sign':
         this.pendingObservations.shift()?.resolve(message.sign);
@@ -186,6 +209,22 @@
     this.endIfStopping();
   }
 
+  private wholeAnswer(last: Answer): Answer {
+    this.arriving.end();
+    if (this.rows.length === 0) return last;
+    const rows = this.rows.concat(last.rows);
+    this.rows = [];
+    return {...last, rows};
+  }
+
+  /** Its rest can't be skipped, so the connection ends with it. */
+  private giveUpLongAnswer(): void {
+    const text = 'the answer is longer than a caller can be given; read less';
+    const answer = localError(ErrorCode.TooLarge, text, SessionState.Failed);
+    this.pendingAnswers.shift()?.resolve(answer);
+    this.failRelay('the relay sent an answer that is too long');
+  }
+
   /**
    * Closes the connection to a stopping relay once no request is in flight and
    * no transaction is open; the next request then takes another path.
@@ -203,6 +242,7 @@
   private fail(err: ConnectionLostError): void {
     if (!this.isOpen) return;
     this.isOpen = false;
+    this.arriving.end();
     this.socket.destroy();
     for (const {reject} of this.pendingAnswers.splice(0)) reject(err);
     for (const {reject} of this.pendingObservations.splice(0)) reject(err);
@@ -218,6 +258,7 @@
   via: RelayAddress,
   target: RelayTarget,
   timeoutMs: number,
+  memory: AnswerMemory,
 ): Promise<RelayedConnection> {
   const {endpoint} = target;
   const socket = socketTo(via);
@@ -226,10 +267,17 @@
     const timer = setTimeout(() => {
       socket.destroy(new Error(`no answer within ${timeoutMs} ms`));
     }, timeoutMs);
-    const connection = new TcpRelayedConnection(endpoint, via, socket, () => {
+    const onOpen = () => {
       clearTimeout(timer);
       resolve(connection);
-    });
+    };
+    const connection = new TcpRelayedConnection(
+      endpoint,
+      via,
+      socket,
+      memory,
+      onOpen,
+    );
     connection.onClose(() => {
       clearTimeout(timer);
       const what = `the relay at ${via} did not accept the connection`;
--- a/packages/relay/test/test-relay-stop.ts
+++ b/packages/relay/test/test-relay-stop.ts
@@ -4,9 +4,16 @@
 import {describe, it} from 'node:test';
 import {setTimeout} from 'node:timers/promises';
 import {encodeFrame} from '@quetzalreel/peer';
-import {SessionState, localAnswer} from '@quetzalreel/requests';
+import {SessionState, answerMemory, localAnswer} from '@quetzalreel/requests';
 import {startRelay} from '../src/index.js';
 
+/** Nothing waits here. */
+const MEMORY = answerMemory({
+  sharedBytes: Infinity,
+  heldBytes: Infinity,
+  shortBytes: Infinity,
+  answerBytes: Infinity,
+});
 const HOST = '127.0.0.1';
 /** Answers that together are longer than what the network takes at once. */
 const LONG_ROW = 'r'.repeat(1024 * 1024);
@@ -29,6 +36,7 @@
       host: HOST,
       port: 0,
       idleTimeoutMs: WAIT_MS,
+      memory: MEMORY,
       serve: () => ({
         async send() {
           served++;
--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -5,8 +5,12 @@
 
 /** One caller's connection. */
 export abstract class CallerConnection {
-  /** Sends the answer to the oldest request without one. */
-  abstract answer(answer: Answer): void;
+  /**
+   * Sends the answer to the oldest request without one. For a long answer it
+   * returns a promise that resolves once the caller has received nearly all of it
+   * or has disconnected; no other answer may be sent before.
+   */
+  abstract answer(answer: Answer): Promise<void> | undefined;
   /** Closes the connection once everything written has been sent. */
   abstract end(): void;
 }
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -8,6 +8,13 @@
   localAnswer,
   localError,
 } from './answer.js';
+export {
+  type AnswerMemory,
+  type AnswerMemoryLimits,
+  type AnswerSource,
+  type GatheredAnswer,
+  answerMemory,
+} from './answer-memory.js';
 export {
   type AcceptCaller,
   CallerConnection,
