Give the fencing step of a failover a module of its own

The step in which endpoints promise a term and the best of them is promoted now stands alone; nothing else changed. Tests of the group and the daemon pass as before.

--- a/packages/group/src/failover.ts
+++ b/packages/group/src/failover.ts
@@ -4,16 +4,22 @@
  * instances succeeds.
  */
 import type {Attempt, EndpointStatus} from '@quetzalreel/endpoint';
-import {comparePositions, majorityOf, isAtLeast} from '@quetzalreel/position';
+import {isAtLeast, majorityOf} from '@quetzalreel/position';
 import {
   type FailoverContext,
   type FailoverEffect,
-  type FailoverInput,
   type FailoverResult,
   type FailoverState,
   isCurrentAttempt,
   applyInput,
 } from './failover-state.js';
+import {
+  continueFencing,
+  mayTargetPromise,
+  nextAttempt,
+  promoteIfMajority,
+  startFencing,
+} from './fencing.js';
 import {
   isConfirmed,
   isPrimarySuspect,
@@ -200,45 +206,6 @@
   );
 }
 
-function startFencing(
-  state: FailoverState,
-  input: FailoverInput,
-  context: FailoverContext,
-  why: string,
-): FailoverResult {
-  const attempt = nextAttempt(state, context);
-  const started = {
-    ...state,
-    attempt,
-    attempts: state.attempts + 1,
-    promises: new Map<string, EndpointStatus>(),
-    denials: new Set<string>(),
-  };
-  return continueFencing(started, input, context, why);
-}
-
-function continueFencing(
-  state: FailoverState,
-  input: FailoverInput,
-  context: FailoverContext,
-  why: string,
-): FailoverResult {
-  const moved = applyInput(state, input, context, why);
-  const effects = [...moved.effects];
-  for (const name of context.view.endpoints.keys()) {
-    if (state.promises.has(name)) continue;
-    effects.push({type: 'fence', endpoint: name, attempt: state.attempt!});
-  }
-  return {state: moved.state, effects};
-}
-
-function nextAttempt(state: FailoverState, context: FailoverContext): Attempt {
-  return {
-    term: highestTerm(context.view) + 1,
-    holder: `${context.instance}.${state.attempts + 1}`,
-  };
-}
-
 /** Handles an endpoint's promise to an attempt. */
 export function handlePromise(
   state: FailoverState,
@@ -257,74 +224,6 @@
   return promoteIfMajority(next, context);
 }
 
-/** Whether a planned failover's target may still promise. */
-function mayTargetPromise(
-  state: FailoverState,
-  context: FailoverContext,
-): boolean {
-  const {target, promises, denials} = state;
-  if (target === undefined || promises.has(target)) return false;
-  return context.view.endpoints.has(target) && !denials.has(target);
-}
-
-function promoteIfMajority(
-  state: FailoverState,
-  context: FailoverContext,
-): FailoverResult {
-  const size = context.view.endpoints.size;
-  const candidate = bestCandidate(state, context.view);
-  if (!candidate || state.promises.size < majorityOf(size)) {
-    return {state, effects: []};
-  }
-  const chosen = {...state, candidate};
-  const moved = applyInput(
-    chosen,
-    'PROMISED',
-    context,
-    `${candidate} has the latest position`,
-  );
-  const effect: FailoverEffect = {
-    type: 'promote',
-    endpoint: candidate,
-    attempt: state.attempt!,
-  };
-  return {state: moved.state, effects: [...moved.effects, effect]};
-}
-
-/**
- * The promised endpoint with the highest position. Ties go to the target of a
- * planned failover, then to an endpoint that is not leaving.
- */
-function bestCandidate(
-  state: FailoverState,
-  view: GroupView,
-): string | undefined {
-  let best: string | undefined;
-  for (const [name, status] of state.promises) {
-    if (!best) {
-      best = name;
-      continue;
-    }
-    const order = comparePositions(status.last, state.promises.get(best)!.last);
-    if (order < 0) continue;
-    if (order > 0 || isPreferred(name, best, state, view)) best = name;
-  }
-  return best;
-}
-
-function isPreferred(
-  name: string,
-  other: string,
-  state: FailoverState,
-  view: GroupView,
-): boolean {
-  if (name === state.target || other === state.target) {
-    return name === state.target;
-  }
-  const isLeaving = (of: string) => view.endpoints.get(of)?.cfg.leaving ?? true;
-  return isLeaving(other) && !isLeaving(name);
-}
-
 /** Handles a promotion: the other endpoints get a `follow` call. */
 export function handlePromotion(
   state: FailoverState,
