--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -10,6 +10,7 @@
   ConnectionLostError,
   type EndpointRequest,
   SessionState,
+  lengthOfRows,
 } from '@quetzalreel/requests';
 import {encodeFrame, frameDecoder} from '@quetzalreel/peer';
 import {
@@ -102,9 +103,7 @@
   }
 
   function sendAnswer(answer: Answer): void {
-    let length = 0;
-    for (const row of answer.rows) length += row.length;
-    const held = options.memory.hold(length);
+    const held = options.memory.hold(lengthOfRows(answer));
     const messages = [...answerMessages(answer)];
     for (const message of messages.slice(0, -1)) sendMessage(message);
     const last = encodeFrame(messages[messages.length - 1]);
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -6,10 +6,9 @@
   ConnectionLostError,
   EndpointConnection,
   type EndpointRequest,
-  ErrorCode,
   type GatheredAnswer,
   SessionState,
-  localError,
+  tooLongAnswer,
 } from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
 import {messageOf} from '@quetzalreel/common';
@@ -217,11 +216,8 @@
     return {...last, rows};
   }
 
-  /** Its rest can't be skipped, so the connection ends with it. */
   private giveUpLongAnswer(): void {
-    const text = 'the answer is longer than a caller can be given; read less';
-    const answer = localError(ErrorCode.TooLarge, text, SessionState.Failed);
-    this.pendingAnswers.shift()?.resolve(answer);
+    this.pendingAnswers.shift()?.resolve(tooLongAnswer());
     this.failRelay('the relay sent an answer that is too long');
   }
 
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -102,3 +102,19 @@
   const error = {code, text};
   return {rows: [], signature: undefined, error, state, position: undefined};
 }
+
+/**
+ * The answer in place of one that is too long to be held. Its rest can't be skipped,
+ * so its connection has to be closed.
+ */
+export function tooLongAnswer(): Answer {
+  const text = 'the answer is longer than a caller can be given; read less';
+  return localError(ErrorCode.TooLarge, text, SessionState.Failed);
+}
+
+/** Length of an answer's rows together, in characters. */
+export function lengthOfRows({rows}: Answer): number {
+  let length = 0;
+  for (const row of rows) length += row.length;
+  return length;
+}
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -5,8 +5,10 @@
   ErrorCode,
   SessionState,
   didNotRun,
+  lengthOfRows,
   localAnswer,
   localError,
+  tooLongAnswer,
 } from './answer.js';
 export {
   type AnswerMemory,
