Count only answers as long answers, and what their rows take

A relay's observations were counted with the answer after them: a connection that only fetches observations would have counted as a long answer after some hundred of them, and been made to wait in the end. Many short rows took several times the memory that was counted, and those of one frame were passed as arguments of a call, of which there may be too many.

--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -10,7 +10,7 @@
   ConnectionLostError,
   type EndpointRequest,
   SessionState,
-  lengthOfRows,
+  sizeOfRows,
 } from '@quetzalreel/requests';
 import {encodeFrame, frameDecoder} from '@quetzalreel/peer';
 import {
@@ -103,7 +103,7 @@
   }
 
   function sendAnswer(answer: Answer): void {
-    const held = options.memory.hold(lengthOfRows(answer));
+    const held = options.memory.hold(sizeOfRows(answer));
     const messages = [...answerMessages(answer)];
     for (const message of messages.slice(0, -1)) sendMessage(message);
     const last = encodeFrame(messages[messages.length - 1]);
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -185,16 +185,18 @@
   private handle(message: RelayMessage): void {
     switch (message.type) {
       case 'open':
+        this.noteOther();
         this.onOpen();
         return;
       case 'rows':
-        this.rows.push(...message.rows);
+        this.rows = this.rows.concat(message.rows);
         return;
       case 'answer':
         this.state = message.answer.state;
         this.pendingAnswers.shift()?.resolve(this.wholeAnswer(message.answer));
         break;
       case 'sign':
+        this.noteOther();
         this.pendingObservations.shift()?.resolve(message.sign);
         return;
       case 'lost': {
@@ -208,6 +210,11 @@
     this.endIfStopping();
   }
 
+  /** What has arrived was no part of an answer, unless one has begun. */
+  private noteOther(): void {
+    if (this.rows.length === 0) this.arriving.end();
+  }
+
   private wholeAnswer(last: Answer): Answer {
     this.arriving.end();
     if (this.rows.length === 0) return last;
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -112,9 +112,12 @@
   return localError(ErrorCode.TooLarge, text, SessionState.Failed);
 }
 
-/** Length of an answer's rows together, in characters. */
-export function lengthOfRows({rows}: Answer): number {
-  let length = 0;
+/** What a row takes in memory beside its text, in bytes. */
+export const ROW_BYTES = 40;
+
+/** Memory that an answer's rows take, in bytes. */
+export function sizeOfRows({rows}: Answer): number {
+  let length = rows.length * ROW_BYTES;
   for (const row of rows) length += row.length;
   return length;
 }
