--- a/packages/soak/src/kept-seeds.ts
+++ b/packages/soak/src/kept-seeds.ts
@@ -13,4 +13,9 @@
     seed: 23,
     cause: 'a changed settings file ended a process that was being started',
   },
+  {
+    seed: 4022,
+    cause:
+      'a list of the configuration took a connection that was opened before a silence',
+  },
 ];
