Run sessions for client accounts, and end those of removed keys

Change: keys are decoded to digests in platform/, the account is decided when a session starts and again with each configuration; connections belong to an account, holders are chosen by account, and requests to relays tell their origin.

--- a/packages/proxy/src/connection-sharing.ts
+++ b/packages/proxy/src/connection-sharing.ts
@@ -25,6 +25,8 @@
   readonly dataCentre: string;
   /** Maximum number of connections from all instances together. */
   readonly maxConnections: number;
+  /** Whether each connection belongs to one client account. */
+  readonly hasAccounts: boolean;
 }
 
 /** How one instance connects to one endpoint. */
@@ -49,6 +51,8 @@
    * refusals then limit them.
    */
   readonly holderCount: number;
+  /** Whether each connection belongs to one client account. */
+  readonly hasAccounts: boolean;
 }
 
 /** The plan until the list of instances is known: no connections. */
@@ -58,6 +62,7 @@
   keptConnections: 0,
   holders: [],
   holderCount: 1,
+  hasAccounts: false,
 };
 
 /**
@@ -82,6 +87,12 @@
  * transactions.
  */
 const CONNECTIONS_PER_HOLDER = 6;
+/**
+ * The same where each connection belongs to one client account: a holder then
+ * needs some for the accounts that use it at the moment, and some for those that
+ * come now and then.
+ */
+const CONNECTIONS_PER_ACCOUNT_HOLDER = 14;
 /**
  * Maximum number of holders of one endpoint: enough that losing one costs
  * little, few enough that each can observe how busy the endpoint is.
@@ -104,7 +115,7 @@
   peers: readonly SharingInstance[],
   endpoint: SharedEndpoint,
 ): SharingPlan {
-  const {maxConnections} = endpoint;
+  const {maxConnections, hasAccounts} = endpoint;
   const planned = Math.floor(maxConnections * PLANNED_SHARE);
   const kept = Math.floor(maxConnections * KEPT_SHARE);
   const fleetSize = peers.length + 1;
@@ -112,6 +123,7 @@
     const maxOwnConnections = Math.floor(maxConnections * PER_INSTANCE_SHARE);
     return {
       ...HOLDER_PLAN,
+      hasAccounts,
       maxOwnConnections: Math.max(MIN_PER_INSTANCE, maxOwnConnections),
       keptConnections: Math.max(1, Math.floor(kept / fleetSize)),
     };
@@ -122,7 +134,7 @@
   if (holders.includes(self)) {
     const keptConnections = Math.max(1, Math.floor(kept / holderCount));
     const own = {maxOwnConnections, keptConnections};
-    return {...HOLDER_PLAN, ...own, holderCount};
+    return {...HOLDER_PLAN, ...own, holderCount, hasAccounts};
   }
   const inOrder = inOrderOf(self, holders, endpoint);
   return {
@@ -131,6 +143,7 @@
     keptConnections: 0,
     holders: inOrder,
     holderCount,
+    hasAccounts,
   };
 }
 
@@ -140,10 +153,10 @@
   endpoint: SharedEndpoint,
   planned: number,
 ): SharingInstance[] {
-  const count = Math.min(
-    MAX_HOLDERS,
-    Math.max(1, Math.floor(planned / CONNECTIONS_PER_HOLDER)),
-  );
+  const each = endpoint.hasAccounts
+    ? CONNECTIONS_PER_ACCOUNT_HOLDER
+    : CONNECTIONS_PER_HOLDER;
+  const count = Math.min(MAX_HOLDERS, Math.max(1, Math.floor(planned / each)));
   const near = ({dataCentre}: SharingInstance) =>
     Number(dataCentre === endpoint.dataCentre);
   return byHash(instances, ({instance}) => `${endpoint.id}/${instance}`)
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -248,6 +248,11 @@
   askStoreMs: 250,
   /** Timeout for the confirmations of an announced change. */
   announceTimeoutMs: 350,
+  /**
+   * How long an open transaction may go on after the key of its session was
+   * removed: a fraction of the time in which the removal must be in force.
+   */
+  revokedTransactionMs: 1000,
   /** How long open transactions may go on at a primary that is replaced. */
   finishTransactionsMs: 250,
   /** Timeout for the answer to a request to step down. */
--- a/packages/proxy/src/endpoint-control.ts
+++ b/packages/proxy/src/endpoint-control.ts
@@ -99,6 +99,8 @@
       primaryOnly: false,
       need: () => ({...ANY_ENDPOINT, only: endpoint}),
       priority: 0,
+      account: undefined,
+      accountPriority: 0,
       settingsKey: '',
       objectiveAt: deadline,
       deadline,
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -39,6 +39,22 @@
 /** One of the values of `ConnectionWay`. */
 export type ConnectionWay = (typeof ConnectionWay)[keyof typeof ConnectionWay];
 
+/** The requests that a connection is to serve. */
+export interface ConnectionUse {
+  readonly way: ConnectionWay;
+  /**
+   * The client account; undefined for requests of this instance itself, which
+   * may use a connection of any account.
+   */
+  readonly account: string | undefined;
+}
+
+/** Requests of this instance itself. */
+export const OWN_USE: ConnectionUse = {
+  way: ConnectionWay.Any,
+  account: undefined,
+};
+
 /** One endpoint with its connections. */
 export interface EndpointLink extends Disposable {
   listed: ListedEndpoint;
@@ -48,19 +64,26 @@
   /** Number of connections: in use, idle and opening. */
   readonly connections: number;
   readonly idle: number;
-  /** Number of idle direct connections, without relay. */
-  readonly idleDirect: number;
   /** The sharing plan in force for the endpoint. */
   readonly plan: SharingPlan;
   /** Replaces the sharing plan. */
   applyPlan(plan: SharingPlan): void;
   /** Number of direct connections, open or being opened. */
   readonly directConnections: number;
-  /** Takes an idle connection, preferably one whose settings have `key`. */
-  acquire(key: string, way?: ConnectionWay): PooledConnection | undefined;
+  /** Whether an idle connection serves these requests. */
+  hasIdle(use: ConnectionUse): boolean;
+  /**
+   * Takes an idle connection that serves these requests, preferably one whose
+   * settings have `key`.
+   */
+  acquire(key: string, use: ConnectionUse): PooledConnection | undefined;
   release(connection: PooledConnection, reusable: boolean): void;
-  /** Opens another connection if the limits allow it now. */
-  open(directOnly?: boolean): void;
+  /**
+   * Opens another connection for these requests if the limits allow it now. At
+   * the limit, the connection of another account that has been idle longest is
+   * closed first.
+   */
+  open(use?: ConnectionUse): void;
   /**
    * Closes connections that the plan no longer calls for, and the oldest idle
    * one beyond `least`, and beyond those that the plan keeps, once it has been
@@ -106,6 +129,11 @@
   readonly pooled: PooledConnection;
   /** Undefined for a direct connection. */
   readonly relay: RelayAddress | undefined;
+  /**
+   * The account that a direct connection belongs to; undefined for a relayed
+   * one, whose requests tell their accounts.
+   */
+  readonly account: string | undefined;
 }
 
 function wayOf(relay: RelayAddress | undefined): ConnectionWay {
@@ -151,9 +179,13 @@
     if (wasReset) facts.refusingSince ??= clock.now();
   }
 
-  function add(connection: EndpointConnection, relay?: RelayAddress): void {
+  function add(
+    connection: EndpointConnection,
+    relay: RelayAddress | undefined,
+    account: string | undefined,
+  ): void {
     const pooled = pooledConnection(connection, clock.now());
-    const member = {pooled, relay};
+    const member = {pooled, relay, account};
     all.set(pooled, member);
     connection.onClose(() => {
       all.delete(pooled);
@@ -168,21 +200,22 @@
     onIdle();
   }
 
-  async function connectDirectly(): Promise<void> {
+  async function connectDirectly(account: string): Promise<void> {
     const sentAt = clock.now();
     const {id, group, host, port} = link.listed;
-    opening.direct++;
     load.opened++;
-    if (link.idleDirect > 0) load.openedBesideIdle++;
+    if (link.hasIdle({way: ConnectionWay.Direct, account}))
+      load.openedBesideIdle++;
+    opening.direct++;
     try {
-      const address = {id, group, host, port};
+      const address = {id, group, host, port, account};
       const opened = await driver
         .connect(address, TIMES.connectTimeoutMs)
         .finally(() => opening.direct--);
       path.noteDirectAttempt(true);
       noteHeard(opened.openPosition);
       if (disposed) opened.dispose();
-      else add(opened);
+      else add(opened, undefined, account);
     } catch (err) {
       path.noteDirectAttempt(false);
       noteConnectFailure(err, sentAt);
@@ -197,7 +230,7 @@
         .connect(relay, {group, endpoint}, TIMES.relayConnectTimeoutMs)
         .finally(() => opening.relayed--);
       if (disposed) opened.dispose();
-      else add(opened, relay);
+      else add(opened, relay, undefined);
     } catch (err) {
       path.noteRelayFailure(relay);
       log.info({event: 'relayFailed', endpoint, why: messageOf(err)});
@@ -234,15 +267,41 @@
 
   function openRelayed(relay: RelayAddress): void {
     if (opening.relayed >= LIMITS.maxConcurrentOpens) return;
-    if (count(true) >= LIMITS.maxRelayedConnections) return;
+    let through = opening.relayed;
+    for (const member of all.values()) if (member.relay === relay) through++;
+    if (through >= LIMITS.maxRelayedConnections) return;
     void connectThroughRelay(relay);
   }
 
-  function openDirectly(): void {
+  function openDirectly(account: string): void {
     if (clock.now() < retryAt) return;
     if (opening.direct >= LIMITS.maxConcurrentOpens) return;
-    if (count(false) >= path.plan.maxOwnConnections) return;
-    void connectDirectly();
+    const isFull = count(false) >= path.plan.maxOwnConnections;
+    if (isFull && !closeIdleOfOthers(account)) return;
+    void connectDirectly(account);
+  }
+
+  /** Makes room for a connection of `account`; false if all are in use. */
+  function closeIdleOfOthers(account: string): boolean {
+    for (const member of idle) {
+      if (member.account === undefined || member.account === account) continue;
+      load.closedForOthers++;
+      member.pooled.connection.dispose();
+      return true;
+    }
+    return false;
+  }
+
+  /** Whether a connection may serve these requests. */
+  function serves(
+    {relay, account: owner}: LinkConnection,
+    {way, account}: ConnectionUse,
+  ): boolean {
+    if (way !== ConnectionWay.Any && way !== wayOf(relay)) return false;
+    if (account === undefined) return true;
+    if (!relay) return owner === account;
+    // Another holder would have to open a connection for the account.
+    return account === '' || relay === path.nextRelay(account);
   }
 
   /**
@@ -266,11 +325,6 @@
     get idle() {
       return idle.length;
     },
-    get idleDirect() {
-      let direct = 0;
-      for (const {relay} of idle) if (!relay) direct++;
-      return direct;
-    },
     get plan() {
       return path.plan;
     },
@@ -293,13 +347,14 @@
     get directConnections() {
       return count(false);
     },
-    acquire(key, way = ConnectionWay.Any) {
+    hasIdle: use => idle.some(member => serves(member, use)),
+    acquire(key, use) {
       let at = -1;
       for (let i = idle.length - 1; i >= 0; i--) {
-        const {pooled, relay} = idle[i]!;
-        if (way !== ConnectionWay.Any && way !== wayOf(relay)) continue;
+        const member = idle[i]!;
+        if (!serves(member, use)) continue;
         if (at < 0) at = i;
-        if (pooled.settingsKey !== key) continue;
+        if (member.pooled.settingsKey !== key) continue;
         at = i;
         break;
       }
@@ -315,18 +370,24 @@
       idle.push(member);
       onIdle();
     },
-    open(directOnly = false) {
+    open({way, account = ''} = OWN_USE) {
       if (disposed) return;
-      const relay = directOnly ? undefined : path.nextRelay();
+      const isDirect = way === ConnectionWay.Direct;
+      const relay = isDirect ? undefined : path.nextRelay(account);
       if (relay) openRelayed(relay);
-      else openDirectly();
+      else openDirectly(account);
     },
     closeUnused(least) {
       for (const member of [...idle]) {
         if (isOutdated(member)) member.pooled.connection.dispose();
       }
       const oldest = idle[0]?.pooled;
-      if (!oldest || all.size <= Math.max(least, path.plan.keptConnections))
+      // One through each holder stays open, since accounts choose holders.
+      const kept = path.plan.hasAccounts ? path.plan.holders.length : 0;
+      if (
+        !oldest ||
+        all.size <= Math.max(least, kept, path.plan.keptConnections)
+      )
         return;
       if (clock.now() - oldest.idleSince < TIMES.idleConnectionMs) return;
       oldest.connection.dispose();
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -35,6 +35,13 @@
   /** The current need; it may change while the request waits. */
   readonly need: () => Need;
   readonly priority: number;
+  /**
+   * The client account, '' for none; undefined for requests of this instance
+   * itself, which may use a connection of any account.
+   */
+  readonly account: string | undefined;
+  /** Priority among the accounts; 0 is the highest. */
+  readonly accountPriority: number;
   /**
    * Key of the session's settings; connections that have them are preferred.
    */
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -9,8 +9,10 @@
 import {endpointReachability} from './endpoint-reachability.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {
+  type ConnectionUse,
   ConnectionWay,
   type EndpointLink,
+  OWN_USE,
   endpointLink,
 } from './endpoint-link.js';
 import {confirmedPositions} from './confirmed-positions.js';
@@ -70,14 +72,16 @@
 
   function replan(link: EndpointLink): void {
     const {id, dataCentre} = link.listed;
-    const {maxConnections} = group.policy;
-    link.applyPlan(context.planFor({id, dataCentre, maxConnections}));
+    const {maxConnections, hasAccounts} = group.policy;
+    link.applyPlan(
+      context.planFor({id, dataCentre, maxConnections, hasAccounts}),
+    );
   }
 
-  function optionOf(link: EndpointLink): PlacementOption {
+  function optionOf(link: EndpointLink, use = OWN_USE): PlacementOption {
     const {id} = link.listed;
     const isPrimary = id === primary.id && !leaving.isOver(id);
-    return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
+    return placementOf(link, {isPrimary, dataCentre, now: clock.now(), use});
   }
 
   /**
@@ -95,8 +99,9 @@
     link: EndpointLink,
     settingsKey: string,
     need: Need,
+    use: ConnectionUse,
   ): ConnectionLease | undefined {
-    const pooled = link.acquire(settingsKey, wayFor(need));
+    const pooled = link.acquire(settingsKey, use);
     if (!pooled) return undefined;
     let returned = false;
     return {
@@ -112,11 +117,13 @@
   }
 
   function tryAcquire(req: ConnectionRequest): ConnectionLease | undefined {
-    const options = [...links.values()].map(optionOf);
     const need = req.need();
+    const use = {way: wayFor(need), account: req.account};
+    const options = [...links.values()].map(link => optionOf(link, use));
     const option = choosePlacement(options, need);
-    if (option) return leaseOf(links.get(option.id)!, req.settingsKey, need);
-    openFor(options, need);
+    if (option)
+      return leaseOf(links.get(option.id)!, req.settingsKey, need, use);
+    openFor(options, need, use);
     return undefined;
   }
 
@@ -124,14 +131,21 @@
    * Opens a connection to the endpoint that would be chosen if it had a free
    * one.
    */
-  function openFor(options: readonly PlacementOption[], need: Need): void {
+  function openFor(
+    options: readonly PlacementOption[],
+    need: Need,
+    use: ConnectionUse,
+  ): void {
     const withCapacity = options.map(option => ({
       ...option,
       hasCapacity: option.isBelowLimit,
-      hasDirectCapacity: option.isBelowLimit,
     }));
     const chosen = choosePlacement(withCapacity, need);
-    if (chosen) links.get(chosen.id)!.open(need.directOnly);
+    const link = chosen && links.get(chosen.id)!;
+    // A direct connection would not help without permission to use primaries.
+    if (!link || (use.way === ConnectionWay.Relayed && link.plan.isHolder))
+      return;
+    link.open(use);
   }
 
   /**
@@ -181,7 +195,7 @@
   function probeEndpoint(link: EndpointLink): void {
     const {id} = link.listed;
     if (probing.has(id)) return;
-    const lease = leaseOf(link, '', ANY_ENDPOINT);
+    const lease = leaseOf(link, '', ANY_ENDPOINT, OWN_USE);
     if (!lease) {
       // Statements waiting for their answers are no evidence that the endpoint
       // is alive; opening a connection is.
@@ -245,7 +259,7 @@
     acquireForControl(endpoint) {
       const link = links.get(endpoint);
       if (!link) return undefined;
-      const lease = leaseOf(link, '', ANY_ENDPOINT);
+      const lease = leaseOf(link, '', ANY_ENDPOINT, OWN_USE);
       if (!lease) link.open();
       return lease;
     },
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,4 +1,11 @@
 /** Public exports of `@quetzalreel/proxy`. */
+export {
+  type AccountDirectory,
+  type AccountEntry,
+  type ClientAccount,
+  NO_ACCOUNT,
+  accountDirectory,
+} from './accounts.js';
 export {ANSWER_LIMITS} from './defaults.js';
 export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
 export {type Log, type LogTarget, createLog} from './log.js';
--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -5,7 +5,7 @@
 import {catchUpDelayMs} from './catch-up.js';
 import {maxInFlightPerHolder} from './concurrency.js';
 import {TIMES} from './defaults.js';
-import type {EndpointLink} from './endpoint-link.js';
+import type {ConnectionUse, EndpointLink} from './endpoint-link.js';
 import type {PlacementOption} from './placement.js';
 
 /** State needed beside the link itself. */
@@ -15,6 +15,8 @@
   readonly dataCentre: string;
   /** Monotonic milliseconds. */
   readonly now: number;
+  /** The requests that the connection is for. */
+  readonly use: ConnectionUse;
 }
 
 /**
@@ -30,7 +32,7 @@
 /** Describes the link as a placement option. */
 export function placementOf(
   link: EndpointLink,
-  {isPrimary, dataCentre, now}: PlacementContext,
+  {isPrimary, dataCentre, now, use}: PlacementContext,
 ): PlacementOption {
   const {facts, listed} = link;
   const isBelowLimit = facts.inFlight < inFlightLimit(link);
@@ -47,7 +49,6 @@
     slots: listed.slots,
     distanceMs: listed.dataCentre === dataCentre ? 0 : TIMES.otherDataCentreMs,
     isBelowLimit,
-    hasCapacity: isBelowLimit && link.idle > 0,
-    hasDirectCapacity: isBelowLimit && link.idleDirect > 0,
+    hasCapacity: isBelowLimit && link.hasIdle(use),
   };
 }
--- a/packages/proxy/src/load-counts.ts
+++ b/packages/proxy/src/load-counts.ts
@@ -22,6 +22,11 @@
   openedBesideIdle: number;
   /** Idle direct connections that were closed, by either side. */
   closedUnused: number;
+  /**
+   * Idle direct connections that were closed in favour of another client account;
+   * also counted as closed unused.
+   */
+  closedForOthers: number;
   /** Direct connections that were closed while a session had them. */
   closedInUse: number;
 }
@@ -39,6 +44,7 @@
     opened: 0,
     openedBesideIdle: 0,
     closedUnused: 0,
+    closedForOthers: 0,
     closedInUse: 0,
   };
 }
--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/placement.ts
@@ -58,10 +58,8 @@
   readonly distanceMs: number;
   /** Whether this instance may send it another statement now. */
   readonly isBelowLimit: boolean;
-  /** Whether a statement can be sent to it immediately. */
+  /** Whether the statement can be sent to it immediately. */
   readonly hasCapacity: boolean;
-  /** The same on a direct connection, without relay. */
-  readonly hasDirectCapacity: boolean;
 }
 
 /** Whether `option` can serve `need`, now or once it has capacity. */
@@ -104,10 +102,7 @@
   let best: PlacementOption | undefined;
   let bestCost = Infinity;
   for (const option of options) {
-    const hasCapacity = need.directOnly
-      ? option.hasDirectCapacity
-      : option.hasCapacity;
-    if (!hasCapacity || !canServe(option, need)) continue;
+    if (!option.hasCapacity || !canServe(option, need)) continue;
     const cost = costOf(option);
     if (cost >= bestCost) continue;
     best = option;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -26,6 +26,7 @@
   type ServedConnection,
   tcpRelayDriver,
 } from '@quetzalreel/relay';
+import {type ClientAccount, accountOf} from './accounts.js';
 import {CHANGE_LIMITS, TIMES} from './defaults.js';
 import type {GroupRuntime} from './group-types.js';
 import {groupRuntime} from './group.js';
@@ -226,6 +227,7 @@
     }
     updateGroupEndpoints();
     for (const session of sessions) {
+      session.applyAccounts();
       if (!next.routes.has(session.database)) session.endIfIdle();
     }
     onConfigured();
@@ -321,17 +323,37 @@
     }
   }
 
-  const accept: AcceptCaller = ({database, caller}, connection) => {
-    const {table} = view;
-    if (!table?.routes.has(database)) {
+  function refuseSession(
+    code: ErrorCode,
+    database: string,
+    why: string,
+  ): Answer {
+    log.info({event: 'sessionRefused', database, code, why});
+    return localError(code, why, SessionState.Idle);
+  }
+
+  /** The account that holds a key, for a database's route. */
+  function accountFor(
+    database: string,
+    keyDigest: string,
+  ): ClientAccount | undefined {
+    const route = view.table?.routes.get(database);
+    return route && accountOf(view.table!.accounts, route, keyDigest);
+  }
+
+  const accept: AcceptCaller = ({database, keyDigest}, connection) => {
+    if (!view.table?.routes.has(database)) {
       const text = `no route is named ${database}`;
-      log.info({event: 'sessionRefused', database, caller});
-      return localError(ErrorCode.NoDatabase, text, SessionState.Idle);
+      return refuseSession(ErrorCode.NoDatabase, database, text);
+    }
+    const account = accountFor(database, keyDigest);
+    if (!account) {
+      const text = 'no client account holds this key; ask for a new one';
+      return refuseSession(ErrorCode.Unauthorized, database, text);
     }
     if (shutdown && !shutdown.takesSessions) {
       const text = 'this instance stops; connect again';
-      log.info({event: 'sessionRefused', database, caller, why: text});
-      return localError(ErrorCode.Busy, text, SessionState.Idle);
+      return refuseSession(ErrorCode.Busy, database, text);
     }
     const session = callerSession({
       clock,
@@ -339,6 +361,12 @@
       metrics,
       database,
       connection,
+      account,
+      // Without a route the session ends for that reason.
+      accountNow: () =>
+        view.table?.routes.has(database)
+          ? accountFor(database, keyDigest)
+          : account,
       route: () => view.table?.routes.get(database),
       group: name => groups.get(name),
       idleTransactionMs: () => view.table!.idleTransactionMs,
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -10,6 +10,7 @@
   ConnectionLostError,
   type EndpointRequest,
   ErrorCode,
+  type RequestOrigin,
   SessionState,
   localAnswer,
   localError,
@@ -32,11 +33,18 @@
   countInFlight,
 } from './run-request.js';
 
-/**
- * Priority of requesters' statements: the relay protocol does not carry their
- * own, so they get that of most routes.
- */
-const PRIORITY = 1;
+/** Assumed of requests of older builds, which don't tell their origin. */
+const UNKNOWN_ORIGIN: RequestOrigin = {
+  account: '',
+  priority: 1,
+  accountPriority: 0,
+  objectiveMs: TIMES.relayedAcquireMs,
+  deadlineMs: TIMES.relayedAcquireMs,
+};
+
+function originOf(req: EndpointRequest): RequestOrigin {
+  return ('origin' in req && req.origin) || UNKNOWN_ORIGIN;
+}
 
 /** Reason sent when a transaction was idle for too long. */
 const IDLE_TOO_LONG =
@@ -91,15 +99,25 @@
    */
   let wasRolledBack = false;
 
-  async function acquire(): Promise<ConnectionLease | undefined> {
+  async function acquire(
+    req: EndpointRequest,
+  ): Promise<ConnectionLease | undefined> {
     const now = clock.now();
+    const {account, priority, accountPriority, objectiveMs, deadlineMs} =
+      originOf(req);
+    // A read may be run elsewhere in the rest of its time, others may not.
+    const waitMs = needsPrimary(req)
+      ? deadlineMs
+      : Math.min(deadlineMs, TIMES.relayedAcquireMs);
     return group.acquire({
       primaryOnly: false,
       need: () => ({...ANY_ENDPOINT, only: endpoint, directOnly: true}),
-      priority: PRIORITY,
+      priority,
+      account,
+      accountPriority,
       settingsKey: settings.key,
-      objectiveAt: now + TIMES.relayedAcquireMs,
-      deadline: now + TIMES.relayedAcquireMs,
+      objectiveAt: now + objectiveMs,
+      deadline: now + waitMs,
       hasDisconnected: () => hasDisconnected,
     });
   }
@@ -168,7 +186,7 @@
       throw new ConnectionLostError(endpoint, REPLACED, false);
     }
     const isFirst = lease === undefined;
-    lease ??= await acquire();
+    lease ??= await acquire(req);
     if (!lease) {
       const text = 'not run: no connection to the endpoint is free';
       return localError(ErrorCode.Busy, text, SessionState.Idle);
--- a/packages/proxy/src/routes.ts
+++ b/packages/proxy/src/routes.ts
@@ -1,4 +1,5 @@
 /** The configuration by operators: routes from databases to groups. */
+import type {AccountDirectory} from './accounts.js';
 
 /** The commits that reads of a route must see. */
 export const ReadRule = {
@@ -17,6 +18,8 @@
 
 /** The route of the sessions of one database. */
 export interface Route {
+  /** Whether callers need no key. */
+  readonly isPublic: boolean;
   /** The database name that callers use. */
   readonly database: string;
   readonly name: string;
@@ -39,6 +42,11 @@
 /** The configuration of a group. */
 export interface GroupPolicy {
   readonly name: string;
+  /**
+   * Whether client accounts are declared, so that each connection to an endpoint
+   * belongs to one of them.
+   */
+  readonly hasAccounts: boolean;
   /**
    * Maximum number of connections to one endpoint from all instances together.
    */
@@ -59,6 +67,8 @@
   /** By database name. */
   readonly routes: ReadonlyMap<string, Route>;
   readonly groups: ReadonlyMap<string, GroupPolicy>;
+  /** Undefined where no client accounts are declared. */
+  readonly accounts: AccountDirectory | undefined;
   /** Maximum idle time of a transaction, in milliseconds. */
   readonly idleTransactionMs: number;
 }
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -5,6 +5,7 @@
   type CallerRequest,
   type EndpointRequest,
   ErrorCode,
+  type RequestOrigin,
   SessionState,
   localError,
 } from '@quetzalreel/requests';
@@ -21,6 +22,7 @@
   type PreparedStatement,
   type SessionSettings,
 } from './pooled-connection.js';
+import type {ClientAccount} from './accounts.js';
 import {type Need, PRIMARY_NEED} from './placement.js';
 import {ReadRule, type Route} from './routes.js';
 import type {TriedEndpoints} from './tried-endpoints.js';
@@ -50,6 +52,8 @@
   readonly route: Route;
   readonly group: GroupRuntime;
   readonly sessionData: SessionData;
+  /** On whose behalf the session runs. */
+  readonly account: ClientAccount;
   /** When the request arrived, in monotonic milliseconds. */
   readonly arrivedAt: number;
   /** When the instance stops answering, in monotonic milliseconds. */
@@ -112,18 +116,38 @@
   primaryOnly: boolean,
   need: () => Need,
 ): ConnectionRequest {
-  const {route, sessionData: memory, arrivedAt, hasDisconnected} = context;
+  const {route, account, hasDisconnected, sessionData: memory} = context;
   return {
     primaryOnly,
     need,
     priority: route.priority,
+    account: account.name,
+    accountPriority: account.priority,
     settingsKey: memory.settings.key,
-    objectiveAt: arrivedAt + route.objectiveMs,
+    objectiveAt: objectiveOf(context),
     deadline: deadlineOf(context),
     hasDisconnected,
   };
 }
 
+/** When the route's objective for the request ends. */
+function objectiveOf({route, arrivedAt}: ServeContext): number {
+  return arrivedAt + route.objectiveMs;
+}
+
+/** What relays are told of the request. */
+export function originOf(context: ServeContext): RequestOrigin {
+  const {clock, route, account} = context;
+  const now = clock.now();
+  return {
+    account: account.name,
+    priority: route.priority,
+    accountPriority: account.priority,
+    objectiveMs: Math.max(0, Math.round(objectiveOf(context) - now)),
+    deadlineMs: Math.max(0, Math.round(deadlineOf(context) - now)),
+  };
+}
+
 /** When the request must be answered. */
 export function deadlineOf({route, arrivedAt, answerBy}: ServeContext): number {
   return Math.min(arrivedAt + route.statementTimeoutMs, answerBy());
@@ -133,18 +157,21 @@
  * Converts the caller's statement to a request on the connection of `lease`.
  */
 export function forwardRequest(
-  {sessionData: memory}: ServeContext,
+  context: ServeContext,
   lease: ConnectionLease,
   req: CallerRequest,
   atLeast?: Position,
 ): EndpointRequest {
+  const {sessionData: memory} = context;
   const {statement, id, text} = req;
+  const origin = originOf(context);
   if (statement.type !== 'execute') {
-    return {type: 'forward', id, text, atLeast};
+    return {type: 'forward', id, text, atLeast, origin};
   }
   const prepared = memory.prepared.get(statement.name)!;
   const name = lease.pooled.statementName(prepared);
-  return {type: 'execute', id, name, args: statement.args, atLeast};
+  const {args} = statement;
+  return {type: 'execute', id, name, args, atLeast, origin};
 }
 
 /**
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -12,9 +12,11 @@
   localAnswer,
   localError,
 } from '@quetzalreel/requests';
+import type {ClientAccount} from './accounts.js';
 import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
+import {TIMES} from './defaults.js';
 import {withValue} from './pooled-connection.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newSessionData} from './session-context.js';
@@ -27,6 +29,13 @@
   readonly log: Log;
   readonly database: string;
   readonly connection: CallerConnection;
+  /** On whose behalf the session runs when it starts. */
+  readonly account: ClientAccount;
+  /**
+   * The account that holds the session's key now; undefined once the key is
+   * removed.
+   */
+  readonly accountNow: () => ClientAccount | undefined;
   /** The route in force; undefined once the route has been removed. */
   readonly route: () => Route | undefined;
   readonly group: (name: string) => GroupRuntime | undefined;
@@ -43,6 +52,13 @@
 /** A session. */
 export interface CallerSession extends CallerHandler {
   readonly database: string;
+  /** Name of the client account; '' for none. */
+  readonly account: string;
+  /**
+   * Applies a new configuration: a session whose key was removed, or belongs to
+   * another account now, ends after what it has under way.
+   */
+  applyAccounts(): void;
   /** Ends the session unless a request or a transaction is open. */
   endIfIdle(): void;
   /** Rolls back an idle transaction, with `why` as the caller's error text. */
@@ -51,6 +67,19 @@
   tick(): void;
 }
 
+/** Errors after whose answer the session is closed. */
+const ENDING_CODES: ReadonlySet<ErrorCode | undefined> = new Set([
+  ErrorCode.NoDatabase,
+  ErrorCode.Unauthorized,
+]);
+
+/** Tells the caller why its session ends. */
+const REVOKED = 'the key of this session was removed; nothing is kept';
+
+function unauthorized(): Answer {
+  return localError(ErrorCode.Unauthorized, REVOKED, SessionState.Idle);
+}
+
 /** Creates the session of a caller that was just accepted. */
 export function callerSession(context: SessionContext): CallerSession {
   const {clock, log, connection} = context;
@@ -61,6 +90,9 @@
   let pinned: Route | undefined;
   let serving = false;
   let ended = false;
+  let {account} = context;
+  /** When the key was found to be removed, in monotonic milliseconds. */
+  let revokedAt: number | undefined;
 
   function end(): void {
     if (ended) return;
@@ -122,6 +154,7 @@
         route,
         group,
         sessionData: memory,
+        account,
         arrivedAt,
         answerBy: context.answerBy,
         hasDisconnected,
@@ -137,6 +170,7 @@
       if (local.state === SessionState.Failed) transaction?.fail();
       return local;
     }
+    if (isRevoked()) return unauthorized();
     const serving = serveContext(arrivedAt);
     if ('rows' in serving) return serving;
     if (transaction) return serveInTransaction(transaction, serving, req);
@@ -206,7 +240,8 @@
       // Until then the session counts as busy.
       if (sending) await sending;
       queue.shift();
-      if (answer.error?.code === ErrorCode.NoDatabase) closeSession();
+      if (ENDING_CODES.has(answer.error?.code)) closeSession();
+      else endRevoked();
     }
     serving = false;
     if (context.stopping()) session.endIfIdle();
@@ -217,8 +252,41 @@
     end();
   }
 
+  /**
+   * Ends a session whose key was removed, once nothing of it is under way, or an
+   * open transaction has had its time.
+   */
+  function endRevoked(): void {
+    if (isRevoked() && !ended && queue.length === 0) closeSession();
+  }
+
+  function isRevoked(): boolean {
+    if (revokedAt === undefined) return false;
+    return (
+      !transaction || clock.now() - revokedAt >= TIMES.revokedTransactionMs
+    );
+  }
+
   const session: CallerSession = {
     database: context.database,
+    get account() {
+      return account.name;
+    },
+    applyAccounts() {
+      const now = context.accountNow();
+      if (now?.name === account.name) {
+        account = now;
+        return;
+      }
+      if (revokedAt !== undefined) return;
+      revokedAt = clock.now();
+      log.info({
+        event: 'sessionRevoked',
+        database: context.database,
+        account: account.name,
+      });
+      endRevoked();
+    },
     request(req) {
       if (ended) return;
       queue.push({req, arrivedAt: clock.now()});
@@ -233,6 +301,7 @@
       transaction?.rollBackIfIdle(why);
     },
     tick() {
+      endRevoked();
       if (!transaction) return;
       const restedMs = clock.now() - transaction.idleSince;
       if (restedMs < context.idleTransactionMs()) return;
--- a/packages/proxy/src/single-statement.ts
+++ b/packages/proxy/src/single-statement.ts
@@ -27,6 +27,7 @@
   acquireConnection,
   noteCommit,
   noteRefusal,
+  originOf,
   readNeed,
 } from './session-context.js';
 import {type TriedEndpoints, noneTried} from './tried-endpoints.js';
@@ -135,7 +136,8 @@
   lease: ConnectionLease,
   timeoutMs: number,
 ): Promise<Answer | undefined> {
-  const begin = {type: 'begin', readOnly: false} as const;
+  const origin = originOf(context);
+  const begin = {type: 'begin', readOnly: false, origin} as const;
   const begun = await openTransaction(context, lease, begin, timeoutMs);
   if (begun.error) {
     lease.release(begun.state === SessionState.Idle);
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -33,6 +33,7 @@
   acquireConnection,
   noteCommit,
   noteRefusal,
+  originOf,
   readNeed,
 } from './session-context.js';
 import {type TriedEndpoints, noneTried} from './tried-endpoints.js';
@@ -140,7 +141,8 @@
     // Without a required position, only a transaction that is not read-only
     // proves that the endpoint is the primary.
     const readOnly = atLeast !== undefined;
-    const req = {type: 'begin', readOnly, atLeast} as const;
+    const origin = originOf(context);
+    const req = {type: 'begin', readOnly, atLeast, origin} as const;
     const timeoutMs = deadlineOf(context) - clock.now();
     try {
       const answer = await openTransaction(context, taken, req, timeoutMs);
--- a/packages/proxy/test/simulated-fleet.ts
+++ b/packages/proxy/test/simulated-fleet.ts
@@ -81,7 +81,7 @@
   function startGroup(self: SharingInstance): GroupRuntime {
     const peers = sharing.filter(other => other !== self);
     const group = groupRuntime(
-      {name: GROUP, maxConnections, syncReplicas: 0},
+      {name: GROUP, maxConnections, syncReplicas: 0, hasAccounts: false},
       {
         name: GROUP,
         dataCentre: self.dataCentre,
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -7,6 +7,7 @@
 import {type Answer, ErrorCode, type Statement} from '@quetzalreel/requests';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+import {NO_ACCOUNT} from '../src/accounts.js';
 import {createLog} from '../src/log.js';
 import {proxyMetrics} from '../src/metrics.js';
 import type {ReadRule, Route} from '../src/routes.js';
@@ -167,6 +168,7 @@
     const route: Route = {
       database: of.name,
       group: 'g',
+      isPublic: false,
       ...of,
     };
     const sessionData = newSessionData();
@@ -180,6 +182,7 @@
         route,
         group,
         sessionData,
+        account: NO_ACCOUNT,
         arrivedAt: clock.now(),
         answerBy: () => Infinity,
         hasDisconnected: () => clock.now() >= deadline,
--- a/packages/proxy/test/test-connection-sharing.ts
+++ b/packages/proxy/test/test-connection-sharing.ts
@@ -31,7 +31,7 @@
   id: string,
   maxConnections: number,
 ): SharingPlan[] {
-  const endpoint = {id, dataCentre: 'y', maxConnections};
+  const endpoint = {id, dataCentre: 'y', maxConnections, hasAccounts: false};
   return sharers.map(self =>
     sharingPlan(
       self,
--- a/packages/proxy/test/test-endpoint-link.ts
+++ b/packages/proxy/test/test-endpoint-link.ts
@@ -9,7 +9,7 @@
 } from '@quetzalreel/relay';
 import {NO_CONNECTIONS_PLAN} from '../src/connection-sharing.js';
 import {ANSWER_LIMITS, TIMES} from '../src/defaults.js';
-import {endpointLink} from '../src/endpoint-link.js';
+import {OWN_USE, endpointLink} from '../src/endpoint-link.js';
 import {createLog} from '../src/log.js';
 import {listedEndpoint} from './listed.js';
 import {simulatedGroup} from './simulated-endpoint.js';
@@ -93,7 +93,7 @@
     assert.equal(link.idle, 3);
     link.noteRelayFailure('r-1');
     assert.equal(link.idle, 1);
-    const left = link.acquire('')!.connection as RelayedConnection;
+    const left = link.acquire('', OWN_USE)!.connection as RelayedConnection;
     assert.equal(left.relay, 'r-2');
   });
 });
--- a/packages/proxy/test/test-endpoint-state.ts
+++ b/packages/proxy/test/test-endpoint-state.ts
@@ -145,7 +145,6 @@
     distanceMs: 0,
     isBelowLimit: true,
     hasCapacity: true,
-    hasDirectCapacity: true,
   };
   const need = {
     primaryOnly: false,
--- a/packages/proxy/test/test-overload.ts
+++ b/packages/proxy/test/test-overload.ts
@@ -45,7 +45,8 @@
     while (arrived < (now * PER_SECOND) / 1000) {
       const objectiveAt = now + waitMs;
       const givesUpAt = now + ATTEMPT_TIMEOUT_MS;
-      const rest = {primaryOnly: false, priority: 1};
+      const account = {account: '', accountPriority: 0};
+      const rest = {primaryOnly: false, priority: 1, ...account};
       queues[arrived % HOLDERS]!.add({
         ...rest,
         arrivedAt: now,
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -15,6 +15,7 @@
   ConnectionLease,
   ConnectionRequest,
 } from '../src/group-types.js';
+import {NO_ACCOUNT} from '../src/accounts.js';
 import {createLog} from '../src/log.js';
 import {proxyMetrics} from '../src/metrics.js';
 import type {Need} from '../src/placement.js';
@@ -106,7 +107,9 @@
       objectiveMs: 250,
       priority: 1,
       maxStalenessMs: 2500,
+      isPublic: false,
     },
+    account: NO_ACCOUNT,
     arrivedAt: clock.now(),
     answerBy: () => Infinity,
     hasDisconnected: () => false,
@@ -117,11 +120,16 @@
   return {sent, answer};
 }
 
+type Begin = Extract<EndpointRequest, {readonly type: 'begin'}>;
+type Forwarded = Extract<EndpointRequest, {readonly type: 'forward'}>;
+
 describe('a read', () => {
   it('carries the position that the log must have reached', async () => {
     const {sent, answer} = await readWith([DONE]);
-    const req = {type: 'forward', id: 'a', text: 'READ k', atLeast: FLOOR};
-    assert.deepEqual(sent[0]!.req, req);
+    const {origin, ...req} = sent[0]!.req as Forwarded;
+    const expected = {type: 'forward', id: 'a', text: 'READ k', atLeast: FLOOR};
+    assert.deepEqual(req, expected);
+    assert.equal(origin?.priority, 1);
     assert.equal(answer, DONE);
   });
 
@@ -153,7 +161,9 @@
     const {sent, answer} = await readWith(answers, ReadRule.Primary);
     const types = sent.map(({req}) => req.type);
     assert.deepEqual(types, ['begin', 'forward', 'rollback']);
-    assert.deepEqual(sent[0]!.req, {type: 'begin', readOnly: false});
+    const {origin, ...begin} = sent[0]!.req as Begin;
+    assert.deepEqual(begin, {type: 'begin', readOnly: false});
+    assert.equal(origin?.priority, 1);
     assert.equal(sent[0]!.need.primaryOnly, true);
     assert.equal(answer.signature, DONE.signature);
   });
--- a/packages/proxy/test/test-wait-queue.ts
+++ b/packages/proxy/test/test-wait-queue.ts
@@ -11,7 +11,8 @@
 }
 
 function item(name: string, change: Partial<Item> = {}): Item {
-  return {name, primaryOnly: false, priority: 1, objectiveAt: 100, ...change};
+  const rank = {priority: 1, account: '', accountPriority: 0};
+  return {name, primaryOnly: false, ...rank, objectiveAt: 100, ...change};
 }
 
 function order(items: readonly Item[], now: number): string[] {
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -35,6 +35,8 @@
   NoStatement: 'noStatement',
   /** Unknown database. */
   NoDatabase: 'noDatabase',
+  /** The caller's key is unknown or was removed; nothing ran. */
+  Unauthorized: 'unauthorized',
   /** The message exceeds the maximum size. */
   TooLarge: 'tooLarge',
   /** The message can't be parsed, or is not allowed in the current state. */
--- a/packages/requests/src/endpoint.ts
+++ b/packages/requests/src/endpoint.ts
@@ -13,6 +13,25 @@
   readonly group: string;
   readonly host: string;
   readonly port: number;
+  /**
+   * The client account on whose behalf the connection runs statements; ''
+   * without one.
+   */
+  readonly account: string;
+}
+
+/** On whose behalf a request runs, and how urgent it is. Relays act on it. */
+export interface RequestOrigin {
+  /** Name of the client account; '' without one. */
+  readonly account: string;
+  /** Priority of the route; 0 is the highest. */
+  readonly priority: number;
+  /** Priority of the client account; 0 is the highest. */
+  readonly accountPriority: number;
+  /** Time left until the route's objective when it was sent, in milliseconds. */
+  readonly objectiveMs: number;
+  /** Time left until the deadline when it was sent, in milliseconds. */
+  readonly deadlineMs: number;
 }
 
 /** A connection was refused, broke, or timed out. */
@@ -59,6 +78,7 @@
       readonly text: string;
       /** Minimum log position; an endpoint below it answers `behind`. */
       readonly atLeast?: Position | undefined;
+      readonly origin?: RequestOrigin | undefined;
     }
   /** Runs a statement that was prepared on this connection, by name. */
   | {
@@ -67,11 +87,13 @@
       readonly name: string;
       readonly args: string;
       readonly atLeast?: Position | undefined;
+      readonly origin?: RequestOrigin | undefined;
     }
   | {
       readonly type: 'begin';
       readonly readOnly: boolean;
       readonly atLeast?: Position | undefined;
+      readonly origin?: RequestOrigin | undefined;
     }
   | {readonly type: 'rollback'}
   | {readonly type: 'set'; readonly name: string; readonly value: string}
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -32,6 +32,7 @@
   EndpointDriver,
   type EndpointRequest,
   type EndpointStatus,
+  type RequestOrigin,
 } from './endpoint.js';
 export {
   Access,
--- a/packages/requests/src/request.ts
+++ b/packages/requests/src/request.ts
@@ -49,6 +49,9 @@
 export interface SessionStart {
   /** The database that the caller requests. */
   readonly database: string;
-  /** The name that the caller gives for itself, unverified; for logs only. */
-  readonly caller: string;
+  /**
+   * Digest of the key that the caller sent, '' without one. The key itself stays
+   * in the protocol's package, so that it can't reach a log or an endpoint.
+   */
+  readonly keyDigest: string;
 }
--- a/packages/soak/test/test-run-verdict.ts
+++ b/packages/soak/test/test-run-verdict.ts
@@ -30,6 +30,7 @@
   const text = SENT.find(statement => statement.id === id)?.text ?? 'READ k';
   return {
     endpoint: 'i-1',
+    clientName: 'a',
     id,
     text,
     values: {},
