Share connections by few holders in small fleets with accounts, too

Change: every instance holds its own connections only if it can have 14; at least two instances hold them. The origin of relayed requests is sent without names.

--- a/packages/proxy/src/connection-sharing.ts
+++ b/packages/proxy/src/connection-sharing.ts
@@ -81,6 +81,11 @@
  * holder: one in use and one for the next statement.
  */
 const MIN_PER_INSTANCE = 2;
+/**
+ * The same where each connection belongs to one client account: with fewer, most
+ * statements would open a connection for their account.
+ */
+const MIN_PER_ACCOUNT_INSTANCE = 14;
 /**
  * Connections per holder that justify the extra hop of relaying: as many as an
  * endpoint runs statements concurrently, and as many again in idle
@@ -119,7 +124,8 @@
   const planned = Math.floor(maxConnections * PLANNED_SHARE);
   const kept = Math.floor(maxConnections * KEPT_SHARE);
   const fleetSize = peers.length + 1;
-  if (fleetSize * MIN_PER_INSTANCE <= planned) {
+  const least = hasAccounts ? MIN_PER_ACCOUNT_INSTANCE : MIN_PER_INSTANCE;
+  if (fleetSize * least <= planned) {
     const maxOwnConnections = Math.floor(maxConnections * PER_INSTANCE_SHARE);
     return {
       ...HOLDER_PLAN,
@@ -156,7 +162,11 @@
   const each = endpoint.hasAccounts
     ? CONNECTIONS_PER_ACCOUNT_HOLDER
     : CONNECTIONS_PER_HOLDER;
-  const count = Math.min(MAX_HOLDERS, Math.max(1, Math.floor(planned / each)));
+  const least = endpoint.hasAccounts ? 2 : 1;
+  const count = Math.min(
+    MAX_HOLDERS,
+    Math.max(least, Math.floor(planned / each)),
+  );
   const near = ({dataCentre}: SharingInstance) =>
     Number(dataCentre === endpoint.dataCentre);
   return byHash(instances, ({instance}) => `${endpoint.id}/${instance}`)
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -1,5 +1,9 @@
 /** The messages between an instance and a peer's relay. */
-import type {Answer, EndpointRequest} from '@quetzalreel/requests';
+import type {
+  Answer,
+  EndpointRequest,
+  RequestOrigin,
+} from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
 
 /** The requested endpoint; the first frame that a requester sends. */
@@ -129,6 +133,52 @@
   return typeof group === 'string' && typeof endpoint === 'string';
 }
 
+/**
+ * An origin as it is sent: account, priorities of the route and the account, time
+ * left until objective and deadline. Every statement carries one, and bytes between
+ * data centres are expensive, so it has no field names.
+ */
+type PackedOrigin = readonly [string, number, number, number, number];
+
+/** A request as it is sent. */
+type PackedRequest = Omit<EndpointRequest, 'origin'> & {
+  readonly from?: PackedOrigin;
+};
+
+/** The form in which a request is sent. */
+export function packRequest(req: EndpointRequest): PackedRequest {
+  if (!('origin' in req) || !req.origin) return req;
+  const {origin, ...rest} = req;
+  const {account, priority, accountPriority, objectiveMs, deadlineMs} = origin;
+  return {
+    ...rest,
+    from: [account, priority, accountPriority, objectiveMs, deadlineMs],
+  };
+}
+
+/** The request that was sent; its origin is undefined unless it is valid. */
+export function unpackRequest(sent: EndpointRequest): EndpointRequest {
+  const {from, ...rest} = sent as EndpointRequest & {readonly from?: unknown};
+  const origin = readOrigin(from);
+  return origin ? ({...rest, origin} as EndpointRequest) : rest;
+}
+
+function readOrigin(from: unknown): RequestOrigin | undefined {
+  if (!Array.isArray(from)) return undefined;
+  const [account, ...numbers] = from as readonly unknown[];
+  if (typeof account !== 'string' || numbers.length !== 4) return undefined;
+  if (!numbers.every(n => typeof n === 'number' && n >= 0)) return undefined;
+  const [priority, accountPriority, objectiveMs, deadlineMs] =
+    numbers as readonly number[];
+  return {
+    account,
+    priority: priority!,
+    accountPriority: accountPriority!,
+    objectiveMs: objectiveMs!,
+    deadlineMs: deadlineMs!,
+  };
+}
+
 /**
  * Whether a decoded value is a request. Only its type is checked: all instances
  * run the same version, so the other fields match.
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -22,6 +22,7 @@
   isRelayTarget,
   isRequest,
   isObservationRequest,
+  unpackRequest,
 } from './messages.js';
 
 /** Executes the requests of one requester at one endpoint. */
@@ -157,7 +158,7 @@
     } else if (isObservationRequest(value)) {
       sendMessage({type: 'sign', sign: served.observe()});
     } else if (isRequest(value)) {
-      queue.push(value);
+      queue.push(unpackRequest(value));
       void serveQueue();
     } else {
       close('a frame is not a valid request');
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -19,6 +19,7 @@
   type RelayMessage,
   type RelayTarget,
   isRelayMessage,
+  packRequest,
 } from './messages.js';
 
 /** Address of a relay, `host:port`. */
@@ -121,7 +122,7 @@
   }
 
   send(req: EndpointRequest): Promise<Answer> {
-    return this.enqueue(this.pendingAnswers, req);
+    return this.enqueue(this.pendingAnswers, packRequest(req));
   }
 
   fetchObservation(timeoutMs: number): Promise<EndpointObservation> {
