Refuse waiting requests at once that can't be served before their deadline

Cause: under a burst above the capacity, requests of the least important kind wait until their deadline and are refused then. Change: the queue estimates the wait from the rate at which it was served; a request that the ones ahead of it keep beyond its deadline is not queued.

--- a/packages/proxy/src/wait-queue.ts
+++ b/packages/proxy/src/wait-queue.ts
@@ -28,6 +28,8 @@
 /** A queue of waiting requests. */
 export interface WaitQueue<T extends QueuedRequest> {
   readonly size: number;
+  /** Number of requests that would be served before `item`. */
+  ahead(item: T): number;
   add(item: T): void;
   remove(item: T): void;
   /**
@@ -51,7 +53,9 @@
   readonly turns: Map<string, T[]>;
 }
 
-function byRank<T>(a: Lane<T>, b: Lane<T>): number {
+type Rank = Pick<Lane<unknown>, 'isLate' | 'priority' | 'accountPriority'>;
+
+function byRank(a: Rank, b: Rank): number {
   return (
     Number(a.isLate) - Number(b.isLate) ||
     a.priority - b.priority ||
@@ -150,6 +154,16 @@
     get size() {
       return size;
     },
+    ahead(item) {
+      const own = {...item, isLate: false};
+      let count = 0;
+      for (const lane of lanes) {
+        if (lane.primaryOnly !== item.primaryOnly || byRank(lane, own) > 0)
+          continue;
+        for (const items of lane.turns.values()) count += items.length;
+      }
+      return count;
+    },
     add(item) {
       addTo(laneOf(item, false), item);
       size++;
--- a/packages/proxy/src/waiting-requests.ts
+++ b/packages/proxy/src/waiting-requests.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '@quetzalreel/common';
 import {LIMITS} from './defaults.js';
 import type {ConnectionLease, ConnectionRequest} from './group-types.js';
+import {type WaitEstimate, waitEstimate} from './wait-estimate.js';
 import {waitQueue} from './wait-queue.js';
 
 /** Dependencies of waiting requests. */
@@ -37,6 +38,18 @@
   isHopeless,
 }: WaitingContext): WaitingRequests {
   const queue = waitQueue<Waiter>();
+  const estimates = {primary: waitEstimate(), any: waitEstimate()};
+
+  function estimateFor({primaryOnly}: ConnectionRequest): WaitEstimate {
+    return primaryOnly ? estimates.primary : estimates.any;
+  }
+
+  /** Whether the requests ahead of it take longer than it has. */
+  function waitsTooLong(waiter: Waiter): boolean {
+    const now = clock.now();
+    const waitMs = estimateFor(waiter).waitMs(queue.ahead(waiter), now);
+    return now + waitMs > waiter.deadline;
+  }
 
   function settle(waiter: Waiter, lease: ConnectionLease | undefined): void {
     if (waiter.done) {
@@ -55,6 +68,7 @@
     }
     const lease = tryAcquire(waiter);
     if (!lease && !isHopeless(waiter)) return false;
+    if (lease) estimateFor(waiter).noteServed(clock.now());
     settle(waiter, lease);
     return true;
   }
@@ -66,6 +80,10 @@
     wait: req =>
       new Promise(resolve => {
         const waiter: Waiter = {...req, resolve, done: false};
+        if (waitsTooLong(waiter)) {
+          settle(waiter, undefined);
+          return;
+        }
         queue.add(waiter);
         clock.after(Math.max(0, req.deadline - clock.now()), () => {
           if (waiter.done) return;
@@ -76,6 +94,9 @@
     serve() {
       if (queue.size === 0) return;
       queue.dispatch(serveOne, LIMITS.laneLookAhead, clock.now());
+      if (queue.size > 0) return;
+      estimates.primary.noteEmpty();
+      estimates.any.noteEmpty();
     },
   };
 }
