--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -5,6 +5,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {TypedError} from '@quetzalreel/common';
 import {Encoder} from 'cbor-x';
+import {isPlainCbor} from './plain-cbor.js';
 
 /** Protocol version; a link to a peer of another version is closed. */
 export const PEER_VERSION = 1;
@@ -92,6 +93,7 @@
 }
 
 function decodeValue(bytes: Buffer): unknown {
+  if (!isPlainCbor(bytes)) throw new PeerFrameError('it has a tagged value');
   try {
     return encoder.decode(bytes);
   } catch (err) {
--- a/packages/peer/src/tcp-transport.ts
+++ b/packages/peer/src/tcp-transport.ts
@@ -162,10 +162,12 @@
   }
 
   function receiveHello(link: Link, value: unknown): void {
-    const {version, address, minor} = value as Hello;
+    const {version, address, minor} = value as Partial<Hello>;
     if (version !== PEER_VERSION) {
-      throw new PeerFrameError(`unsupported version ${version}`);
+      throw new PeerFrameError(`unsupported version ${String(version)}`);
     }
+    if (typeof address !== 'string')
+      throw new PeerFrameError('the hello has no address');
     link.minor = minor ?? 0;
     link.address ??= address;
     byAddress.set(address, link);
