--- a/packages/peer-queries/src/messages.ts
+++ b/packages/peer-queries/src/messages.ts
@@ -1,7 +1,7 @@
 /** Messages between instances: queries, and the answers to them. */
 
 import {type ChangeRecord, isChangeRecord} from '@quetzalreel/failover';
-import type {Position} from '@quetzalreel/position';
+import {type Position, isPosition} from '@quetzalreel/position';
 
 /** Fields of every message. */
 interface Envelope {
@@ -129,12 +129,6 @@
     msAgo === undefined || (typeof msAgo === 'number' && msAgo >= 0),
 };
 
-function isPosition(value: unknown): value is Position {
-  if (typeof value !== 'object' || value === null) return false;
-  const {term, offset} = value as Partial<Position>;
-  return Number.isInteger(term) && Number.isInteger(offset);
-}
-
 /** Whether a message is of one of these types, valid or not. */
 export function hasPeerQueryType(message: object): boolean {
   const {type} = message as {readonly type?: unknown};
--- a/packages/position/src/index.ts
+++ b/packages/position/src/index.ts
@@ -8,6 +8,7 @@
   majorityOf,
   parsePosition,
   isAtLeast,
+  isPosition,
 } from './position.js';
 export {
   type SessionFloors,
--- a/packages/position/src/position.ts
+++ b/packages/position/src/position.ts
@@ -15,6 +15,13 @@
   readonly offset: number;
 }
 
+/** Whether a value from outside is a position. */
+export function isPosition(value: unknown): value is Position {
+  if (typeof value !== 'object' || value === null) return false;
+  const {term, offset} = value as Partial<Position>;
+  return Number.isSafeInteger(term) && Number.isSafeInteger(offset);
+}
+
 /** The position of an empty log. */
 export const EMPTY_LOG_POSITION: Position = {term: 0, offset: 0};
 
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -1,6 +1,13 @@
 /** The messages between an instance and a peer's relay. */
-import type {Answer, EndpointRequest} from '@quetzalreel/requests';
-import type {Position} from '@quetzalreel/position';
+import {
+  Access,
+  type Answer,
+  type AnswerError,
+  type EndpointRequest,
+  ErrorCode,
+  SessionState,
+} from '@quetzalreel/requests';
+import {type Position, isPosition} from '@quetzalreel/position';
 
 /** The requested endpoint; the first frame that a requester sends. */
 export interface RelayTarget {
@@ -89,35 +96,109 @@
   yield {type: 'answer', answer: {...answer, rows}};
 }
 
-const REQUEST_TYPES: ReadonlySet<string> = new Set<EndpointRequest['type']>([
-  'forward',
-  'execute',
-  'begin',
-  'rollback',
-  'set',
-  'prepare',
-  'discard',
-  'status',
-  'stepDown',
-]);
-
-const OBSERVATION_REQUEST_TYPES: ReadonlySet<string> = new Set<
-  ObservationRequest['type']
->(['sign']);
-
-const MESSAGE_TYPES: ReadonlySet<string> = new Set<RelayMessage['type']>([
-  'open',
-  'rows',
-  'answer',
-  'sign',
-  'lost',
-  'stopping',
-]);
-
-function hasType(value: unknown, types: ReadonlySet<string>): boolean {
-  if (typeof value !== 'object' || value === null) return false;
-  const {type} = value as {type?: unknown};
-  return typeof type === 'string' && types.has(type);
+type Fields = Readonly<Record<string, unknown>>;
+
+/** Checks the fields of a value that has one of the types. */
+type Checks<Type extends string> = Readonly<
+  Record<Type, (fields: Fields) => boolean>
+>;
+
+function isText(value: unknown): value is string {
+  return typeof value === 'string';
+}
+
+function isFlag(value: unknown): value is boolean {
+  return typeof value === 'boolean';
+}
+
+function isMissingOr(
+  value: unknown,
+  check: (value: unknown) => boolean,
+): boolean {
+  return value === undefined || check(value);
+}
+
+const REQUEST_CHECKS: Checks<EndpointRequest['type']> = {
+  forward: ({id, text, atLeast}) =>
+    isText(id) && isText(text) && isMissingOr(atLeast, isPosition),
+  execute: ({id, name, args, atLeast}) =>
+    [id, name, args].every(isText) && isMissingOr(atLeast, isPosition),
+  begin: ({readOnly, atLeast}) =>
+    isFlag(readOnly) && isMissingOr(atLeast, isPosition),
+  rollback: () => true,
+  set: ({name, value}) => isText(name) && isText(value),
+  prepare: ({name, access, shape}) =>
+    isText(name) && ACCESSES.has(access) && isText(shape),
+  discard: () => true,
+  status: () => true,
+  stepDown: ({term}) => Number.isSafeInteger(term),
+};
+
+const OBSERVATION_REQUEST_CHECKS: Checks<ObservationRequest['type']> = {
+  sign: () => true,
+};
+
+const MESSAGE_CHECKS: Checks<RelayMessage['type']> = {
+  open: () => true,
+  rows: ({rows}) => isTextList(rows),
+  answer: ({answer}) => isAnswer(answer),
+  sign: ({sign}) => isObservation(sign),
+  lost: ({what, wasReset}) => isText(what) && isFlag(wasReset),
+  stopping: () => true,
+};
+
+const ACCESSES: ReadonlySet<unknown> = new Set(Object.values(Access));
+const STATES: ReadonlySet<unknown> = new Set(Object.values(SessionState));
+const CODES: ReadonlySet<unknown> = new Set(Object.values(ErrorCode));
+
+function isFields(value: unknown): value is Fields {
+  return typeof value === 'object' && value !== null;
+}
+
+function isTextList(value: unknown): value is readonly string[] {
+  return Array.isArray(value) && value.every(isText);
+}
+
+function isAnswer(value: unknown): value is Answer {
+  if (!isFields(value)) return false;
+  const {rows, signature, error, state, position} = value;
+  return (
+    isTextList(rows) &&
+    STATES.has(state) &&
+    isMissingOr(signature, isText) &&
+    isMissingOr(error, isAnswerError) &&
+    isMissingOr(position, isPosition)
+  );
+}
+
+function isAnswerError(value: unknown): value is AnswerError {
+  return isFields(value) && CODES.has(value['code']) && isText(value['text']);
+}
+
+function isObservation(value: unknown): value is EndpointObservation {
+  if (!isFields(value)) return false;
+  const {position, heardMsAgo, silentMs, isRefusing} = value;
+  return (
+    isMissingOr(position, isPosition) &&
+    isAge(heardMsAgo) &&
+    isMissingOr(silentMs, isAge) &&
+    isFlag(isRefusing)
+  );
+}
+
+/** An age in milliseconds; infinite for never. */
+function isAge(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0;
+}
+
+function isOneOf<Type extends string>(
+  value: unknown,
+  checks: Checks<Type>,
+): boolean {
+  if (!isFields(value)) return false;
+  const {type} = value;
+  if (!isText(type) || !Object.hasOwn(checks, type)) return false;
+  return checks[type as Type](value);
 }
 
 /**
@@ -129,22 +210,19 @@
   return typeof group === 'string' && typeof endpoint === 'string';
 }
 
-/**
- * Whether a decoded value is a request. Only its type is checked: all instances
- * run the same version, so the other fields match.
- */
+/** Whether a decoded value is a request. */
 export function isRequest(value: unknown): value is EndpointRequest {
-  return hasType(value, REQUEST_TYPES);
+  return isOneOf(value, REQUEST_CHECKS);
 }
 
 /** Whether a decoded value requests an observation. */
 export function isObservationRequest(
   value: unknown,
 ): value is ObservationRequest {
-  return hasType(value, OBSERVATION_REQUEST_TYPES);
+  return isOneOf(value, OBSERVATION_REQUEST_CHECKS);
 }
 
 /** Whether a decoded value is a message from a relay. */
 export function isRelayMessage(value: unknown): value is RelayMessage {
-  return hasType(value, MESSAGE_TYPES);
+  return isOneOf(value, MESSAGE_CHECKS);
 }
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -11,7 +11,7 @@
   tooLongAnswer,
 } from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
-import {messageOf} from '@quetzalreel/common';
+import {type HostPort, messageOf, parseAddress} from '@quetzalreel/common';
 import {encodeFrame, frameDecoder} from '@quetzalreel/peer';
 import {
   type EndpointObservation,
@@ -24,12 +24,8 @@
 /** Address of a relay, `host:port`. */
 export type RelayAddress = string;
 
-function socketTo(via: RelayAddress): net.Socket {
-  const colon = via.lastIndexOf(':');
-  const socket = net.connect({
-    host: via.slice(0, colon),
-    port: Number(via.slice(colon + 1)),
-  });
+function socketTo(address: HostPort): net.Socket {
+  const socket = net.connect({...address});
   socket.setNoDelay(true);
   return socket;
 }
@@ -264,7 +260,12 @@
   memory: AnswerMemory,
 ): Promise<RelayedConnection> {
   const {endpoint} = target;
-  const socket = socketTo(via);
+  const address = parseAddress(via);
+  if (!address) {
+    const what = `${JSON.stringify(via)} is not the address of a relay`;
+    return Promise.reject(new RelayLostError(endpoint, what, false));
+  }
+  const socket = socketTo(address);
   socket.write(encodeFrame(target));
   return new Promise((resolve, reject) => {
     const timer = setTimeout(() => {
