--- a/packages/failover/src/change-records.ts
+++ b/packages/failover/src/change-records.ts
@@ -65,12 +65,16 @@
   return digest;
 }
 
+/** Whether a value from outside is a change of primary. */
+export function isPlannedChange(value: unknown): value is PlannedChange {
+  if (typeof value !== 'object' || value === null) return false;
+  const {group, from, to} = value as Partial<PlannedChange>;
+  return [group, from, to].every(text => typeof text === 'string');
+}
+
 /** Whether a value from outside is a change record. */
 export function isChangeRecord(value: unknown): value is ChangeRecord {
-  if (typeof value !== 'object' || value === null) return false;
-  const {group, from, to, fence, isPlanned} = value as Partial<ChangeRecord>;
-  for (const text of [group, from, to]) {
-    if (typeof text !== 'string') return false;
-  }
+  if (!isPlannedChange(value)) return false;
+  const {fence, isPlanned} = value as Partial<ChangeRecord>;
   return Number.isSafeInteger(fence) && typeof isPlanned === 'boolean';
 }
--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -10,8 +10,13 @@
   RevisionConflictError,
   type StoreEra,
   type StoreVersion,
+  isRevision,
 } from '@quetzalreel/object-store';
-import {type ChangeRecord, isChangeRecord} from './change-records.js';
+import {
+  type ChangeRecord,
+  isChangeRecord,
+  isPlannedChange,
+} from './change-records.js';
 
 /** A change of primary that the holder has begun. */
 export interface PlannedChange {
@@ -65,9 +70,10 @@
 export function parseLease(object: ReadObject): LeaseSnapshot | undefined {
   const value = object.value as Partial<LeaseRecord> | null;
   if (typeof value !== 'object' || value === null) return undefined;
-  const {holder, fence, change} = value;
+  const {holder, fence} = value;
   if (typeof holder !== 'string' || !Number.isSafeInteger(fence))
     return undefined;
+  const change = isPlannedChange(value.change) ? value.change : undefined;
   const listed: readonly unknown[] = Array.isArray(value.changes)
     ? value.changes
     : [];
@@ -76,7 +82,9 @@
   const latest = {...change, fence, isPlanned: false};
   const isListed = changes.some(item => item.fence === fence);
   if (isChangeRecord(latest) && !isListed) changes.push(latest);
-  const {completeIn} = value;
+  const completeIn = isRevision(value.completeIn)
+    ? value.completeIn
+    : undefined;
   const record = {holder, fence: fence!, change, changes, completeIn};
   return {record, era: object.era, revision: object.revision};
 }
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -6,6 +6,7 @@
   type KindStore,
   RevisionConflictError,
   type StoreVersion,
+  isRevision,
 } from '@quetzalreel/object-store';
 
 /** Kind of the instances' entries in the store. */
@@ -50,7 +51,7 @@
     address: address!,
     relay: relay!,
     dataCentre: dataCentre!,
-    facts: typeof facts === 'number' ? facts : 0,
+    facts: isRevision(facts) ? facts : 0,
     era,
     revision,
   };
