--- a/packages/endpoint/src/pg-connection.ts
+++ b/packages/endpoint/src/pg-connection.ts
@@ -91,8 +91,8 @@
     }
     const sink = this.sink;
     if (frame.type === 'Z') {
-      this.sink = undefined;
       this.idle = readStatus(frame) === TransactionStatus.Idle;
+      this.sink = undefined;
     }
     sink?.frame(frame);
   }
--- a/packages/wire/src/backend.ts
+++ b/packages/wire/src/backend.ts
@@ -1,5 +1,5 @@
 /** Builds and parses the protocol messages that a server sends. */
-import type {Frame} from './frames.js';
+import {FRAME_HEADER_BYTES, type Frame, FrameError} from './frames.js';
 
 /** Transaction status of a session, as ReadyForQuery reports it. */
 export const TransactionStatus = {
@@ -85,9 +85,23 @@
   return message('Z', Buffer.from(status));
 }
 
-/** Reads the transaction status from a ReadyForQuery. */
+const STATUSES: ReadonlySet<string> = new Set(Object.values(TransactionStatus));
+
+function isStatus(text: string): text is TransactionStatus {
+  return STATUSES.has(text);
+}
+
+/**
+ * Reads the transaction status from a ReadyForQuery. Throws FrameError if it is
+ * none.
+ */
 export function readStatus(frame: Frame): TransactionStatus {
-  return String.fromCharCode(frame.bytes[5]!) as TransactionStatus;
+  const status = frame.bytes.toString('latin1', FRAME_HEADER_BYTES);
+  if (isStatus(status)) return status;
+  throw new FrameError(
+    'a ReadyForQuery has no known transaction status',
+    'Check that the endpoint speaks protocol 3.',
+  );
 }
 
 /** Builds a ParameterStatus. */
