Refuse messages that have no place in a login, and test logins

Cause: a client that had not given a password could write any text to the output of the daemon: the library prints a query that arrives before the login's end, and answers ReadyForQuery.

Change: after the startup message only a password and Terminate are passed to the library; anything else ends the login.

Not mended: the library prints its errors for malformed startup messages (up to one for each chunk).

--- a/packages/login/src/login.ts
+++ b/packages/login/src/login.ts
@@ -47,12 +47,19 @@
   readonly earlyData: readonly Buffer[];
 }
 
+/**
+ * Types of the messages that a client may send after its startup message:
+ * password and Terminate. The library writes the text of a query to the output.
+ */
+const LOGIN_TYPES: ReadonlySet<unknown> = new Set([0x70, 0x58]);
+
 /** Maximum number of bytes that a client may send before it is logged in. */
 const MAX_LOGIN_BYTES = 16 * 1024;
 
 /**
  * Logs in the client on `socket`. Returns undefined and closes the socket if the
- * client was refused, disconnected, sent more than MAX_LOGIN_BYTES or timed out.
+ * client was refused, disconnected, sent more than MAX_LOGIN_BYTES or a message that
+ * has no place in a login, or timed out.
  */
 export function login(
   socket: Socket,
@@ -91,9 +98,14 @@
         'password' in credentials && options.verify
           ? options.verify(credentials.user, credentials.password)
           : false,
-      onMessage: data => {
-        if (authenticated) early.push(Buffer.from(data));
-        return authenticated;
+      onMessage: (data, {hasStarted}) => {
+        if (authenticated) {
+          early.push(Buffer.from(data));
+          return true;
+        }
+        if (!hasStarted || LOGIN_TYPES.has(data[0])) return false;
+        refuse();
+        return true;
       },
       onAuthenticated: state => {
         authenticated = true;
