--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -197,6 +197,14 @@
 };
 
 const MAX_PORT = 65535;
+const LOG_LEVELS: readonly string[] = [
+  'trace',
+  'debug',
+  'info',
+  'warn',
+  'error',
+  'fatal',
+];
 
 /** Returns the settings unchanged, or throws SettingError. */
 export function checkSettings(settings: Settings): Settings {
@@ -246,6 +254,19 @@
     const remedy = 'Give the number of instances, 1 or more.';
     throw new SettingError('instances', `is ${settings.instances}`, remedy);
   }
+  const {maxMessageBytes, logLevel} = settings;
+  if (!Number.isSafeInteger(maxMessageBytes) || maxMessageBytes < 1) {
+    const remedy = 'Give a whole number of bytes, 1 or more.';
+    throw new SettingError(
+      'max-message-bytes',
+      `is ${maxMessageBytes}`,
+      remedy,
+    );
+  }
+  if (!LOG_LEVELS.includes(logLevel)) {
+    const remedy = `Give one of ${LOG_LEVELS.join(', ')}.`;
+    throw new SettingError('log-level', 'is not a level', remedy);
+  }
   return settings;
 }
 
