Test feeds with changed messages about facts

Cause: the tests had arbitrary values and valid messages, not valid ones with a few fields changed, beats among them.

Change: a property over lists of those: copies in force go to newer versions only, and what the feed sends is valid.

--- /dev/null
+++ b/packages/facts/test/test-fuzz.ts
@@ -0,0 +1,127 @@
+/**
+ * Messages about facts with changed fields. A copy in force is replaced by newer
+ * versions only, and a feed that has taken odd messages still spreads what it
+ * learns.
+ */
+import assert from 'node:assert/strict';
+import {describe, it} from 'node:test';
+import fc from 'fast-check';
+import {mutated, oddValue} from '@quetzalreel/checks';
+import {manualClock} from '@quetzalreel/common';
+import {
+  KindStore,
+  StoreUnavailableError,
+  isRevision,
+} from '@quetzalreel/object-store';
+import {type FeedMessage, isFactMessage, startFeed} from '../src/index.js';
+
+const SEED = 54;
+const FROM = '10.0.0.9:1';
+const KIND = 'k';
+const IN_FORCE = {name: 'a', revision: 5, value: 1};
+const DELTA = {
+  kind: KIND,
+  since: 0,
+  era: 1,
+  revision: 5,
+  events: [{object: IN_FORCE, deleted: false}],
+};
+const NEXT_DELTA = {
+  ...DELTA,
+  since: 5,
+  revision: 6,
+  events: [{object: {...IN_FORCE, revision: 6}, deleted: false}],
+};
+const MESSAGES: readonly unknown[] = [
+  {
+    type: 'readerBeat',
+    from: FROM,
+    beat: {
+      reader: 'r',
+      life: 1,
+      seq: 1,
+      ageMs: 0,
+      kinds: [{kind: KIND, era: 1, revision: 5, reachedMs: 10}],
+    },
+  },
+  {type: 'kindDelta', from: FROM, delta: DELTA},
+  {type: 'kindDelta', from: FROM, delta: NEXT_DELTA},
+  {type: 'heard', from: FROM},
+  {type: 'copiesWanted', from: FROM, known: {k: {era: 1, revision: 4}}},
+];
+const message = fc.oneof(...MESSAGES.map(mutated), oddValue);
+
+class AbsentStore extends KindStore {
+  private unavailable(): Promise<never> {
+    return Promise.reject(new StoreUnavailableError('away', true));
+  }
+  list = () => this.unavailable();
+  get = () => this.unavailable();
+  create = () => this.unavailable();
+  replace = () => this.unavailable();
+  remove = () => this.unavailable();
+  watch = () => this.unavailable();
+}
+
+/** A feed that knows one object, at revision 5. */
+function knowingFeed() {
+  const known = new Map<string, number>();
+  const sent: FeedMessage[] = [];
+  const feed = startFeed({
+    instance: 'self',
+    clock: manualClock(),
+    store: new AbsentStore(),
+    kinds: [
+      {
+        kind: KIND,
+        watchMs: 1000,
+        onEvents(events) {
+          for (const {object, deleted} of events) {
+            const before = known.get(object.name) ?? 0;
+            assert.ok(deleted || object.revision >= before);
+            if (deleted) known.delete(object.name);
+            else known.set(object.name, object.revision);
+          }
+        },
+        onReach: () => {},
+      },
+    ],
+    times: {
+      beatMs: 1000,
+      firstReadMs: 100,
+      firstCopyMs: 100,
+      firstAloneMs: 100,
+      lateMs: 100,
+    },
+    limits: () => ({readers: 2, mostReaders: 8, heardMs: 2000, spreadMs: 500}),
+    preferenceOf: () => 0.5,
+    suspensions: () => 0,
+    life: 1,
+    links: () => [FROM],
+    send(addresses, item) {
+      for (const address of addresses) assert.equal(typeof address, 'string');
+      sent.push(item);
+    },
+    onEvent: () => {},
+  });
+  feed.receive({type: 'kindDelta', from: FROM, delta: DELTA});
+  return {feed, known, sent};
+}
+
+describe('a feed that gets changed messages', () => {
+  it('keeps valid ones only, and sends valid ones', () => {
+    for (const item of MESSAGES) assert.ok(isFactMessage(item));
+    const list = fc.array(message, {maxLength: 8});
+    const property = fc.property(list, items => {
+      const {feed, known, sent} = knowingFeed();
+      assert.equal(known.get('a'), 5);
+      for (const item of items) if (isFactMessage(item)) feed.receive(item);
+      feed.tick();
+      for (const revision of known.values()) assert.ok(isRevision(revision));
+      for (const item of sent)
+        assert.ok(isFactMessage({...item, from: FROM}), JSON.stringify(item));
+      feed.dispose();
+    });
+    fc.assert(property, {seed: SEED, numRuns: 1000});
+  });
+});
