--- a/packages/object-store/src/http-client.ts
+++ b/packages/object-store/src/http-client.ts
@@ -63,7 +63,9 @@
 
   async instances(): Promise<readonly ListedInstance[]> {
     const res = await this.call('/instances', {});
-    return (await res.json()) as ListedInstance[];
+    const listed = await parseJson(res);
+    if (Array.isArray(listed)) return listed.filter(isListedInstance);
+    throw new PlatformDownError('the list of instances is no list');
   }
 
   private async call(
@@ -84,7 +86,8 @@
 
 function parseVersion(res: Response): number {
   const version = Number(res.headers.get('etag')?.replace(/"/g, ''));
-  if (res.status !== HTTP_OK || !Number.isInteger(version)) {
+  const isVersion = Number.isSafeInteger(version) && version >= 0;
+  if (res.status !== HTTP_OK || !isVersion) {
     throw new PlatformDownError(
       `response with status ${res.status} has no usable version`,
     );
@@ -94,8 +97,12 @@
 
 async function parseObject(res: Response): Promise<StoredObject> {
   const version = parseVersion(res);
+  return {version, value: await parseJson(res)};
+}
+
+async function parseJson(res: Response): Promise<unknown> {
   try {
-    return {version, value: await res.json()};
+    return await res.json();
   } catch (err) {
     throw new PlatformDownError(
       'the response body is truncated or not JSON',
@@ -104,6 +111,13 @@
   }
 }
 
+/** Whether an entry of the list can be used; others are left out. */
+function isListedInstance(value: unknown): value is ListedInstance {
+  if (typeof value !== 'object' || value === null) return false;
+  const {id, address} = value as Partial<ListedInstance>;
+  return typeof id === 'string' && typeof address === 'string';
+}
+
 /** Creates a client of the platform at `options.url`. */
 export function httpPlatformClient(
   options: HttpPlatformOptions,
