Gather frames without copying what has arrived for each chunk

Cause: the decoders of frames, of PostgreSQL callers and of peers, joined all that had arrived of a frame with each new chunk, so that one message of 4 MiB in chunks of 256 bytes kept the process busy for 3.5 s.

Change: a buffer in packages/common doubles its storage, up to what the frame needs; both decoders use it.

--- a/packages/common/src/index.ts
+++ b/packages/common/src/index.ts
@@ -6,6 +6,7 @@
   manualClock,
   systemClock,
 } from './clock.js';
+export {type ChunkBuffer, chunkBuffer} from './chunk-buffer.js';
 export {type HostPort, parseAddress} from './address.js';
 export {TypedError, messageOf} from './errors.js';
 export {hashFraction, hashOf, rankOf} from './rank.js';
--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -3,7 +3,7 @@
  * highest bit of the length tells that the value is compressed.
  */
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
-import {TypedError} from '@quetzalreel/common';
+import {TypedError, chunkBuffer} from '@quetzalreel/common';
 import {Encoder} from 'cbor-x';
 import {isPlainCbor} from './plain-cbor.js';
 
@@ -59,11 +59,13 @@
 
 /** Creates a decoder that refuses frames longer than `maxBytes`. */
 export function frameDecoder(maxBytes: number): FrameDecoder {
-  let pending: Buffer = Buffer.alloc(0);
+  const pending = chunkBuffer(LENGTH_BYTES);
   return {
     push(chunk) {
-      let rest = pending.length > 0 ? Buffer.concat([pending, chunk]) : chunk;
       const values: unknown[] = [];
+      let rest = pending.push(chunk);
+      if (!rest) return values;
+      let needed = LENGTH_BYTES;
       while (rest.length >= LENGTH_BYTES) {
         const length = rest.readUInt32BE(0);
         const isCompressed = length >= COMPRESSED_BIT;
@@ -72,13 +74,15 @@
           throw new PeerFrameError(
             `${size} bytes exceed the limit of ${maxBytes}`,
           );
-        if (rest.length < LENGTH_BYTES + size) break;
         const end = LENGTH_BYTES + size;
+        needed = end;
+        if (rest.length < end) break;
         const body = rest.subarray(LENGTH_BYTES, end);
         values.push(decodeValue(isCompressed ? inflate(body, maxBytes) : body));
         rest = rest.subarray(end);
+        needed = LENGTH_BYTES;
       }
-      pending = rest;
+      pending.keep(rest, needed);
       return values;
     },
   };
--- a/packages/wire/src/frames.ts
+++ b/packages/wire/src/frames.ts
@@ -2,7 +2,7 @@
  * Splits a byte stream into frames of the PostgreSQL protocol. A frame consists
  * of one type byte, a length of four bytes that includes those four, and a body.
  */
-import {TypedError} from '@quetzalreel/common';
+import {TypedError, chunkBuffer} from '@quetzalreel/common';
 
 /** Length of a frame's header: the type byte and the length. */
 export const FRAME_HEADER_BYTES = 5;
@@ -39,22 +39,25 @@
 
 /** Creates a splitter that rejects frames longer than `maxBytes`. */
 export function frameSplitter(maxBytes: number): FrameSplitter {
-  let incomplete: Buffer = Buffer.alloc(0);
+  const incomplete = chunkBuffer(FRAME_HEADER_BYTES);
   return {
     push(chunk) {
-      let rest =
-        incomplete.length > 0 ? Buffer.concat([incomplete, chunk]) : chunk;
       const frames: Frame[] = [];
+      let rest = incomplete.push(chunk);
+      if (!rest) return frames;
+      let needed = FRAME_HEADER_BYTES;
       while (rest.length >= FRAME_HEADER_BYTES) {
         const size = frameSize(rest, maxBytes, frames);
+        needed = size;
         if (rest.length < size) break;
         frames.push({
           type: String.fromCharCode(rest[0]!),
           bytes: rest.subarray(0, size),
         });
         rest = rest.subarray(size);
+        needed = FRAME_HEADER_BYTES;
       }
-      incomplete = rest;
+      incomplete.keep(rest, needed);
       return frames;
     },
   };
