Bound the readers that a feed keeps

Cause: a reader that was heard once was kept for ever, so that the names of ended instances, or made-up ones, gathered: 10,000 of 10,000, the oldest silent for 10,000 s.

Change: beyond 1,024 readers the one that was silent longest is forgotten.

--- a/packages/facts/src/heard-readers.ts
+++ b/packages/facts/src/heard-readers.ts
@@ -27,9 +27,23 @@
   clear(): void;
 }
 
+/**
+ * Readers that are kept; a fleet has far fewer at a time. Names of instances that
+ * have ended would gather otherwise.
+ */
+export const MAX_READERS = 1024;
+
 /** Starts without readers. */
 export function heardReaders(clock: Clock): HeardReaders {
   const readers = new Map<string, KnownReader>();
+
+  function forgetLongestSilent(): void {
+    let silent: KnownReader | undefined;
+    for (const known of readers.values())
+      if (!silent || known.at < silent.at) silent = known;
+    if (silent) readers.delete(silent.name);
+  }
+
   return {
     get all() {
       return readers.values();
@@ -41,6 +55,7 @@
       const at = clock.now() - ageMs;
       const isServed = kinds.every(({reachedMs}) => reachedMs !== undefined);
       readers.set(name, {name, at, isServed, beat, from});
+      if (readers.size > MAX_READERS) forgetLongestSilent();
       return true;
     },
     reachedMs(kind, heardMs) {
--- a/packages/facts/test/test-fuzz.ts
+++ b/packages/facts/test/test-fuzz.ts
@@ -13,6 +13,7 @@
   StoreUnavailableError,
   isRevision,
 } from '@quetzalreel/object-store';
+import {MAX_READERS, heardReaders} from '../src/heard-readers.js';
 import {type FeedMessage, isFactMessage, startFeed} from '../src/index.js';
 
 const SEED = 54;
@@ -108,6 +109,26 @@
   return {feed, known, sent};
 }
 
+describe('the readers that were heard', () => {
+  it('are no more than the limit, and the latest is among them', () => {
+    const ages = fc.array(fc.nat(100_000), {minLength: 1, maxLength: 5});
+    const property = fc.property(ages, list => {
+      const clock = manualClock();
+      const readers = heardReaders(clock);
+      for (let i = 0; i < 2 * MAX_READERS; i++) {
+        const ageMs = i % 2 === 0 ? list[i % list.length]! : 0;
+        const beat = {reader: `r-${i}`, life: 1, seq: 1, ageMs, kinds: []};
+        readers.note(beat, FROM);
+        clock.advance(1);
+      }
+      const names = [...readers.all].map(({name}) => name);
+      assert.equal(names.length, MAX_READERS);
+      assert.ok(names.includes(`r-${2 * MAX_READERS - 1}`));
+    });
+    fc.assert(property, {seed: SEED, numRuns: 5});
+  });
+});
+
 describe('a feed that gets changed messages', () => {
   it('keeps valid ones only, and sends valid ones', () => {
     for (const item of MESSAGES) assert.ok(isFactMessage(item));
