--- a/packages/login/test/test-fuzz.ts
+++ b/packages/login/test/test-fuzz.ts
@@ -102,6 +102,17 @@
   assert.equal(written.mock.callCount(), 0);
 });
 
+it('a startup message that is too short is not written to the output', async t => {
+  const written = t.mock.method(console, 'error', () => {});
+  const length = fc.constantFrom(0, 1, 4, 5, 7);
+  const property = fc.asyncProperty(length, async item => {
+    logins = [];
+    await send([Buffer.from([0, 0, 0, item, 0, 0, 0, 0])], true);
+    assert.equal(written.mock.callCount(), 0);
+  });
+  await fc.assert(property, {seed: SEED, numRuns: 5});
+});
+
 it('refuses a client that sends too much before it is logged in', async () => {
   const start = fc.constantFrom(
     startup(PROTOCOL_VERSION, 'u'.repeat(TOO_MANY_BYTES)),
