Simulate disturbed endpoints in the load tests without a network

Cause: the simulation of loads knew only endpoints that are well, so what callers get beside a disturbed one could not be measured.

Change: a load can name faults of an endpoint with their times: slow by a factor, failing a share of its statements, gone and started again.

--- a/packages/proxy/test/simulated-endpoint.ts
+++ b/packages/proxy/test/simulated-endpoint.ts
@@ -31,12 +31,29 @@
   readonly transitMs: number;
 }
 
+/** A disturbance of one endpoint. Times are in milliseconds. */
+export interface EndpointFault {
+  readonly endpoint: string;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** Factor on the work of statements that start meanwhile. */
+  readonly slowFactor?: number;
+  /** Share of the statements that are answered with FAILED at once. */
+  readonly failingShare?: number;
+  /** Whether its process is gone; it starts again at the end. */
+  readonly isGone?: boolean;
+}
+
 /** One endpoint, with what happened at it. */
 export interface SimulatedEndpoint {
   readonly id: string;
   readonly isPrimary: boolean;
+  /** Statements received and not answered. */
+  inFlight: number;
   ran: number;
   refused: number;
+  /** Statements that it answered with FAILED. */
+  failed: number;
   opened: number;
   connections: number;
   /** Statements that ran although their connection was closed meanwhile. */
@@ -54,17 +71,31 @@
   return Number(text.split(' ')[1]);
 }
 
+/** Calls `run` at its first call only. */
+function onceOnly(run: () => void): () => void {
+  let isDone = false;
+  return () => {
+    if (!isDone) run();
+    isDone = true;
+  };
+}
+
 /** The endpoints of one group; the first one is the primary. */
 export interface SimulatedGroup {
   readonly endpoints: readonly SimulatedEndpoint[];
   readonly driver: EndpointDriver;
 }
 
-/** Creates a group of endpoints with these ids. */
+/**
+ * Creates a group of endpoints with these ids. `faults` hold from and until
+ * times of the clock.
+ */
 export function simulatedGroup(
   clock: Clock,
   ids: readonly string[],
   traits: EndpointTraits,
+  faults: readonly EndpointFault[] = [],
+  chance: () => number = () => 1,
 ): SimulatedGroup {
   /** When each commit was made. */
   const commits: number[] = [];
@@ -78,6 +109,31 @@
     return {term: 1, offset};
   }
 
+  /** The faults of an endpoint that hold now. */
+  function faultsOf(id: string): readonly EndpointFault[] {
+    const now = clock.now();
+    return faults.filter(
+      ({endpoint, fromMs, untilMs}) =>
+        endpoint === id && now >= fromMs && now < untilMs,
+    );
+  }
+
+  function isGone(id: string): boolean {
+    return faultsOf(id).some(fault => fault.isGone);
+  }
+
+  function isFailing(id: string): boolean {
+    return faultsOf(id).some(
+      ({failingShare}) => failingShare !== undefined && chance() < failingShare,
+    );
+  }
+
+  function slowness(id: string): number {
+    let factor = 1;
+    for (const {slowFactor} of faultsOf(id)) factor *= slowFactor ?? 1;
+    return factor;
+  }
+
   const parts = new Map(
     ids.map((id, i) => [id, endpointParts(id, i === 0)] as const),
   );
@@ -86,13 +142,16 @@
     const endpoint: SimulatedEndpoint = {
       id,
       isPrimary,
+      inFlight: 0,
       ran: 0,
       refused: 0,
+      failed: 0,
       opened: 0,
       connections: 0,
       ranForNobody: 0,
     };
     const waiting: Task[] = [];
+    const connections = new Set<EndpointConnection>();
     let busy = 0;
 
     function startNext(): void {
@@ -100,7 +159,7 @@
         const task = waiting.shift()!;
         if (!task.isWanted()) continue;
         busy++;
-        clock.after(task.ms, () => {
+        clock.after(task.ms * slowness(id), () => {
           busy--;
           task.done();
           startNext();
@@ -108,8 +167,17 @@
       }
     }
 
+    for (const fault of faults) {
+      if (fault.endpoint !== id || !fault.isGone) continue;
+      clock.after(fault.fromMs - clock.now(), () => {
+        waiting.length = 0;
+        for (const connection of [...connections]) connection.dispose();
+      });
+    }
+
     return {
       endpoint,
+      connections,
       isFull: () =>
         busy >= traits.slots && waiting.length >= traits.queueLength,
       add(task: Task) {
@@ -132,6 +200,7 @@
     ) {
       super();
       part.endpoint.connections++;
+      part.connections.add(this);
     }
 
     get isOpen(): boolean {
@@ -162,7 +231,8 @@
     }
 
     private lostError(): Error {
-      return new ConnectionLostError(this.endpoint, 'closed', false);
+      const wasReset = isGone(this.endpoint);
+      return new ConnectionLostError(this.endpoint, 'closed', wasReset);
     }
 
     private refuse(code: ErrorCode, text: string): Answer {
@@ -190,15 +260,24 @@
         answer(this.refuse(ErrorCode.Behind, this.endpoint));
         return;
       }
+      if (isFailing(this.endpoint)) {
+        endpoint.failed++;
+        answer(this.refuse(ErrorCode.Failed, this.endpoint));
+        return;
+      }
       if (this.part.isFull()) {
         endpoint.refused++;
         answer(this.refuse(ErrorCode.Busy, this.endpoint));
         return;
       }
+      endpoint.inFlight++;
+      const settled = onceOnly(() => endpoint.inFlight--);
+      this.onClose(settled);
       this.part.add({
         ms: workOf(req.text),
         isWanted: () => this.isOpen,
         done: () => {
+          settled();
           endpoint.ran++;
           if (!this.isOpen) {
             endpoint.ranForNobody++;
@@ -227,13 +306,17 @@
     }
 
     dispose(): void {
-      if (this.calls.end(this.lostError())) this.part.endpoint.connections--;
+      if (!this.calls.end(this.lostError())) return;
+      this.part.endpoint.connections--;
+      this.part.connections.delete(this);
     }
   }
 
   class SimulatedDriver extends EndpointDriver {
     connect({id}: EndpointAddress): Promise<EndpointConnection> {
       const part = parts.get(id)!;
+      if (isGone(id))
+        return Promise.reject(new ConnectionLostError(id, 'gone', true));
       part.endpoint.opened++;
       return new Promise((resolve, reject) => {
         if (part.endpoint.connections >= traits.maxConnections) {
--- a/packages/proxy/test/simulated-fleet.ts
+++ b/packages/proxy/test/simulated-fleet.ts
@@ -11,6 +11,7 @@
 import {ALWAYS_PERMITTED} from '../src/primary-use.js';
 import {serveRelayedRequests} from '../src/relayed-requests.js';
 import {listedEndpoint} from './listed.js';
+import type {EndpointFault} from './simulated-endpoint.js';
 import {
   type AcceptRequester,
   TRANSIT_MS,
@@ -28,8 +29,12 @@
   readonly endpoints: readonly string[];
   readonly slots: number;
   readonly maxConnections: number;
+  /** The endpoints' disturbances, by the clock. */
+  readonly faults?: readonly EndpointFault[];
 }
 
+/** Time until an instance has heard of a new entry, at most. */
+const ENTRY_SPREAD_MS = 300;
 const GROUP = 'g';
 const DATA_CENTRES = ['z-a', 'z-b', 'z-c'] as const;
 /** Idle time after which a holder rolls a transaction back, in milliseconds. */
@@ -109,6 +114,14 @@
       saysPrimary: i === 0,
     }));
     group.setEndpoints(listed);
+    for (const {endpoint, untilMs, isGone} of context.faults ?? []) {
+      if (!isGone) continue;
+      clock.after(untilMs + chance() * ENTRY_SPREAD_MS - clock.now(), () => {
+        const entry = listed.find(({id}) => id === endpoint)!;
+        entry.startedAt = untilMs;
+        group.setEndpoints(listed.map(item => ({...item})));
+      });
+    }
     tickFrom(chance() * TIMES.tickMs, group);
     return group;
   }
--- a/packages/proxy/test/simulated-load.ts
+++ b/packages/proxy/test/simulated-load.ts
@@ -14,6 +14,7 @@
 import {serveRead, serveWrite} from '../src/single-statement.js';
 import {callerTransaction} from '../src/transaction.js';
 import {
+  type EndpointFault,
   type EndpointTraits,
   type SimulatedEndpoint,
   simulatedGroup,
@@ -28,6 +29,8 @@
   /** Mean work of a statement. */
   readonly workMs: number;
   readonly maxWorkMs: number;
+  /** Share of the statements that take `TAIL_FACTOR` times as long. */
+  readonly tailShare?: number;
   /** Shares of single writes and of transactions among the operations. */
   readonly writes: number;
   readonly transactions: number;
@@ -48,6 +51,16 @@
   readonly lengthMs: number;
   /** Factor on the load at a time since the start. */
   readonly factorAt?: (atMs: number) => number;
+  /** Disturbances of endpoints, at times since the start. */
+  readonly faults?: readonly EndpointFault[];
+}
+
+/** What one endpoint did within `SPAN_MS`. */
+export interface EndpointSpan {
+  /** Statements that it ran. */
+  ran: number;
+  /** The most statements that it had in flight at once. */
+  mostInFlight: number;
 }
 
 /** What became of the operations that began within one second. */
@@ -67,10 +80,14 @@
   readonly endpoints: readonly SimulatedEndpoint[];
   /** Connections that were opened after the callers began to come. */
   readonly opened: number;
+  /** What each endpoint did, by its id, in spans of `SPAN_MS`. */
+  readonly endpointSpans: ReadonlyMap<string, readonly EndpointSpan[]>;
 }
 
 /** Time before the callers come, in milliseconds: instances open connections. */
 const LEAD_MS = 2000;
+/** Length of a span in which the endpoints are observed, in milliseconds. */
+export const SPAN_MS = 500;
 const STEP_MS = 1;
 const MS_PER_SECOND = 1000;
 const ENDPOINT_IDS = ['e-0', 'e-1', 'e-2'] as const;
@@ -80,6 +97,7 @@
 const PAUSE_MS = 10;
 /** Spread of the logarithm of a statement's work. */
 const WORK_SPREAD = 0.7;
+const TAIL_FACTOR = 5;
 
 function noOutcome(): SecondOutcome {
   return {asked: 0, inTime: 0, late: 0, unserved: 0};
@@ -99,10 +117,17 @@
     heldAnswerBytes: () => 0,
     now: () => clock.now(),
   });
+  const faults = (options.faults ?? []).map(fault => ({
+    ...fault,
+    fromMs: fault.fromMs + LEAD_MS,
+    untilMs: fault.untilMs + LEAD_MS,
+  }));
   const {endpoints, driver} = simulatedGroup(
     clock,
     ENDPOINT_IDS,
     options.endpoints,
+    faults,
+    chance,
   );
   const groups = simulatedFleet(options.instances, {
     ...options.endpoints,
@@ -110,6 +135,7 @@
     log,
     driver,
     chance,
+    faults,
     endpoints: ENDPOINT_IDS,
   });
   const all = noOutcome();
@@ -119,13 +145,14 @@
   const bySecond: SecondOutcome[] = [];
   let requests = 0;
 
-  function workOf({workMs, maxWorkMs}: CallerClass): number {
+  function workOf({workMs, maxWorkMs, tailShare}: CallerClass): number {
     const u = Math.max(chance(), Number.MIN_VALUE);
     const normal =
       Math.sqrt(-2 * Math.log(u)) * Math.cos(2 * Math.PI * chance());
     const mean = Math.exp((WORK_SPREAD * WORK_SPREAD) / 2);
     const drawn = (workMs / mean) * Math.exp(WORK_SPREAD * normal);
-    return Math.min(maxWorkMs, drawn);
+    const isLong = tailShare !== undefined && chance() < tailShare;
+    return Math.min(maxWorkMs, isLong ? drawn * TAIL_FACTOR : drawn);
   }
 
   function requestOf(of: CallerClass, statement: Statement) {
@@ -195,8 +222,27 @@
     }
   }
 
+  const endpointSpans = new Map<string, EndpointSpan[]>(
+    ENDPOINT_IDS.map(id => [id, []]),
+  );
+  const ranBefore = new Map<string, number>();
+
+  function observeEndpoints(): void {
+    const span = Math.floor((clock.now() - LEAD_MS) / SPAN_MS);
+    if (span < 0) return;
+    for (const {id, ran, inFlight} of endpoints) {
+      const spans = endpointSpans.get(id)!;
+      spans[span] ??= {ran: 0, mostInFlight: 0};
+      const seen = spans[span];
+      seen.ran += ran - (ranBefore.get(id) ?? ran);
+      seen.mostInFlight = Math.max(seen.mostInFlight, inFlight);
+      ranBefore.set(id, ran);
+    }
+  }
+
   async function step(): Promise<void> {
     clock.advance(STEP_MS);
+    observeEndpoints();
     // Lets every promise that the step has settled run its continuation.
     await new Promise(resolve => setImmediate(resolve));
   }
@@ -218,5 +264,6 @@
   let opened = 0;
   for (const [i, endpoint] of endpoints.entries())
     opened += endpoint.opened - openedBefore[i]!;
-  return {all, byClass, bySecond, endpoints, opened};
+  const counts = {all, byClass, bySecond};
+  return {...counts, endpoints, opened, endpointSpans};
 }
