Count a statement in flight from the moment its connection is taken

Cause: the limit of statements in flight was compared with a count that rose only when the statement was sent, in a later turn of the event loop. All waiting requests that were served in one turn passed the check together: with the replicas gone, one instance with a limit of 8 had 22 statements at the primary.

Change: a connection that is taken for a statement counts as in flight until the statement starts or the connection is returned. The end of a statement inside a transaction serves waiting requests as well, since no connection becomes idle then.

--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -24,6 +24,13 @@
   readonly need: Need;
   readonly link: EndpointLink;
   readonly pooled: PooledConnection;
+  /**
+   * Whether it counts as a statement in flight although none was sent yet, so
+   * that requests served at the same moment stay within the limit together.
+   */
+  isReserved?: boolean;
+  /** Called when a statement on it has ended, since another may be sent. */
+  readonly onStatementEnd?: () => void;
   /** Returns the connection to the pool; one that is not reusable is closed. */
   release(reusable: boolean): void;
 }
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -99,23 +99,42 @@
     const pooled = link.acquire(settingsKey, wayFor(need));
     if (!pooled) return undefined;
     let returned = false;
-    return {
+    const lease: ConnectionLease = {
       need,
       link,
       pooled,
+      isReserved: false,
+      onStatementEnd: waiting.serve,
       release(reusable) {
         if (returned) return;
         returned = true;
+        if (lease.isReserved) link.facts.inFlight--;
+        lease.isReserved = false;
         link.release(pooled, reusable);
       },
     };
+    return lease;
+  }
+
+  /** Takes a connection for a statement, which counts as in flight. */
+  function reservedLease(
+    link: EndpointLink,
+    settingsKey: string,
+    need: Need,
+  ): ConnectionLease | undefined {
+    const lease = leaseOf(link, settingsKey, need);
+    if (!lease) return undefined;
+    lease.isReserved = true;
+    link.facts.inFlight++;
+    return lease;
   }
 
   function tryAcquire(req: ConnectionRequest): ConnectionLease | undefined {
     const options = [...links.values()].map(optionOf);
     const need = req.need();
     const option = choosePlacement(options, need);
-    if (option) return leaseOf(links.get(option.id)!, req.settingsKey, need);
+    if (option)
+      return reservedLease(links.get(option.id)!, req.settingsKey, need);
     openFor(options, need);
     return undefined;
   }
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -121,14 +121,17 @@
 
 /** Counts `work` as a statement in flight at the lease's endpoint. */
 export async function countInFlight<T>(
-  {link}: ConnectionLease,
+  lease: ConnectionLease,
   work: () => Promise<T>,
 ): Promise<T> {
-  link.facts.inFlight++;
+  const {facts} = lease.link;
+  if (!lease.isReserved) facts.inFlight++;
+  lease.isReserved = false;
   try {
     return await work();
   } finally {
-    link.facts.inFlight--;
+    facts.inFlight--;
+    lease.onStatementEnd?.();
   }
 }
 
--- a/packages/proxy/test/fault-loads.ts
+++ b/packages/proxy/test/fault-loads.ts
@@ -83,7 +83,7 @@
 export const FAULT_AT_MS = 2000;
 export const FAULT_END_MS = 5000;
 export const COLD_END_MS = 8000;
-const LENGTH_MS = 12_000;
+const LENGTH_MS = 16_000;
 
 function goneAndCold(endpoint: string): readonly EndpointFault[] {
   const during = {endpoint, fromMs: FAULT_AT_MS, untilMs: FAULT_END_MS};
@@ -100,29 +100,63 @@
   untilMs: COLD_END_MS,
 };
 
+/** A disturbance with the load that it meets. */
+export interface Disturbance {
+  readonly faults: readonly EndpointFault[];
+  /** From when the endpoint could carry its share again. */
+  readonly backAtMs: number;
+  /** Factor on the usual load. */
+  readonly load: number;
+}
+
+/** A load that takes most of the slots of the group. */
+const BUSY_LOAD = 2;
+/** A load that two of three endpoints can just carry. */
+const HIGH_LOAD = 1.5;
+
 /** The disturbances by what happens. */
-export const FAULTS = {
-  none: [],
-  'returns cold': goneAndCold(DISTURBED),
-  'slowed 8 times': [{...DURING, slowFactor: SLOW_FACTOR}],
-  'fails 45%': [{...DURING, failingShare: FAILING_SHARE}],
-  'all but one gone': [
-    ...goneAndCold(DISTURBED),
-    ...goneAndCold(OTHER_REPLICA),
-  ],
-} as const satisfies Record<string, readonly EndpointFault[]>;
+export const DISTURBANCES = {
+  none: {faults: [], backAtMs: FAULT_END_MS, load: 1},
+  'none, busy': {faults: [], backAtMs: FAULT_END_MS, load: BUSY_LOAD},
+  'returns cold': {
+    faults: goneAndCold(DISTURBED),
+    backAtMs: FAULT_END_MS,
+    load: 1,
+  },
+  'returns cold, high load': {
+    faults: goneAndCold(DISTURBED),
+    backAtMs: FAULT_END_MS,
+    load: HIGH_LOAD,
+  },
+  'slowed 8 times': {
+    faults: [{...DURING, slowFactor: SLOW_FACTOR}],
+    backAtMs: COLD_END_MS,
+    load: 1,
+  },
+  'fails 45%': {
+    faults: [{...DURING, failingShare: FAILING_SHARE}],
+    backAtMs: COLD_END_MS,
+    load: 1,
+  },
+  'all but one gone': {
+    faults: [...goneAndCold(DISTURBED), ...goneAndCold(OTHER_REPLICA)],
+    backAtMs: FAULT_END_MS,
+    load: 1,
+  },
+} as const satisfies Record<string, Disturbance>;
 
 /** The name of one of the disturbances. */
-export type FaultName = keyof typeof FAULTS;
+export type DisturbanceName = keyof typeof DISTURBANCES;
 
-/** The usual load with one of the disturbances. */
-export function faultLoad(
-  fault: FaultName,
+/** The load with one of the disturbances. */
+export function disturbedLoad(
+  name: DisturbanceName,
   instances: number,
   seed: number,
 ): LoadOptions {
-  const load = {endpoints: ENDPOINTS, classes: CLASSES, lengthMs: LENGTH_MS};
-  return {seed, instances, ...load, faults: FAULTS[fault]};
+  const {faults, load} = DISTURBANCES[name];
+  const rest = {endpoints: ENDPOINTS, classes: CLASSES, lengthMs: LENGTH_MS};
+  return {seed, instances, ...rest, faults, factorAt: () => load};
 }
 
 /** The spans of an endpoint between two times. */
@@ -141,6 +175,8 @@
   return spans.reduce((sum, {ran}) => sum + ran, 0) / spans.length;
 }
 
+/** The time after a return in which it must not be flooded. */
+export const FIRST_MS = 1000;
 /** Share of its usual work with which an endpoint carries its share again. */
 const CARRIES_SHARE = 0.7;
 
@@ -155,13 +191,14 @@
   return at < 0 ? Infinity : (at + 1) * SPAN_MS;
 }
 
-/** Most statements in flight at the disturbed endpoint between two times. */
+/** Most statements in flight at an endpoint between two times. */
 export function mostInFlight(
   result: LoadResult,
   fromMs: number,
   untilMs: number,
+  endpoint: string = DISTURBED,
 ): number {
-  const spans = spansOf(result, DISTURBED, fromMs, untilMs);
+  const spans = spansOf(result, endpoint, fromMs, untilMs);
   return Math.max(...spans.map(span => span.mostInFlight));
 }
 
@@ -172,16 +209,18 @@
 }
 
 /** Describes a result in one line. */
-export function resultText(result: LoadResult): string {
+export function resultText(name: DisturbanceName, result: LoadResult): string {
   const {byClass, endpoints} = result;
-  const outcomes = [...byClass].map(([name, out]) => outcomeText(name, out));
-  const back = carriesAfterMs(result, FAULT_END_MS);
-  const most = mostInFlight(result, FAULT_END_MS, COLD_END_MS);
+  const {backAtMs} = DISTURBANCES[name];
+  const outcomes = [...byClass].map(([of, out]) => outcomeText(of, out));
+  const back = carriesAfterMs(result, backAtMs);
+  const first = mostInFlight(result, backAtMs, backAtMs + FIRST_MS);
+  const cold = mostInFlight(result, FAULT_END_MS, COLD_END_MS);
   const disturbed = endpoints.find(({id}) => id === DISTURBED)!;
   return [
     ...outcomes,
     `share again after ${back} ms`,
-    `most in flight ${most}`,
+    `most in flight ${first} in the first second, ${cold} while cold`,
     `refused ${disturbed.refused}, failed ${disturbed.failed}`,
   ].join('; ');
 }
--- a/packages/proxy/test/print-fault-loads.ts
+++ b/packages/proxy/test/print-fault-loads.ts
@@ -1,16 +1,25 @@
-/** Prints what callers get while an endpoint is disturbed. */
-import {FAULTS, type FaultName, faultLoad, resultText} from './fault-loads.js';
+/**
+ * Prints what callers get while an endpoint is disturbed. Arguments: part of the
+ * name of the disturbances, and seeds.
+ */
+import {
+  DISTURBANCES,
+  type DisturbanceName,
+  disturbedLoad,
+  resultText,
+} from './fault-loads.js';
 import {playLoad} from './simulated-load.js';
 
-const SEEDS = [1, 2];
+const FLEETS = [5, 70];
 const wanted = process.argv[2] ?? '';
-for (const fault of Object.keys(FAULTS) as FaultName[]) {
-  if (!fault.includes(wanted)) continue;
-  for (const instances of [5, 70]) {
-    for (const seed of SEEDS) {
-      const result = await playLoad(faultLoad(fault, instances, seed));
-      const name = `${fault}, ${instances} instances, seed ${seed}`;
-      console.log(`${name}: ${resultText(result)}`);
+const seeds = (process.argv[3] ?? '1,2').split(',').map(Number);
+for (const name of Object.keys(DISTURBANCES) as DisturbanceName[]) {
+  if (!name.includes(wanted)) continue;
+  for (const instances of FLEETS) {
+    for (const seed of seeds) {
+      const result = await playLoad(disturbedLoad(name, instances, seed));
+      const text = resultText(name, result);
+      console.log(`${name}, ${instances} instances, seed ${seed}: ${text}`);
     }
   }
 }
