--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -104,16 +104,35 @@
     const pooled = link.acquire(settingsKey, use);
     if (!pooled) return undefined;
     let returned = false;
-    return {
+    const lease: ConnectionLease = {
       need,
       link,
       pooled,
+      isReserved: false,
+      onStatementEnd: waiting.serve,
       release(reusable) {
         if (returned) return;
         returned = true;
+        if (lease.isReserved) link.facts.inFlight--;
+        lease.isReserved = false;
         link.release(pooled, reusable);
       },
     };
+    return lease;
+  }
+
+  /** Takes a connection for a statement, which counts as in flight. */
+  function reservedLease(
+    link: EndpointLink,
+    settingsKey: string,
+    need: Need,
+    use: ConnectionUse,
+  ): ConnectionLease | undefined {
+    const lease = leaseOf(link, settingsKey, need, use);
+    if (!lease) return undefined;
+    lease.isReserved = true;
+    link.facts.inFlight++;
+    return lease;
   }
 
   function tryAcquire(req: ConnectionRequest): ConnectionLease | undefined {
@@ -122,7 +141,7 @@
     const options = [...links.values()].map(link => optionOf(link, use));
     const option = choosePlacement(options, need);
     if (option)
-      return leaseOf(links.get(option.id)!, req.settingsKey, need, use);
+      return reservedLease(links.get(option.id)!, req.settingsKey, need, use);
     openFor(options, need, use);
     return undefined;
   }
