Hold tokens for waiting operations for 80 ms only, and report spent ones

Change: tokens for waiting operations are valid as long as an answer may take; grants are reported as settled; an owner whose bucket is half full is asked before others; messages about joining carry a digest of the list.

--- a/packages/quota/src/account-quotas.ts
+++ b/packages/quota/src/account-quotas.ts
@@ -12,8 +12,8 @@
   nearestFirst,
   nextLender,
 } from './lender-choice.js';
-import {lender} from './lender.js';
-import {type RateLimit, TOKEN_MS, ownerCount} from './limits.js';
+import {type LoanAnswer, lender} from './lender.js';
+import {ANSWER_MS, type RateLimit, TOKEN_MS, ownerCount} from './limits.js';
 import {
   LenderRole,
   MAX_JOINED,
@@ -30,8 +30,6 @@
 } from './quota-types.js';
 import {type AccountRole, accountRoles} from './roles.js';
 
-/** Time for the answer of a lender, in milliseconds. */
-const ANSWER_TIMEOUT_MS = 80;
 /** Interval of the periodic work, in milliseconds. */
 const TICK_MS = 1000;
 /** Changes of the instances within this time are evaluated together. */
@@ -42,12 +40,24 @@
 const MAX_FIRST_SEQ = 2 ** 32;
 
 const ADMITTED: Admission = {type: 'admitted'};
+const NOT_LISTED: LoanAnswer = {
+  count: 0,
+  retryMs: 0,
+  lowMs: 0,
+  role: LenderRole.Pending,
+};
 const STOPPED: Admission = {
   type: 'refused',
   retryMs: UNKNOWN_RETRY_MS,
   why: 'this instance stops',
 };
 
+function isLower(limit: RateLimit, before: RateLimit | undefined): boolean {
+  if (!before) return false;
+  const {ratePerSecond, burst} = limit;
+  return ratePerSecond < before.ratePerSecond || burst < before.burst;
+}
+
 /** Starts the quotas of an instance. */
 export function accountQuotas(context: QuotaContext): AccountQuotas {
   const {clock, rule, self} = context;
@@ -69,7 +79,7 @@
   let rolesVersion = -1;
   let lastSeq = randomInt(MAX_FIRST_SEQ);
   let refreshTimer: Disposable | undefined;
-  let wasGranting = true;
+  let wasListed = true;
 
   function timeNow(): BorrowerTime {
     return {now: clock.now(), suspensions: context.suspensions()};
@@ -109,39 +119,30 @@
 
   // Lender
 
-  function lend(
-    account: string,
-    borrower: string,
-    request: Pick<TokenRequest, 'seq' | 'count' | 'settled'>,
-  ): Pick<TokenAnswer, 'count' | 'retryMs' | 'role'> {
-    roleOf(account);
-    const now = clock.now();
-    const mayGrant = fleet.mayGrant(now);
-    if (mayGrant !== wasGranting) {
-      wasGranting = mayGrant;
-      const event = mayGrant ? 'quotaGrantsResumed' : 'quotaGrantsSuspended';
+  /** Whether enough instances list this one; logs changes. */
+  function mayGrant(): boolean {
+    const isListed = fleet.mayGrant(clock.now());
+    if (isListed !== wasListed) {
+      wasListed = isListed;
+      const event = isListed ? 'quotaGrantsResumed' : 'quotaGrantsSuspended';
       context.onEvent({event});
     }
-    if (!mayGrant) return {count: 0, retryMs: 0, role: LenderRole.Pending};
-    return lending.lend(account, {...request, borrower}, now);
+    return isListed;
   }
 
-  /** Grants a token to this instance itself. */
-  function lendToSelf(account: string, to: Borrower): void {
-    const {address} = self();
-    const count = Math.max(1, to.waiting);
-    const time = timeNow();
-    const request = {
-      lender: address,
-      seq: ++lastSeq,
-      count,
-      sentAt: time.now,
-      suspensions: time.suspensions,
-    };
-    const settled = to.tokens.takeSettled(address, time);
-    to.tokens.noteSent(request);
-    const answer = lend(account, address, {...request, settled});
-    to.noteAnswer(request, answer, time);
+  function lend({account, from, ...request}: TokenRequest): LoanAnswer {
+    roleOf(account);
+    if (!mayGrant()) return NOT_LISTED;
+    const loan = {...request, borrower: from};
+    return lending.lend(account, loan, clock.now());
+  }
+
+  /** Takes a token for an operation from the own bucket. */
+  function spendOwn(account: string, to: Borrower): boolean {
+    const now = clock.now();
+    const answer = mayGrant() ? lending.spend(account, now) : NOT_LISTED;
+    to.noteAnswer(self().address, 1, answer, now);
+    return answer.count > 0;
   }
 
   // Borrower
@@ -194,7 +195,7 @@
       account,
       lender: lender.address,
       seq: ++lastSeq,
-      count: to.wanted(time.now),
+      ...to.wanted(time.now),
       sentAt: time.now,
       suspensions: time.suspensions,
     };
@@ -202,12 +203,32 @@
     to.tokens.noteSent(request);
     to.asking = request;
     sent.set(request.seq, request);
-    const timeout = clock.after(ANSWER_TIMEOUT_MS, () => noteSilent(request));
+    const timeout = clock.after(ANSWER_MS, () => noteSilent(request));
     timeouts.set(request.seq, timeout);
-    const {seq, count} = request;
-    const from = self().address;
-    const type = 'tokensWanted';
-    context.send(lender.address, {type, from, seq, account, count, settled});
+    const {seq, count, ahead} = request;
+    context.send(lender.address, {
+      type: 'tokensWanted',
+      from: self().address,
+      seq,
+      account,
+      count,
+      ahead,
+      settled,
+    });
+    reportSettled(account, to);
+  }
+
+  /** Tells lenders that are low what they may lend again. */
+  function reportSettled(account: string, to: Borrower): void {
+    const time = timeNow();
+    for (const address of to.tokens.reportedLenders(time)) {
+      if (!to.avoided(address)) continue;
+      const settled = to.tokens.takeSettled(address, time);
+      const from = self().address;
+      const seq = ++lastSeq;
+      const type = 'tokensSettled';
+      context.send(address, {type, from, seq, account, settled});
+    }
   }
 
   function noteSilent(request: SentRequest & {account: string}): void {
@@ -238,7 +259,7 @@
         ask(account, to, next.lender);
         return;
       }
-      lendToSelf(account, to);
+      if (spendOwn(account, to)) to.admitOne();
     }
   }
 
@@ -251,11 +272,18 @@
     silentUntil.delete(message.from);
     const {account} = request;
     const to = borrowerOf(account);
-    to.noteAnswer(request, message, timeNow());
+    const time = timeNow();
+    to.tokens.noteGranted(message.seq, message.count, time);
+    to.noteAnswer(request.lender, request.count, message, time.now);
     if (to.asking?.seq === request.seq) to.asking = undefined;
     serve(account, to);
   }
 
+  function admitted(to: Borrower): Admission {
+    to.admitted++;
+    return ADMITTED;
+  }
+
   // Peers
 
   function announce(peers: readonly QuotaInstance[]): void {
@@ -263,7 +291,15 @@
     for (const {instance, address} of peers) {
       if (fleet.isConfirmed(instance) || instance === self().instance) continue;
       const seq = ++lastSeq;
-      context.send(address, {type: 'joined', from, seq, instance: self()});
+      const {digest} = fleet;
+      const message = {
+        type: 'joined' as const,
+        from,
+        seq,
+        instance: self(),
+        digest,
+      };
+      context.send(address, message);
     }
   }
 
@@ -272,13 +308,14 @@
   ): void {
     const {from, seq, instance} = message;
     fleet.noteJoined([instance], clock.now());
-    refreshRoles();
+    if (rolesVersion !== fleet.version) refreshRoles();
+    const joined = message.digest === fleet.digest ? [] : fleet.joined;
     context.send(from, {
       type: 'joinedNoted',
       from: self().address,
       seq,
       instance: self().instance,
-      joined: fleet.joined
+      joined: joined
         .filter(item => item.instance !== instance.instance)
         .slice(-MAX_JOINED),
     });
@@ -294,7 +331,7 @@
       announce(added);
     }
     fleet.noteConfirmed(message.instance);
-    refreshSoon();
+    if (rolesVersion !== fleet.version) refreshSoon();
   }
 
   function forgetOldRequests(now: number): void {
@@ -349,32 +386,33 @@
       const to = borrowerOf(account);
       const time = timeNow();
       to.demand.note(time.now);
-      for (;;) {
-        if (to.waiting === 0 && to.tokens.spend(time)) {
-          to.admitted++;
-          return ADMITTED;
-        }
+      while (to.waiting === 0) {
+        if (to.tokens.spend(time)) return admitted(to);
         const next = nextFor(account, to);
         if (next.type === 'refuse' && !to.asking) {
           to.refused++;
           return refusal(account, to, next);
         }
-        const isSelf =
+        const isOwn =
           next.type === 'ask' && next.lender.instance === self().instance;
-        if (!isSelf || to.waiting > 0) break;
-        lendToSelf(account, to);
+        if (!isOwn) break;
+        if (spendOwn(account, to)) return admitted(to);
       }
       const admission = to.wait();
       serve(account, to);
       return admission;
     },
     setLimits(next) {
-      limits = next;
-      for (const account of borrowers.keys()) {
-        if (limits.has(account)) continue;
-        borrowers.get(account)!.endWaiting(ADMITTED);
-        borrowers.delete(account);
+      for (const [account, to] of borrowers) {
+        const limit = next.get(account);
+        if (!limit) {
+          to.endWaiting(ADMITTED);
+          borrowers.delete(account);
+        } else if (isLower(limit, limits.get(account))) {
+          to.tokens.discard(timeNow());
+        }
       }
+      limits = next;
       refreshRoles();
     },
     setInstances(others) {
@@ -389,10 +427,15 @@
         case 'tokensWanted': {
           // The sender lists this instance as a lender.
           fleet.noteListedBy(from, clock.now());
-          const answer = lend(message.account, from, message);
+          const answer = lend(message);
           context.send(from, {type: 'tokens', from: own, seq, ...answer});
           return;
         }
+        case 'tokensSettled': {
+          const {account, settled} = message;
+          lending.settle(account, from, settled, clock.now());
+          return;
+        }
         case 'tokens':
           receiveTokens(message);
           return;
--- a/packages/quota/src/borrower.ts
+++ b/packages/quota/src/borrower.ts
@@ -7,7 +7,8 @@
   heldTokens,
 } from './held-tokens.js';
 import {Avoidance, type Avoided, PENDING_MS} from './lender-choice.js';
-import {LenderRole, MAX_GRANT, type TokenAnswer} from './messages.js';
+import type {LoanAnswer} from './lender.js';
+import {LenderRole, MAX_GRANT} from './messages.js';
 import type {Admission} from './quota-types.js';
 
 /** Time for which tokens are asked for in advance, in milliseconds. */
@@ -28,15 +29,18 @@
   wait(): Promise<Admission>;
   /** Admits waiting operations while there are tokens. */
   admitWaiting(time: BorrowerTime): void;
+  /** Admits the first waiting operation. */
+  admitOne(): void;
   /** Ends the wait of all operations. */
   endWaiting(admission: Admission): void;
-  /** Tokens to ask for: for the waiting operations and the near future. */
-  wanted(now: number): number;
-  /** Takes an answer to a request that asked `lender`. */
+  /** Tokens to ask for: for the waiting operations, and in advance. */
+  wanted(now: number): {readonly count: number; readonly ahead: number};
+  /** Notes how a lender answered a request for `wanted` tokens. */
   noteAnswer(
-    request: SentRequest,
-    answer: Pick<TokenAnswer, 'count' | 'retryMs' | 'role'>,
-    time: BorrowerTime,
+    lender: string,
+    wanted: number,
+    answer: LoanAnswer,
+    now: number,
   ): void;
   /** Why the lender at an address is not asked for this account. */
   avoided(lender: string): Avoided | undefined;
@@ -60,10 +64,11 @@
     asking: undefined,
     wait: () => new Promise(resolve => waiting.push(resolve)),
     admitWaiting(time) {
-      while (waiting.length > 0 && tokens.spend(time)) {
-        self.admitted++;
-        waiting.shift()!({type: 'admitted'});
-      }
+      while (waiting.length > 0 && tokens.spend(time)) self.admitOne();
+    },
+    admitOne() {
+      self.admitted++;
+      waiting.shift()?.({type: 'admitted'});
     },
     endWaiting(admission) {
       const ended = waiting;
@@ -73,18 +78,21 @@
       for (const end of ended) end(admission);
     },
     wanted(now) {
-      const ahead = Math.floor(recent.expected(AHEAD_MS, now));
-      return Math.min(MAX_GRANT, waiting.length + ahead);
+      const atOnce = Math.min(MAX_GRANT, waiting.length);
+      const expected = Math.floor(recent.expected(AHEAD_MS, now));
+      const ahead = Math.min(MAX_GRANT - atOnce, expected);
+      return {count: atOnce + ahead, ahead};
     },
-    noteAnswer({seq, lender, count: asked}, {count, retryMs, role}, time) {
-      tokens.noteGranted(seq, count, time);
+    noteAnswer(lender, wanted, {count, retryMs, lowMs, role}, now) {
       avoided.delete(lender);
       if (role !== LenderRole.Active) {
-        const until = time.now + PENDING_MS;
+        const until = now + PENDING_MS;
         avoided.set(lender, {until, why: Avoidance.Pending});
-      } else if (count < asked) {
-        const until = time.now + retryMs;
+      } else if (count < wanted) {
+        const until = now + retryMs;
         avoided.set(lender, {until, why: Avoidance.Exhausted});
+      } else if (lowMs > 0) {
+        avoided.set(lender, {until: now + lowMs, why: Avoidance.Low});
       }
     },
     avoided: lender => avoided.get(lender),
--- a/packages/quota/src/fleet.ts
+++ b/packages/quota/src/fleet.ts
@@ -4,6 +4,7 @@
  * behind a partition: it still counts for `TAKEOVER_MS`, by which time it has
  * stopped for lack of peers that list it.
  */
+import {hashOf} from '@quetzalreel/common';
 import type {QuotaInstance} from './owners.js';
 
 /** How long an owner that does not confirm holds up its successor. */
@@ -33,6 +34,8 @@
   readonly listed: readonly QuotaInstance[];
   /** The same with those that vanished and may still grant tokens. */
   readonly counted: readonly QuotaInstance[];
+  /** Equal on instances with the same list. */
+  readonly digest: number;
   /** Those that announced themselves a short time ago. */
   readonly joined: readonly QuotaInstance[];
   setOthers(others: readonly QuotaInstance[], now: number): void;
@@ -78,6 +81,27 @@
   readonly renewedMs: () => number;
 }
 
+function areEqual(
+  a: ReadonlyMap<string, QuotaInstance>,
+  b: ReadonlyMap<string, QuotaInstance>,
+): boolean {
+  if (a.size !== b.size) return false;
+  for (const [name, {dataCentre, address}] of a) {
+    const other = b.get(name);
+    if (other?.address !== address || other.dataCentre !== dataCentre)
+      return false;
+  }
+  return true;
+}
+
+const DIGEST_VALUES = 2 ** 32;
+
+function digestOf(instances: readonly QuotaInstance[]): number {
+  let sum = 0;
+  for (const {instance} of instances) sum += hashOf(instance);
+  return sum % DIGEST_VALUES;
+}
+
 /** Starts without a list. */
 export function quotaFleet(start: FleetStart): QuotaFleet {
   const {self, renewedMs} = start;
@@ -89,6 +113,7 @@
   const confirmed = new Set<string>();
   const listedBy = new Map<string, number>();
   let version = 0;
+  let digest = 0;
   let isKnown = false;
   let isJoining = !start.mayOwnAtOnce;
   let isLeaving = false;
@@ -111,9 +136,11 @@
       if (next.has(name) || left.has(name)) continue;
       if (!vanished.has(name)) vanished.set(name, {instance, at: now});
     }
-    for (const name of next.keys()) vanished.delete(name);
+    let isChanged = !areEqual(next, effective);
+    for (const name of next.keys())
+      isChanged = vanished.delete(name) || isChanged;
     effective = next;
-    rebuild(now);
+    if (isChanged || version === 0) rebuild(now);
   }
 
   function rebuild(now: number): void {
@@ -121,6 +148,7 @@
     if (!isLeaving) listed.unshift(self());
     const gone = [...vanished.values()].map(({instance}) => instance);
     counted = [...listed, ...gone];
+    digest = digestOf(listed);
     const addresses = new Set(counted.map(({address}) => address));
     for (const address of listedBy.keys()) {
       if (!addresses.has(address)) listedBy.delete(address);
@@ -164,6 +192,9 @@
     get counted() {
       return counted;
     },
+    get digest() {
+      return digest;
+    },
     get joined() {
       return [...announced.values()].map(({instance}) => instance);
     },
@@ -184,7 +215,7 @@
     noteLeft(instance, now) {
       left.add(instance);
       announced.delete(instance);
-      vanished.delete(instance);
+      if (vanished.delete(instance)) rebuild(now);
       update(now);
     },
     leave(now) {
@@ -196,7 +227,7 @@
     },
     noteConfirmed(instance) {
       confirmed.add(instance);
-      version++;
+      if (isJoining) version++;
     },
     isConfirmed: instance => confirmed.has(instance),
     get isJoining() {
--- a/packages/quota/src/lender-choice.ts
+++ b/packages/quota/src/lender-choice.ts
@@ -11,6 +11,8 @@
   Exhausted: 'has no tokens left',
   Pending: 'has not taken over yet',
   Silent: 'does not respond',
+  /** Asked if no other owner has more. */
+  Low: 'has few tokens left',
 } as const;
 
 /** One of the values of `Avoidance`. */
@@ -49,34 +51,37 @@
 }
 
 /**
- * Chooses the nearest owner that may have tokens, and the backup only where an
- * owner does not respond or has not taken over yet.
+ * Chooses the nearest owner that may have tokens, one whose bucket is half full
+ * before others, so that the bursts of all owners are of use wherever the callers
+ * are. The backup is asked only where an owner does not respond or has not taken
+ * over yet.
  */
 export function nextLender(
   {owners, backup}: Assignment,
   avoidedOf: (lender: QuotaInstance) => Avoided | undefined,
   now: number,
 ): NextLender {
-  let first: {lender: QuotaInstance; avoided: Avoided} | undefined;
-  const tryOne = (lender: QuotaInstance): Avoided | undefined => {
-    const avoided = avoidedOf(lender);
-    if (!avoided || avoided.until <= now) return undefined;
-    if (!first || avoided.until < first.avoided.until)
-      first = {lender, avoided};
-    return avoided;
-  };
-  let isBackupNeeded = false;
-  for (const owner of owners) {
-    const avoided = tryOne(owner);
-    if (!avoided) return {type: 'ask', lender: owner};
-    isBackupNeeded ||= avoided.why !== Avoidance.Exhausted;
+  const candidates = [...owners, ...(backup ? [backup] : [])]
+    .map(lender => ({lender, avoided: avoidedOf(lender)}))
+    .map(({lender, avoided}) =>
+      avoided && avoided.until > now
+        ? {lender, until: avoided.until, why: avoided.why}
+        : {lender, until: now, why: undefined},
+    );
+  const ofOwners = candidates.slice(0, owners.length);
+  const isBackupNeeded = ofOwners.some(
+    ({why}) => why === Avoidance.Silent || why === Avoidance.Pending,
+  );
+  const allowed = isBackupNeeded ? candidates : ofOwners;
+  for (const wanted of [undefined, Avoidance.Low]) {
+    const found = allowed.find(({why}) => why === wanted);
+    if (found) return {type: 'ask', lender: found.lender};
   }
-  if (backup && isBackupNeeded && !tryOne(backup))
-    return {type: 'ask', lender: backup};
+  const [first] = allowed.sort((a, b) => a.until - b.until);
   return {
     type: 'refuse',
-    retryMs: first ? first.avoided.until - now : NO_LENDER_MS,
+    retryMs: first ? first.until - now : NO_LENDER_MS,
     lender: first?.lender,
-    why: first?.avoided.why,
+    why: first?.why,
   };
 }
--- a/packages/quota/src/lender.ts
+++ b/packages/quota/src/lender.ts
@@ -1,19 +1,20 @@
 /** Grants the tokens of the accounts of which this instance is a lender. */
-import {type RateLimit, TOKEN_MS} from './limits.js';
+import {ANSWER_MS, type RateLimit, TOKEN_MS} from './limits.js';
 import {
   LenderRole,
   MAX_RETRY_MS,
   type SettledGrant,
+  type TokenAnswer,
   type TokenRequest,
 } from './messages.js';
 import type {AccountRole} from './roles.js';
 import {type TokenBucket, tokenBucket} from './token-bucket.js';
 
 /**
- * How long a grant counts as outstanding unless it is settled, in milliseconds:
- * the report of unspent tokens follows their end.
+ * How long tokens in advance count as outstanding unless their grant is settled,
+ * in milliseconds: the report of unspent tokens follows their end.
  */
-const HOLD_MS = TOKEN_MS + 300;
+const AHEAD_HOLD_MS = TOKEN_MS + 300;
 /**
  * Longest time that a borrower is sent away for while others ask as well, in
  * milliseconds. Tokens for a longer time might exceed the burst and be lost.
@@ -21,18 +22,17 @@
 const CROWD_RETRY_MS = 100;
 const MS_PER_SECOND = 1000;
 
-/** What a borrower asks for; `borrower` is its address. */
-export type Loan = Pick<TokenRequest, 'seq' | 'count' | 'settled'> & {
+/** What a borrower asks for. */
+export type Loan = Pick<TokenRequest, 'seq' | 'count' | 'ahead' | 'settled'> & {
+  /** Its address. */
   readonly borrower: string;
 };
 
 /** The answer to a borrower. */
-export interface LoanAnswer {
-  readonly count: number;
-  /** Time until there are tokens again; 0 if all were granted. */
-  readonly retryMs: number;
-  readonly role: LenderRole;
-}
+export type LoanAnswer = Pick<
+  TokenAnswer,
+  'count' | 'retryMs' | 'lowMs' | 'role'
+>;
 
 /** What a lender holds of an account. */
 export interface LenderState {
@@ -47,6 +47,15 @@
   /** Ends the roles for accounts that are not in `accounts`. */
   keepOnly(accounts: ReadonlyMap<string, unknown>): void;
   lend(account: string, loan: Loan, now: number): LoanAnswer;
+  /** Notes grants that a borrower has settled. */
+  settle(
+    account: string,
+    borrower: string,
+    settled: readonly SettledGrant[],
+    now: number,
+  ): void;
+  /** Takes a token for an operation of this instance, which starts at once. */
+  spend(account: string, now: number): LoanAnswer;
   stateOf(account: string, now: number): LenderState;
 }
 
@@ -58,6 +67,10 @@
   readonly refusedAt: Map<string, number>;
 }
 
+function grantName(borrower: string, seq: number): string {
+  return `${borrower} ${seq}`;
+}
+
 /** Creates a lender without a role. */
 export function lender(): Lender {
   const active = new Map<string, Loans>();
@@ -70,9 +83,42 @@
       if (now - at > CROWD_RETRY_MS) refusedAt.delete(name);
     }
     const one = bucket.msUntil(1, now);
-    const each = (refusedAt.size * MS_PER_SECOND) / share.ratePerSecond;
-    const crowd = Math.min(CROWD_RETRY_MS, each);
-    return Math.min(MAX_RETRY_MS, Math.max(1, one, crowd));
+    const others = refusedAt.size - 1;
+    const othersMs = (others * MS_PER_SECOND) / share.ratePerSecond;
+    const crowdMs = others > 0 ? Math.min(CROWD_RETRY_MS, othersMs) : 0;
+    return Math.min(MAX_RETRY_MS, Math.max(1, one, crowdMs));
+  }
+
+  function notActive(account: string): LoanAnswer {
+    const role = pending.has(account) ? LenderRole.Pending : LenderRole.None;
+    return {count: 0, retryMs: 0, lowMs: 0, role};
+  }
+
+  function settle(
+    account: string,
+    borrower: string,
+    settled: readonly SettledGrant[],
+    now: number,
+  ): void {
+    const bucket = active.get(account)?.bucket;
+    for (const {seq, unused} of settled)
+      bucket?.settle(grantName(borrower, seq), unused, now);
+  }
+
+  function answer(
+    loans: Loans,
+    borrower: string,
+    wanted: number,
+    count: number,
+    now: number,
+  ): LoanAnswer {
+    const {bucket, share} = loans;
+    return {
+      count,
+      retryMs: count < wanted ? retryMs(loans, borrower, now) : 0,
+      lowMs: Math.min(MAX_RETRY_MS, bucket.msUntil(share.burst / 2, now)),
+      role: LenderRole.Active,
+    };
   }
 
   return {
@@ -91,7 +137,7 @@
       }
       // Tokens of the previous lender, or of an earlier life of this instance,
       // may be spent for that long.
-      const bucket = tokenBucket(share, now + TOKEN_MS, HOLD_MS);
+      const bucket = tokenBucket(share, now + TOKEN_MS);
       active.set(account, {kind, bucket, share, refusedAt: new Map()});
     },
     keepOnly(accounts) {
@@ -100,23 +146,23 @@
       for (const account of pending)
         if (!accounts.has(account)) pending.delete(account);
     },
-    lend(account, {borrower, seq, count: wanted, settled}, now) {
+    lend(account, {borrower, seq, count: wanted, ahead, settled}, now) {
       const loans = active.get(account);
-      if (!loans) {
-        const role = pending.has(account)
-          ? LenderRole.Pending
-          : LenderRole.None;
-        return {count: 0, retryMs: 0, role};
-      }
+      if (!loans) return notActive(account);
       const {bucket} = loans;
-      const nameOf = (grant: Pick<SettledGrant, 'seq'>) =>
-        `${borrower} ${grant.seq}`;
-      for (const grant of settled)
-        bucket.settle(nameOf(grant), grant.unused, now);
-      const count = bucket.take(nameOf({seq}), wanted, now);
-      const role = LenderRole.Active;
-      if (count === wanted) return {count, retryMs: 0, role};
-      return {count, retryMs: retryMs(loans, borrower, now), role};
+      settle(account, borrower, settled, now);
+      const count = bucket.take(wanted, now);
+      const atOnce = Math.min(count, wanted - ahead);
+      const name = grantName(borrower, seq);
+      bucket.hold(`${name} at once`, atOnce, ANSWER_MS, now);
+      bucket.hold(name, count - atOnce, AHEAD_HOLD_MS, now);
+      return answer(loans, borrower, wanted, count, now);
+    },
+    settle,
+    spend(account, now) {
+      const loans = active.get(account);
+      if (!loans) return notActive(account);
+      return answer(loans, '', 1, loans.bucket.take(1, now), now);
     },
     stateOf(account, now) {
       const bucket = active.get(account)?.bucket;
--- a/packages/quota/src/limits.ts
+++ b/packages/quota/src/limits.ts
@@ -15,8 +15,16 @@
   readonly slack: number;
 }
 
-/** How long a token may be spent, counted from when it was asked for. */
+/**
+ * How long a token that was asked for in advance may be spent, counted from when
+ * it was asked for.
+ */
 export const TOKEN_MS = 500;
+/**
+ * The same for a token that was asked for a waiting operation; also the time for
+ * the answer of a lender.
+ */
+export const ANSWER_MS = 80;
 
 const MS_PER_SECOND = 1000;
 const MAX_OWNERS = 3;
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -9,11 +9,11 @@
   readonly seq: number;
 }
 
-/** A grant whose tokens the borrower does not spend any more. */
+/** A grant whose tokens in advance the borrower does not spend any more. */
 export interface SettledGrant {
   /** Sequence number of the request for it. */
   readonly seq: number;
-  /** Tokens that were never spent. */
+  /** Tokens in advance that were never spent. */
   readonly unused: number;
 }
 
@@ -36,6 +36,14 @@
         readonly type: 'tokensWanted';
         readonly account: string;
         readonly count: number;
+        /** How many of them are not for operations that wait already. */
+        readonly ahead: number;
+        readonly settled: readonly SettledGrant[];
+      }
+    /** Reports settled grants to a lender that is low and not asked now. */
+    | {
+        readonly type: 'tokensSettled';
+        readonly account: string;
         readonly settled: readonly SettledGrant[];
       }
     | {
@@ -43,15 +51,22 @@
         readonly count: number;
         /** Time until the sender has tokens again; 0 if it has some left. */
         readonly retryMs: number;
+        /** Time until its bucket is half full; 0 if it is. */
+        readonly lowMs: number;
         readonly role: LenderRole;
       }
     /** The sender has started. */
-    | {readonly type: 'joined'; readonly instance: QuotaInstance}
+    | {
+        readonly type: 'joined';
+        readonly instance: QuotaInstance;
+        /** Of the instances that the sender lists. */
+        readonly digest: number;
+      }
     /** The sender grants nothing any more that the joined instance owns. */
     | {
         readonly type: 'joinedNoted';
         readonly instance: string;
-        /** Others that joined a short time ago. */
+        /** Others that joined a short time ago, if the lists differ. */
         readonly joined: readonly QuotaInstance[];
       }
     /** The sender grants nothing any more. */
@@ -88,17 +103,21 @@
 const ROLES: ReadonlySet<unknown> = new Set(Object.values(LenderRole));
 
 const CHECKS: Checks = {
-  tokensWanted: ({account, count, settled}) =>
+  tokensWanted: ({account, count, ahead, settled}) =>
     isName(account) &&
     isCount(count) &&
+    isCount(ahead) &&
+    Number(ahead) <= Number(count) &&
     isListOf(settled, MAX_SETTLED, isSettled),
-  tokens: ({count, retryMs, role}) =>
+  tokensSettled: ({account, settled}) =>
+    isName(account) && isListOf(settled, MAX_SETTLED, isSettled),
+  tokens: ({count, retryMs, lowMs, role}) =>
     isCount(count) &&
-    typeof retryMs === 'number' &&
-    retryMs >= 0 &&
-    retryMs <= MAX_RETRY_MS &&
+    isRetryTime(retryMs) &&
+    isRetryTime(lowMs) &&
     ROLES.has(role),
-  joined: ({instance}) => isInstance(instance),
+  joined: ({instance, digest}) =>
+    isInstance(instance) && Number.isSafeInteger(digest),
   joinedNoted: ({instance, joined}) =>
     isName(instance) && isListOf(joined, MAX_JOINED, isInstance),
   left: ({instance}) => isName(instance),
@@ -120,6 +139,10 @@
   );
 }
 
+function isRetryTime(value: unknown): boolean {
+  return typeof value === 'number' && value >= 0 && value <= MAX_RETRY_MS;
+}
+
 function isListOf(
   value: unknown,
   most: number,
--- a/packages/quota/src/token-bucket.ts
+++ b/packages/quota/src/token-bucket.ts
@@ -13,8 +13,15 @@
   level(now: number): number;
   /** Tokens that were granted and may still be spent. */
   outstanding(now: number): number;
-  /** Grants whole tokens, `wanted` at most; `grant` names them. */
-  take(grant: string, wanted: number, now: number): number;
+  /**
+   * Takes whole tokens, `wanted` at most. They are spent at once, unless they are
+   * held.
+   */
+  take(wanted: number, now: number): number;
+  /**
+   * Counts taken tokens as outstanding for `holdMs` unless the grant is settled.
+   */
+  hold(grant: string, count: number, holdMs: number, now: number): void;
   /**
    * The tokens of a grant are not spent any more; `unused` of them never were
    * and return to the bucket.
@@ -29,17 +36,10 @@
   readonly until: number;
 }
 
-/**
- * Creates an empty bucket that refills from `startAt` on. A granted token counts
- * as outstanding for `holdMs` unless its grant is settled.
- */
-export function tokenBucket(
-  first: RateLimit,
-  startAt: number,
-  holdMs: number,
-): TokenBucket {
-  /** In the order of their ends. */
+/** Creates an empty bucket that refills from `startAt` on. */
+export function tokenBucket(first: RateLimit, startAt: number): TokenBucket {
   const grants = new Map<string, Grant>();
+  let firstEnd = Infinity;
   let limit = first;
   let outstanding = 0;
   let level = 0;
@@ -53,13 +53,21 @@
     level = Math.min(level, Math.max(0, limit.burst - outstanding));
   }
 
+  function findFirstEnd(): void {
+    firstEnd = Infinity;
+    for (const {until} of grants.values()) firstEnd = Math.min(firstEnd, until);
+  }
+
   /** The refill before a grant ends is capped with that grant outstanding. */
   function advance(now: number): void {
-    for (const [name, {count, until}] of grants) {
-      if (until > now) break;
-      fillUntil(until);
-      grants.delete(name);
-      outstanding -= count;
+    while (firstEnd <= now) {
+      fillUntil(firstEnd);
+      for (const [name, {count, until}] of grants) {
+        if (until > firstEnd) continue;
+        grants.delete(name);
+        outstanding -= count;
+      }
+      findFirstEnd();
     }
     fillUntil(now);
   }
@@ -78,20 +86,27 @@
       advance(now);
       return outstanding;
     },
-    take(grant, wanted, now) {
+    take(wanted, now) {
       advance(now);
       const count = Math.min(wanted, Math.floor(level));
-      if (count <= 0 || grants.has(grant)) return 0;
       level -= count;
-      outstanding += count;
-      grants.set(grant, {count, until: now + holdMs});
       return count;
     },
+    hold(grant, count, holdMs, now) {
+      if (count <= 0) return;
+      // A repeated request must not hide the tokens of the first.
+      const before = grants.get(grant)?.count ?? 0;
+      const until = now + holdMs;
+      grants.set(grant, {count: before + count, until});
+      outstanding += count;
+      findFirstEnd();
+    },
     settle(grant, unused, now) {
       advance(now);
       const granted = grants.get(grant);
       if (!granted) return;
       grants.delete(grant);
+      findFirstEnd();
       outstanding -= granted.count;
       level += Math.min(unused, granted.count);
       fillUntil(now);
@@ -103,8 +118,7 @@
       const refillMs = ((count - level) * MS_PER_SECOND) / ratePerSecond;
       const waitMs = Math.max(0, filledAt - now) + refillMs;
       if (burst - outstanding >= count) return waitMs;
-      const [oldest] = grants.values();
-      return Math.max(waitMs, (oldest?.until ?? now) - now);
+      return Math.max(waitMs, Math.max(now, firstEnd) - now);
     },
   };
 }
