Grant half of what is left at most in advance

Change: tokens in advance take at most half of what waiting operations leave; only a waiting operation without a token marks an owner as exhausted.

--- a/packages/quota/src/account-quotas.ts
+++ b/packages/quota/src/account-quotas.ts
@@ -141,7 +141,7 @@
   function spendOwn(account: string, to: Borrower): boolean {
     const now = clock.now();
     const answer = mayGrant() ? lending.spend(account, now) : NOT_LISTED;
-    to.noteAnswer(self().address, 1, answer, now);
+    to.noteAnswer(self().address, answer, now);
     return answer.count > 0;
   }
 
@@ -274,7 +274,7 @@
     const to = borrowerOf(account);
     const time = timeNow();
     to.tokens.noteGranted(message.seq, message.count, time);
-    to.noteAnswer(request.lender, request.count, message, time.now);
+    to.noteAnswer(request.lender, message, time.now);
     if (to.asking?.seq === request.seq) to.asking = undefined;
     serve(account, to);
   }
--- a/packages/quota/src/borrower.ts
+++ b/packages/quota/src/borrower.ts
@@ -35,13 +35,8 @@
   endWaiting(admission: Admission): void;
   /** Tokens to ask for: for the waiting operations, and in advance. */
   wanted(now: number): {readonly count: number; readonly ahead: number};
-  /** Notes how a lender answered a request for `wanted` tokens. */
-  noteAnswer(
-    lender: string,
-    wanted: number,
-    answer: LoanAnswer,
-    now: number,
-  ): void;
+  /** Notes whether the lender at an address has tokens left. */
+  noteAnswer(lender: string, answer: LoanAnswer, now: number): void;
   /** Why the lender at an address is not asked for this account. */
   avoided(lender: string): Avoided | undefined;
 }
@@ -83,12 +78,12 @@
       const ahead = Math.min(MAX_GRANT - atOnce, expected);
       return {count: atOnce + ahead, ahead};
     },
-    noteAnswer(lender, wanted, {count, retryMs, lowMs, role}, now) {
+    noteAnswer(lender, {retryMs, lowMs, role}, now) {
       avoided.delete(lender);
       if (role !== LenderRole.Active) {
         const until = now + PENDING_MS;
         avoided.set(lender, {until, why: Avoidance.Pending});
-      } else if (count < wanted) {
+      } else if (retryMs > 0) {
         const until = now + retryMs;
         avoided.set(lender, {until, why: Avoidance.Exhausted});
       } else if (lowMs > 0) {
--- a/packages/quota/src/lender.ts
+++ b/packages/quota/src/lender.ts
@@ -108,14 +108,14 @@
   function answer(
     loans: Loans,
     borrower: string,
-    wanted: number,
     count: number,
+    isShort: boolean,
     now: number,
   ): LoanAnswer {
     const {bucket, share} = loans;
     return {
       count,
-      retryMs: count < wanted ? retryMs(loans, borrower, now) : 0,
+      retryMs: isShort ? retryMs(loans, borrower, now) : 0,
       lowMs: Math.min(MAX_RETRY_MS, bucket.msUntil(share.burst / 2, now)),
       role: LenderRole.Active,
     };
@@ -151,18 +151,22 @@
       if (!loans) return notActive(account);
       const {bucket} = loans;
       settle(account, borrower, settled, now);
-      const count = bucket.take(wanted, now);
-      const atOnce = Math.min(count, wanted - ahead);
+      const waiting = wanted - ahead;
+      const atOnce = bucket.take(waiting, now);
+      const spare = Math.floor(bucket.level(now) / 2);
+      const inAdvance = bucket.take(Math.min(ahead, spare), now);
       const name = grantName(borrower, seq);
       bucket.hold(`${name} at once`, atOnce, ANSWER_MS, now);
-      bucket.hold(name, count - atOnce, AHEAD_HOLD_MS, now);
-      return answer(loans, borrower, wanted, count, now);
+      bucket.hold(name, inAdvance, AHEAD_HOLD_MS, now);
+      const isShort = atOnce < waiting;
+      return answer(loans, borrower, atOnce + inAdvance, isShort, now);
     },
     settle,
     spend(account, now) {
       const loans = active.get(account);
       if (!loans) return notActive(account);
-      return answer(loans, '', 1, loans.bucket.take(1, now), now);
+      const count = loans.bucket.take(1, now);
+      return answer(loans, '', count, count === 0, now);
     },
     stateOf(account, now) {
       const bucket = active.get(account)?.bucket;
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -49,7 +49,7 @@
     | {
         readonly type: 'tokens';
         readonly count: number;
-        /** Time until the sender has tokens again; 0 if it has some left. */
+        /** Time until the sender has tokens again; 0 if all waiting got one. */
         readonly retryMs: number;
         /** Time until its bucket is half full; 0 if it is. */
         readonly lowMs: number;
