Decide placement, needs and session refusals in functions without effects

The decisions of a request sat inside closures that also opened connections or asked peers, so that nothing else could ask what a request would meet. `decidePlacement`, `needOf`, `obstacleTo`, `missingCapacity`, `unusableReason` and `sessionRefusal` are these decisions now, and requests call them. A waiting request determines its need once per attempt in place of twice. `sessionRefused` has its reason for unknown databases too.

--- a/packages/proxy/src/confirmed-positions.ts
+++ b/packages/proxy/src/confirmed-positions.ts
@@ -38,6 +38,8 @@
     maxStalenessMs: number,
     floor: Position | undefined,
   ): Position | undefined;
+  /** The same, without asking peers. */
+  knownRequiredPosition: ConfirmedPositions['requiredPosition'];
   /** Age of the newest sample in milliseconds; Infinity without one. */
   age(): number;
   /** Adds a sample from an answer of the primary to this instance. */
@@ -82,6 +84,7 @@
       if (!found) askPeersIfDue();
       return found;
     },
+    knownRequiredPosition: samples.requiredPosition,
     age: () => samples.age(),
     addOwn(sample) {
       if (samples.add(sample)) own = sample;
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -10,7 +10,8 @@
 } from '@quetzalreel/peer-queries';
 import type {EndpointLink} from './endpoint-link.js';
 import type {Log} from './log.js';
-import type {Need} from './placement.js';
+import type {Need, PlacementOption} from './placement.js';
+import type {PlacementDecision} from './placement-decision.js';
 import type {PooledConnection} from './pooled-connection.js';
 import type {PrimaryUse} from './primary-use.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
@@ -119,6 +120,12 @@
   countPrimaryWork(): () => void;
   /** Whether some endpoint can serve a need, now or once it has capacity. */
   canServe(need: Need): boolean;
+  /** The endpoints as options for running a statement now. */
+  readonly options: readonly PlacementOption[];
+  /** What a request with this need would meet now; changes nothing. */
+  decide(need: Need): PlacementDecision;
+  /** Number of requests that wait for a connection. */
+  readonly waiting: number;
   /**
    * Waits for a connection to a suitable endpoint; resolves to undefined when
    * none was available before the deadline.
@@ -141,6 +148,8 @@
     maxStalenessMs: number,
     floor: Position | undefined,
   ): Position | undefined;
+  /** The same, without asking anybody for a sample. */
+  knownRequiredPosition: GroupRuntime['requiredPosition'];
   /** Records the answer to a request sent at `sentAt`. */
   noteAnswer(link: EndpointLink, answer: Answer, sentAt: number): void;
   /**
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -30,11 +30,26 @@
   PRIMARY_NEED,
   type PlacementOption,
   canServe,
-  choosePlacement,
 } from './placement.js';
+import {type PlacementDecision, decidePlacement} from './placement-decision.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
-import {waitingRequests} from './waiting-requests.js';
+import {type AcquireAttempt, waitingRequests} from './waiting-requests.js';
+
+/** Whether the link has an idle connection of the given kind. */
+function hasIdle(
+  {idle, idleDirect}: EndpointLink,
+  way: ConnectionWay,
+): boolean {
+  switch (way) {
+    case ConnectionWay.Any:
+      return idle > 0;
+    case ConnectionWay.Direct:
+      return idleDirect > 0;
+    case ConnectionWay.Relayed:
+      return idle > idleDirect;
+  }
+}
 
 /** Creates a group without endpoints. */
 export function groupRuntime(
@@ -43,11 +58,7 @@
 ): GroupRuntime {
   const {clock, log, dataCentre, primaryUse} = context;
   const links = new Map<string, EndpointLink>();
-  const waiting = waitingRequests({
-    clock,
-    tryAcquire,
-    isHopeless: req => isOutOfReach(req.need()),
-  });
+  const waiting = waitingRequests({clock, tryAcquire});
   const probing = new Set<string>();
   const overload = overloadLog(context);
   const reachability = endpointReachability({
@@ -80,6 +91,10 @@
     return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
   }
 
+  function optionsNow(): readonly PlacementOption[] {
+    return [...links.values()].map(optionOf);
+  }
+
   /**
    * The connections that serve a need. Without permission to use primaries only
    * relayed ones do: the instance that relays checks its own.
@@ -111,27 +126,23 @@
     };
   }
 
-  function tryAcquire(req: ConnectionRequest): ConnectionLease | undefined {
-    const options = [...links.values()].map(optionOf);
-    const need = req.need();
-    const option = choosePlacement(options, need);
-    if (option) return leaseOf(links.get(option.id)!, req.settingsKey, need);
-    openFor(options, need);
-    return undefined;
+  function decide(need: Need): PlacementDecision {
+    return decidePlacement(optionsNow(), need, {
+      hasConnection: id => hasIdle(links.get(id)!, wayFor(need)),
+      isOutOfReach: () => isOutOfReach(need),
+    });
   }
 
-  /**
-   * Opens a connection to the endpoint that would be chosen if it had a free
-   * one.
-   */
-  function openFor(options: readonly PlacementOption[], need: Need): void {
-    const withCapacity = options.map(option => ({
-      ...option,
-      hasCapacity: option.isBelowLimit,
-      hasDirectCapacity: option.isBelowLimit,
-    }));
-    const chosen = choosePlacement(withCapacity, need);
-    if (chosen) links.get(chosen.id)!.open(need.directOnly);
+  function tryAcquire(req: ConnectionRequest): AcquireAttempt {
+    const need = req.need();
+    const decision = decide(need);
+    if (decision.type === 'take') {
+      const link = links.get(decision.endpoint)!;
+      return {lease: leaseOf(link, req.settingsKey, need), isHopeless: false};
+    }
+    const {type, opening} = decision;
+    if (opening !== undefined) links.get(opening)!.open(need.directOnly);
+    return {lease: undefined, isHopeless: type === 'refuse'};
   }
 
   /**
@@ -237,9 +248,16 @@
     countPrimaryWork: primary.countWork,
     canServe: need =>
       [...links.values()].some(link => canServe(optionOf(link), need)),
+    get options() {
+      return optionsNow();
+    },
+    decide,
+    get waiting() {
+      return waiting.size;
+    },
     async acquire(req) {
-      const lease = tryAcquire(req);
-      if (lease || isOutOfReach(req.need())) return lease;
+      const {lease, isHopeless} = tryAcquire(req);
+      if (lease || isHopeless) return lease;
       return waiting.wait(req);
     },
     acquireForControl(endpoint) {
@@ -250,6 +268,7 @@
       return lease;
     },
     requiredPosition: positions.requiredPosition,
+    knownRequiredPosition: positions.knownRequiredPosition,
     noteAnswer,
     noteStatementAnswer(link, answer, sentAt, onPrimary) {
       noteAnswer(link, answer, sentAt);
--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -21,12 +21,25 @@
  * Maximum number of statements that this instance may have in flight at an
  * endpoint.
  */
-function inFlightLimit({facts, listed, plan}: EndpointLink): number {
+export function inFlightLimit({facts, listed, plan}: EndpointLink): number {
   const {limit} = facts.concurrency;
   if (!plan.isHolder) return limit;
   return Math.min(limit, maxInFlightPerHolder(listed.slots, plan.holderCount));
 }
 
+/** Why an endpoint gets no new work. */
+export type UnusableReason = 'silent' | 'leaving';
+
+/** Why the endpoint gets no new work; undefined if it does. */
+export function unusableReason(
+  {facts, listed}: EndpointLink,
+  isPrimary: boolean,
+): UnusableReason | undefined {
+  if (facts.unansweredSince !== undefined) return 'silent';
+  // A leaving primary works until another endpoint replaces it.
+  return listed.leaving && !isPrimary ? 'leaving' : undefined;
+}
+
 /** Describes the link as a placement option. */
 export function placementOf(
   link: EndpointLink,
@@ -37,8 +50,7 @@
   return {
     id: listed.id,
     isPrimary,
-    usable:
-      facts.unansweredSince === undefined && (!listed.leaving || isPrimary),
+    usable: unusableReason(link, isPrimary) === undefined,
     position: facts.position,
     positionAgeMs: now - facts.lastContactAt,
     catchUpDelayMs: catchUpDelayMs(facts.catchUp),
--- a/packages/proxy/src/placement.ts
+++ b/packages/proxy/src/placement.ts
@@ -64,15 +64,61 @@
   readonly hasDirectCapacity: boolean;
 }
 
+/** Why an endpoint does not get a statement now. */
+export const Obstacle = {
+  /** It does not answer, or accepts no new work. */
+  Unusable: 'unusable',
+  /** An earlier attempt of the statement failed there. */
+  Tried: 'tried',
+  /** Another endpoint is the only one allowed. */
+  NotAllowed: 'notAllowed',
+  NotPrimary: 'notPrimary',
+  /** Its log position is unknown. */
+  NoPosition: 'noPosition',
+  /** Its log has not reached the position. */
+  Behind: 'behind',
+  /** As many statements are in flight as this instance may send. */
+  AtLimit: 'atLimit',
+  /** No connection is idle. */
+  NoConnection: 'noConnection',
+} as const;
+
+/** One of the values of `Obstacle`. */
+export type Obstacle = (typeof Obstacle)[keyof typeof Obstacle];
+
+/** Why `option` can't serve `need`, whatever its capacity. */
+export function obstacleTo(
+  option: PlacementOption,
+  need: Need,
+): Obstacle | undefined {
+  if (!option.usable) return Obstacle.Unusable;
+  if (need.avoid.has(option.id)) return Obstacle.Tried;
+  if (need.only !== undefined && need.only !== option.id)
+    return Obstacle.NotAllowed;
+  if (need.primaryOnly)
+    return option.isPrimary ? undefined : Obstacle.NotPrimary;
+  if (!need.atLeast || option.isPrimary) return undefined;
+  if (!option.position) return Obstacle.NoPosition;
+  if (isAtLeast(option.position, need.atLeast)) return undefined;
+  const mayHaveCaughtUp = option.positionAgeMs > option.catchUpDelayMs;
+  return mayHaveCaughtUp ? undefined : Obstacle.Behind;
+}
+
 /** Whether `option` can serve `need`, now or once it has capacity. */
 export function canServe(option: PlacementOption, need: Need): boolean {
-  if (!option.usable || need.avoid.has(option.id)) return false;
-  if (need.only !== undefined && need.only !== option.id) return false;
-  if (need.primaryOnly) return option.isPrimary;
-  if (!need.atLeast || option.isPrimary) return true;
-  if (!option.position) return false;
-  if (isAtLeast(option.position, need.atLeast)) return true;
-  return option.positionAgeMs > option.catchUpDelayMs;
+  return obstacleTo(option, need) === undefined;
+}
+
+/** What `option` lacks to get a statement with `need` immediately. */
+export function missingCapacity(
+  option: PlacementOption,
+  need: Need,
+): Obstacle | undefined {
+  const hasCapacity = need.directOnly
+    ? option.hasDirectCapacity
+    : option.hasCapacity;
+  if (hasCapacity) return undefined;
+  return option.isBelowLimit ? Obstacle.NoConnection : Obstacle.AtLimit;
 }
 
 /**
@@ -104,10 +150,7 @@
   let best: PlacementOption | undefined;
   let bestCost = Infinity;
   for (const option of options) {
-    const hasCapacity = need.directOnly
-      ? option.hasDirectCapacity
-      : option.hasCapacity;
-    if (!hasCapacity || !canServe(option, need)) continue;
+    if (missingCapacity(option, need) || !canServe(option, need)) continue;
     const cost = costOf(option);
     if (cost >= bestCost) continue;
     best = option;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -9,7 +9,6 @@
   type AnswerMemory,
   type EndpointDriver,
   type EndpointStatus,
-  ErrorCode,
   SessionState,
   localError,
 } from '@quetzalreel/requests';
@@ -42,6 +41,7 @@
 import {joinPeers} from './peers.js';
 import {periodicTick} from './periodic-tick.js';
 import {type CallerSession, callerSession} from './session.js';
+import {sessionRefusal} from './session-refusal.js';
 import {type Shutdown, beginShutdown} from './shutdown.js';
 import {storeView} from './store-view.js';
 
@@ -322,16 +322,14 @@
   }
 
   const accept: AcceptCaller = ({database, caller}, connection) => {
-    const {table} = view;
-    if (!table?.routes.has(database)) {
-      const text = `no route is named ${database}`;
-      log.info({event: 'sessionRefused', database, caller});
-      return localError(ErrorCode.NoDatabase, text, SessionState.Idle);
-    }
-    if (shutdown && !shutdown.takesSessions) {
-      const text = 'this instance stops; connect again';
+    const refusal = sessionRefusal(database, {
+      table: view.table,
+      takesSessions: shutdown?.takesSessions ?? true,
+    });
+    if (refusal) {
+      const {code, text} = refusal;
       log.info({event: 'sessionRefused', database, caller, why: text});
-      return localError(ErrorCode.Busy, text, SessionState.Idle);
+      return localError(code, text, SessionState.Idle);
     }
     const session = callerSession({
       clock,
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -58,13 +58,20 @@
   readonly hasDisconnected: () => boolean;
 }
 
+/** What the need of a statement depends on. */
+export interface NeedContext {
+  readonly route: Route;
+  readonly group: Pick<GroupRuntime, 'name' | 'requiredPosition' | 'canServe'>;
+  readonly sessionData: Pick<SessionData, 'floors'>;
+}
+
 /**
  * The current need of a read: the primary, or a log that has reached the
  * position required by the route and the session. Without a sample that
  * determines the position it is the primary.
  */
 export function readNeed(
-  {route, group, sessionData: memory}: ServeContext,
+  {route, group, sessionData: memory}: NeedContext,
   tried: TriedEndpoints,
 ): Need {
   if (route.rule === ReadRule.Primary) return PRIMARY_NEED;
@@ -79,6 +86,30 @@
   return need;
 }
 
+/** The current need of a statement or of a transaction. */
+export function needOf(
+  context: NeedContext,
+  mayWrite: boolean,
+  tried: TriedEndpoints,
+): Need {
+  return mayWrite ? PRIMARY_NEED : readNeed(context, tried);
+}
+
+/** Why no endpoint ran a request, in the error text of its caller. */
+export const NotRunReason = {
+  Read: 'no endpoint could serve it',
+  Write: 'no primary takes writes',
+  Transaction: 'no endpoint took the transaction',
+} as const;
+
+/** One of the values of `NotRunReason`. */
+export type NotRunReason = (typeof NotRunReason)[keyof typeof NotRunReason];
+
+/** The error text for a request that no endpoint ran. */
+export function notRunText(why: NotRunReason): string {
+  return `not run: ${why}; try again`;
+}
+
 /** Records that an endpoint refused the request. */
 export function noteRefusal(
   tried: TriedEndpoints,
@@ -90,18 +121,18 @@
 }
 
 /**
- * Waits for a connection that satisfies `need`; resolves to undefined when none
- * was available in time.
+ * Waits for a connection for a statement or a transaction; resolves to undefined
+ * when none was available in time.
  */
 export async function acquireConnection(
   context: ServeContext,
-  primaryOnly: boolean,
-  need: () => Need,
+  mayWrite: boolean,
+  tried: TriedEndpoints,
 ): Promise<ConnectionLease | undefined> {
   const {clock, group, route, metrics} = context;
   const since = clock.now();
   const lease = await group.acquire(
-    connectionRequest(context, primaryOnly, need),
+    connectionRequest(context, mayWrite, tried),
   );
   metrics.observeWait(route.rule, clock.now() - since);
   return lease;
@@ -109,13 +140,13 @@
 
 function connectionRequest(
   context: ServeContext,
-  primaryOnly: boolean,
-  need: () => Need,
+  mayWrite: boolean,
+  tried: TriedEndpoints,
 ): ConnectionRequest {
   const {route, sessionData: memory, arrivedAt, hasDisconnected} = context;
   return {
-    primaryOnly,
-    need,
+    primaryOnly: mayWrite || route.rule === ReadRule.Primary,
+    need: () => needOf(context, mayWrite, tried),
     priority: route.priority,
     settingsKey: memory.settings.key,
     objectiveAt: arrivedAt + route.objectiveMs,
@@ -155,7 +186,7 @@
   context: ServeContext,
   req: CallerRequest,
   state: SessionState,
-  why: string,
+  why: NotRunReason,
 ): Answer {
   const {clock, group, log, arrivedAt} = context;
   log.info({
@@ -167,7 +198,7 @@
     primary: group.primary?.listed.id,
     outOfReach: group.isUnreachableLocally,
   });
-  return localError(ErrorCode.Busy, `not run: ${why}; try again`, state);
+  return localError(ErrorCode.Busy, notRunText(why), state);
 }
 
 /** Raises the minimum position of the session's reads to that of a commit. */
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -18,6 +18,7 @@
 import {withValue} from './pooled-connection.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newSessionData} from './session-context.js';
+import {routeRefusal} from './session-refusal.js';
 import {serveRead, serveWrite} from './single-statement.js';
 import {type Transaction, callerTransaction} from './transaction.js';
 
@@ -127,8 +128,8 @@
         hasDisconnected,
       };
     }
-    const text = `no route leads from ${context.database} to a group`;
-    return localError(ErrorCode.NoDatabase, text, SessionState.Idle);
+    const {code, text} = routeRefusal(context.database);
+    return localError(code, text, SessionState.Idle);
   }
 
   async function serve(req: CallerRequest, arrivedAt: number): Promise<Answer> {
--- a/packages/proxy/src/single-statement.ts
+++ b/packages/proxy/src/single-statement.ts
@@ -11,8 +11,6 @@
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
 import type {ConnectionLease} from './group-types.js';
-import {PRIMARY_NEED} from './placement.js';
-import {ReadRule} from './routes.js';
 import {
   rollBackAndRelease,
   openTransaction,
@@ -20,6 +18,7 @@
   countInFlight,
 } from './run-request.js';
 import {
+  NotRunReason,
   type ServeContext,
   forwardRequest,
   deadlineOf,
@@ -27,7 +26,6 @@
   acquireConnection,
   noteCommit,
   noteRefusal,
-  readNeed,
 } from './session-context.js';
 import {type TriedEndpoints, noneTried} from './tried-endpoints.js';
 
@@ -46,11 +44,7 @@
   const limit = deadlineOf(context);
   const tried = noneTried();
   for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
-    const lease = await acquireConnection(
-      context,
-      route.rule === ReadRule.Primary,
-      () => readNeed(context, tried),
-    );
+    const lease = await acquireConnection(context, false, tried);
     if (!lease) break;
     const {atLeast} = lease.need;
     const left = limit - clock.now();
@@ -66,7 +60,7 @@
     context,
     req,
     SessionState.Idle,
-    'no endpoint could serve it',
+    NotRunReason.Read,
   );
 }
 
@@ -188,7 +182,7 @@
   const {clock} = context;
   const limit = deadlineOf(context);
   for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
-    const lease = await acquireConnection(context, true, () => PRIMARY_NEED);
+    const lease = await acquireConnection(context, true, noneTried());
     if (!lease) break;
     const result = await writeOnce(context, req, lease, limit - clock.now());
     if (result !== 'again') return result;
@@ -198,7 +192,7 @@
     context,
     req,
     SessionState.Idle,
-    'no primary takes writes',
+    NotRunReason.Write,
   );
 }
 
--- a/packages/proxy/src/transaction.ts
+++ b/packages/proxy/src/transaction.ts
@@ -16,8 +16,6 @@
 import type {Position} from '@quetzalreel/position';
 import {LIMITS} from './defaults.js';
 import type {ConnectionLease} from './group-types.js';
-import {PRIMARY_NEED} from './placement.js';
-import {ReadRule} from './routes.js';
 import {
   isUsableAsPrimary,
   rollBackAndRelease,
@@ -26,6 +24,7 @@
   countInFlight,
 } from './run-request.js';
 import {
+  NotRunReason,
   type ServeContext,
   forwardRequest,
   deadlineOf,
@@ -33,7 +32,6 @@
   acquireConnection,
   noteCommit,
   noteRefusal,
-  readNeed,
 } from './session-context.js';
 import {type TriedEndpoints, noneTried} from './tried-endpoints.js';
 
@@ -112,14 +110,9 @@
     context: ServeContext,
     tried: TriedEndpoints,
   ): Promise<ConnectionLease | undefined> {
-    const {route} = context;
     const limit = deadlineOf(context);
     for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
-      const taken = await acquireConnection(
-        context,
-        !readOnly || route.rule === ReadRule.Primary,
-        () => (readOnly ? readNeed(context, tried) : PRIMARY_NEED),
-      );
+      const taken = await acquireConnection(context, !readOnly, tried);
       if (!taken) return undefined;
       const {atLeast} = taken.need;
       if (await begin(context, taken, atLeast, tried)) return taken;
@@ -191,8 +184,7 @@
   function refuse(context: ServeContext, req: CallerRequest): Answer {
     const isEnd = req.statement.type === 'commit';
     state = isEnd ? SessionState.Idle : SessionState.Failed;
-    const why = 'no endpoint took the transaction';
-    return noEndpointAvailable(context, req, state, why);
+    return noEndpointAvailable(context, req, state, NotRunReason.Transaction);
   }
 
   async function run(
--- a/packages/proxy/src/waiting-requests.ts
+++ b/packages/proxy/src/waiting-requests.ts
@@ -7,13 +7,18 @@
 import type {ConnectionLease, ConnectionRequest} from './group-types.js';
 import {waitQueue} from './wait-queue.js';
 
+/** The result of an attempt to take a connection for a request. */
+export interface AcquireAttempt {
+  /** Undefined if no suitable connection is free. */
+  readonly lease: ConnectionLease | undefined;
+  /** Whether waiting is of no use for the request. */
+  readonly isHopeless: boolean;
+}
+
 /** Dependencies of waiting requests. */
 export interface WaitingContext {
   readonly clock: Clock;
-  /** Takes a connection for the request; undefined if none is free. */
-  readonly tryAcquire: (req: ConnectionRequest) => ConnectionLease | undefined;
-  /** Whether waiting is of no use for the request. */
-  readonly isHopeless: (req: ConnectionRequest) => boolean;
+  readonly tryAcquire: (req: ConnectionRequest) => AcquireAttempt;
 }
 
 /** The requests that wait. */
@@ -34,7 +39,6 @@
 export function waitingRequests({
   clock,
   tryAcquire,
-  isHopeless,
 }: WaitingContext): WaitingRequests {
   const queue = waitQueue<Waiter>();
 
@@ -53,8 +57,8 @@
       settle(waiter, undefined);
       return true;
     }
-    const lease = tryAcquire(waiter);
-    if (!lease && !isHopeless(waiter)) return false;
+    const {lease, isHopeless} = tryAcquire(waiter);
+    if (!lease && !isHopeless) return false;
     settle(waiter, lease);
     return true;
   }
