Explain where a request would go, at the operators' port

Operators could not ask an instance why it would choose an endpoint, or refuse. `GET /instance` and `POST /explain` beside `/metrics` describe that from the functions that requests use; they send nothing and change no state. Bodies are limited to 4 KiB, and wrong input gets a kind of error that repeats none of it. The port serves only these three paths now; before, any path gave the metrics.

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,8 +1,23 @@
 /** Public exports of `@quetzalreel/proxy`. */
 export {ANSWER_LIMITS} from './defaults.js';
+export {
+  type AccountDescription,
+  type EndpointDescription,
+  type EndpointVerdict,
+  type ExplainQuery,
+  type Explanation,
+  type GroupDescription,
+  type InstanceDescription,
+  type Lag,
+  type Outcome,
+  type QuotaDescription,
+  type Rejection,
+  StatementKind,
+  WaitCause,
+} from './explain.js';
 export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
 export {type Log, type LogTarget, createLog} from './log.js';
-export {type Metrics, serveMetrics} from './metrics.js';
+export {type Metrics} from './metrics.js';
 export {type Proxy, type ProxyOptions, startProxy} from './proxy.js';
 export {
   StoreFormat,
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -1,6 +1,4 @@
 /** Counters and histograms for operators, with a bounded number of series. */
-import http from 'node:http';
-import type {Disposable} from '@quetzalreel/common';
 import type {Answer} from '@quetzalreel/requests';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {GroupRuntime} from './group-types.js';
@@ -159,34 +157,3 @@
     },
   };
 }
-
-/** Serves the metrics at `/metrics`. */
-export async function serveMetrics(
-  metrics: Metrics,
-  host: string,
-  port: number,
-): Promise<Disposable & {readonly port: number}> {
-  const server = http.createServer((_req, res) => {
-    metrics.text().then(
-      text => {
-        res.writeHead(200, {'Content-Type': metrics.contentType});
-        res.end(text);
-      },
-      err => {
-        res.writeHead(500);
-        res.end(String(err));
-      },
-    );
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(port, host, () => resolve());
-  });
-  return {
-    port: (server.address() as {port: number}).port,
-    dispose() {
-      server.close();
-      server.closeAllConnections();
-    },
-  };
-}
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -26,6 +26,14 @@
   tcpRelayDriver,
 } from '@quetzalreel/relay';
 import {CHANGE_LIMITS, TIMES} from './defaults.js';
+import {
+  type ExplainContext,
+  type ExplainQuery,
+  type Explanation,
+  type InstanceDescription,
+  describeInstance,
+  explainRequest,
+} from './explain.js';
 import type {GroupRuntime} from './group-types.js';
 import {groupRuntime} from './group.js';
 import {serveRelayedRequests} from './relayed-requests.js';
@@ -89,6 +97,10 @@
   readonly configured: Promise<void>;
   /** Whether callers may be routed to this instance. */
   readonly ready: boolean;
+  /** Describes where a request would go now; sends nothing. */
+  explain(query: ExplainQuery): Explanation;
+  /** Describes this instance and its groups. */
+  describe(): InstanceDescription;
   /**
    * Ends all sessions within the grace period: idle sessions first, later idle
    * transactions by rollback; a request in progress is not interrupted before
@@ -321,10 +333,21 @@
     }
   }
 
+  const takesSessions = () => shutdown?.takesSessions ?? true;
+  const explainContext = (): ExplainContext => ({
+    instance,
+    dataCentre: options.dataCentre,
+    table: view.table,
+    groups,
+    takesSessions: takesSessions(),
+    sessions: sessions.size,
+    now: clock.now(),
+  });
+
   const accept: AcceptCaller = ({database, caller}, connection) => {
     const refusal = sessionRefusal(database, {
       table: view.table,
-      takesSessions: shutdown?.takesSessions ?? true,
+      takesSessions: takesSessions(),
     });
     if (refusal) {
       const {code, text} = refusal;
@@ -352,6 +375,8 @@
     accept,
     metrics,
     configured,
+    explain: query => explainRequest(query, explainContext()),
+    describe: () => describeInstance(explainContext()),
     dispose: () => owned.dispose(),
     get ready() {
       if (shutdown || !view.table) return false;
