Ask an instance with qrctl explain and qrctl instance

What `POST /explain` and `GET /instance` answer was readable as JSON only, and a key had to be digested by hand. An explanation tells why only the primary will do.

--- a/packages/ctl/src/index.ts
+++ b/packages/ctl/src/index.ts
@@ -23,6 +23,8 @@
   RaceLostError,
   StoreDownError,
 } from './errors.js';
+export {formatExplanation, formatInstance} from './explain-text.js';
+export {readKeyDigest} from './key-digest.js';
 export {
   type StoredConfiguration,
   type SubmitContext,
--- a/packages/ctl/src/instances.ts
+++ b/packages/ctl/src/instances.ts
@@ -1,5 +1,6 @@
 /** HTTP client for the operators' port of the live instances. */
 import {InstanceError} from './errors.js';
+import {callInstance} from './instance-call.js';
 
 /** State of an endpoint as one instance reports it. */
 export interface EndpointState {
@@ -80,33 +81,19 @@
 export function createInstanceClient(
   options: InstanceClientOptions,
 ): InstanceClient {
-  async function call(
-    address: string,
-    path: string,
-    method: string,
-  ): Promise<unknown> {
-    const headers = {Authorization: `Bearer ${options.token}`};
-    const signal = AbortSignal.timeout(options.timeoutMs);
-    let res: Response;
-    let body: unknown;
-    try {
-      res = await fetch(`http://${address}${path}`, {method, headers, signal});
-      body = await res.json();
-    } catch (err) {
-      throw new InstanceError(address, 'does not answer', err);
-    }
-    if (res.ok) return body;
-    const {error} = body as {error?: string};
-    throw new InstanceError(
+  const call = (address: string, path: string, method: 'GET' | 'POST') =>
+    callInstance({
       address,
-      `rejected the request: ${error ?? res.status}`,
-    );
-  }
+      path,
+      method,
+      headers: {Authorization: `Bearer ${options.token}`},
+      timeoutMs: options.timeoutMs,
+    });
 
   /** Sends the request to each configured address until one succeeds. */
   async function callEntryInstance(
     path: string,
-    method: string,
+    method: 'GET' | 'POST',
   ): Promise<unknown> {
     let lastErr: unknown = new InstanceError('none', 'is named');
     for (const address of options.addresses) {
--- a/packages/ctl/src/main.ts
+++ b/packages/ctl/src/main.ts
@@ -19,6 +19,7 @@
 import {parseCommand} from './command.js';
 import {CommandError, CtlError, ExitCode} from './errors.js';
 import {createInstanceClient} from './instances.js';
+import {explainCommand, instanceCommand} from './operator-commands.js';
 import {runCommand} from './run-command.js';
 
 const CALL_TIMEOUT_MS = 3000;
@@ -31,6 +32,7 @@
   promote endpoint E in group G
   set kind K field=value …  apply FILE      history
   secret                    (reads a password, prints its hash)
+  explain|instance          (see qrctl explain --help, qrctl instance --help)
 Exit codes: 0 done, 1 fault, 2 usage, 3 store down and nothing changed,
 4 race lost, 5 not in force in time, 6 outcome unknown, 7 refused, 8 instance.`,
   args: {
@@ -131,7 +133,20 @@
   return ExitCode.Internal;
 }
 
-run(app, process.argv.slice(2)).catch(err => {
+/** Runs the command of its own that the first word names, or `app`. */
+function runNamed(words: readonly string[]): Promise<unknown> {
+  const [name, ...rest] = words;
+  switch (name) {
+    case 'explain':
+      return run(explainCommand, rest);
+    case 'instance':
+      return run(instanceCommand, rest);
+    default:
+      return run(app, [...words]);
+  }
+}
+
+runNamed(process.argv.slice(2)).catch(err => {
   process.stderr.write(`qrctl: ${messageOf(err)}\n`);
   process.exitCode = exitCodeOf(err);
 });
--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -21,7 +21,7 @@
   obstacleTo,
 } from './placement.js';
 import type {PlacementDecision} from './placement-decision.js';
-import type {Route, RoutingTable} from './routes.js';
+import {ReadRule, type Route, type RoutingTable} from './routes.js';
 import {
   NotRunReason,
   needOf,
@@ -217,6 +217,11 @@
 /** What a request needs of an endpoint. */
 export interface NeedDescription {
   readonly primaryOnly: boolean;
+  /**
+   * Why only the primary will do: the statement may write, the route's reads see
+   * every commit, or no position that the primary confirmed is recent enough.
+   */
+  readonly primaryBecause: 'statement' | 'route' | 'noPosition' | undefined;
   readonly atLeast: Position | undefined;
 }
 
@@ -331,10 +336,9 @@
   const decision = group.decide(need);
   const view = {group, need, options, decision, now};
   const endpoints = options.map(option => verdictOn(option, view));
-  const {primaryOnly, atLeast} = need;
   return {
     group: describeGroup(group, now),
-    need: {primaryOnly, atLeast},
+    need: describeNeed(need, route, statement),
     endpoints,
     outcome: outcomeOf(view, route, statement),
   };
@@ -371,6 +375,18 @@
   return needOf(context, mayWrite(statement), noneTried());
 }
 
+function describeNeed(
+  {primaryOnly, atLeast}: Need,
+  {rule}: Route,
+  statement: StatementKind,
+): NeedDescription {
+  if (!primaryOnly) return {primaryOnly, primaryBecause: undefined, atLeast};
+  if (mayWrite(statement))
+    return {primaryOnly, primaryBecause: 'statement', atLeast};
+  const primaryBecause = rule === ReadRule.Primary ? 'route' : 'noPosition';
+  return {primaryOnly, primaryBecause, atLeast};
+}
+
 function describeGroup(group: GroupRuntime, now: number): GroupDescription {
   const {missingSince} = group;
   return {
