--- a/packages/proxy/src/accounts.ts
+++ b/packages/proxy/src/accounts.ts
@@ -3,7 +3,7 @@
  * which the session was opened.
  */
 import type {RateLimit} from '@quetzalreel/quota';
-import type {Route} from './routes.js';
+import type {RoutingTable} from './routes.js';
 
 /** A client account that operators have declared. */
 export interface ClientAccount {
@@ -57,15 +57,34 @@
   limit: undefined,
 };
 
+/** How a caller, or an operator who asks about one, names an account. */
+export type CallerIdentity =
+  | {readonly type: 'keyDigest'; readonly digest: string}
+  | {readonly type: 'account'; readonly name: string};
+
 /**
- * The account on whose behalf a session of `route` runs; undefined if the route
- * needs a key and no account holds this one.
+ * The account on whose behalf a session on `database` runs; undefined if there is
+ * no such route, or it needs a key and no account holds this one.
  */
-export function accountOf(
-  accounts: AccountDirectory | undefined,
-  {isPublic}: Route,
-  keyDigest: string,
+export function accountFor(
+  table: RoutingTable | undefined,
+  database: string,
+  caller: CallerIdentity | undefined,
 ): ClientAccount | undefined {
+  const route = table?.routes.get(database);
+  if (!route) return undefined;
+  const {accounts} = table!;
   if (!accounts) return NO_ACCOUNT;
-  return accounts.ofKey(keyDigest) ?? (isPublic ? NO_ACCOUNT : undefined);
+  return (
+    identify(accounts, caller) ?? (route.isPublic ? NO_ACCOUNT : undefined)
+  );
+}
+
+function identify(
+  {accounts, ofKey}: AccountDirectory,
+  caller: CallerIdentity | undefined,
+): ClientAccount | undefined {
+  if (!caller) return undefined;
+  if (caller.type === 'keyDigest') return ofKey(caller.digest);
+  return accounts.find(({name}) => name === caller.name);
 }
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -70,6 +70,8 @@
   applyPlan(plan: SharingPlan): void;
   /** Number of direct connections, open or being opened. */
   readonly directConnections: number;
+  /** Number of idle direct connections, without relay. */
+  readonly idleDirect: number;
   /** Whether an idle connection serves these requests. */
   hasIdle(use: ConnectionUse): boolean;
   /**
@@ -347,6 +349,11 @@
     get directConnections() {
       return count(false);
     },
+    get idleDirect() {
+      let direct = 0;
+      for (const {relay} of idle) if (!relay) direct++;
+      return direct;
+    },
     hasIdle: use => idle.some(member => serves(member, use)),
     acquire(key, use) {
       let at = -1;
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -10,7 +10,8 @@
 } from '@quetzalreel/peer-queries';
 import type {EndpointLink} from './endpoint-link.js';
 import type {Log} from './log.js';
-import type {Need} from './placement.js';
+import type {Need, PlacementOption} from './placement.js';
+import type {PlacementDecision} from './placement-decision.js';
 import type {PooledConnection} from './pooled-connection.js';
 import type {PrimaryUse} from './primary-use.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
@@ -133,6 +134,18 @@
   countPrimaryWork(): () => void;
   /** Whether some endpoint can serve a need, now or once it has capacity. */
   canServe(need: Need): boolean;
+  /**
+   * The endpoints as options for a statement of an account; undefined for one of
+   * this instance itself.
+   */
+  optionsFor(
+    need: Pick<Need, 'directOnly'>,
+    account: string | undefined,
+  ): readonly PlacementOption[];
+  /** What a request with this need would meet now; changes nothing. */
+  decide(need: Need, account: string | undefined): PlacementDecision;
+  /** Number of requests that wait for a connection. */
+  readonly waiting: number;
   /**
    * Waits for a connection to a suitable endpoint; resolves to undefined when
    * none was available before the deadline.
@@ -155,6 +168,8 @@
     maxStalenessMs: number,
     floor: Position | undefined,
   ): Position | undefined;
+  /** The same, without asking anybody for a sample. */
+  knownRequiredPosition: GroupRuntime['requiredPosition'];
   /** Records the answer to a request sent at `sentAt`. */
   noteAnswer(link: EndpointLink, answer: Answer, sentAt: number): void;
   /**
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -32,11 +32,11 @@
   PRIMARY_NEED,
   type PlacementOption,
   canServe,
-  choosePlacement,
 } from './placement.js';
+import {type PlacementDecision, decidePlacement} from './placement-decision.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
-import {waitingRequests} from './waiting-requests.js';
+import {type AcquireAttempt, waitingRequests} from './waiting-requests.js';
 
 /** Creates a group without endpoints. */
 export function groupRuntime(
@@ -45,11 +45,7 @@
 ): GroupRuntime {
   const {clock, log, dataCentre, primaryUse} = context;
   const links = new Map<string, EndpointLink>();
-  const waiting = waitingRequests({
-    clock,
-    tryAcquire,
-    isHopeless: req => isOutOfReach(req.need()),
-  });
+  const waiting = waitingRequests({clock, tryAcquire});
   const probing = new Set<string>();
   const overload = overloadLog(context);
   const reachability = endpointReachability({
@@ -84,6 +80,15 @@
     return placementOf(link, {isPrimary, dataCentre, now: clock.now(), use});
   }
 
+  /** The options for a request, whether it may use the primary or not. */
+  function optionsFor(
+    {directOnly}: Pick<Need, 'directOnly'>,
+    account: string | undefined,
+  ): readonly PlacementOption[] {
+    const way = directOnly ? ConnectionWay.Direct : ConnectionWay.Any;
+    return [...links.values()].map(link => optionOf(link, {way, account}));
+  }
+
   /**
    * The connections that serve a need. Without permission to use primaries only
    * relayed ones do: the instance that relays checks its own.
@@ -135,36 +140,30 @@
     return lease;
   }
 
-  function tryAcquire(req: ConnectionRequest): ConnectionLease | undefined {
-    const need = req.need();
-    const use = {way: wayFor(need), account: req.account};
-    const options = [...links.values()].map(link => optionOf(link, use));
-    const option = choosePlacement(options, need);
-    if (option)
-      return reservedLease(links.get(option.id)!, req.settingsKey, need, use);
-    openFor(options, need, use);
-    return undefined;
+  function decide(need: Need, account: string | undefined): PlacementDecision {
+    const way = wayFor(need);
+    return decidePlacement(optionsFor(need, account), need, {
+      hasConnection: id => links.get(id)!.hasIdle({way, account}),
+      isOutOfReach: () => isOutOfReach(need),
+    });
   }
 
-  /**
-   * Opens a connection to the endpoint that would be chosen if it had a free
-   * one.
-   */
-  function openFor(
-    options: readonly PlacementOption[],
-    need: Need,
-    use: ConnectionUse,
-  ): void {
-    const withCapacity = options.map(option => ({
-      ...option,
-      hasCapacity: option.isBelowLimit,
-    }));
-    const chosen = choosePlacement(withCapacity, need);
-    const link = chosen && links.get(chosen.id)!;
-    // A direct connection would not help without permission to use primaries.
-    if (!link || (use.way === ConnectionWay.Relayed && link.plan.isHolder))
-      return;
-    link.open(use);
+  function tryAcquire(req: ConnectionRequest): AcquireAttempt {
+    const need = req.need();
+    const {account, settingsKey} = req;
+    const decision = decide(need, account);
+    if (decision.type === 'take') {
+      const link = links.get(decision.endpoint)!;
+      const use = {way: wayFor(need), account};
+      const lease = reservedLease(link, settingsKey, need, use);
+      return {lease, isHopeless: false};
+    }
+    const {type, opening} = decision;
+    if (opening !== undefined) {
+      const way = need.directOnly ? ConnectionWay.Direct : ConnectionWay.Any;
+      links.get(opening)!.open({way, account});
+    }
+    return {lease: undefined, isHopeless: type === 'refuse'};
   }
 
   /**
@@ -270,9 +269,14 @@
     countPrimaryWork: primary.countWork,
     canServe: need =>
       [...links.values()].some(link => canServe(optionOf(link), need)),
+    optionsFor,
+    decide,
+    get waiting() {
+      return waiting.size;
+    },
     async acquire(req) {
-      const lease = tryAcquire(req);
-      if (lease || isOutOfReach(req.need())) return lease;
+      const {lease, isHopeless} = tryAcquire(req);
+      if (lease || isHopeless) return lease;
       return waiting.wait(req);
     },
     acquireForControl(endpoint) {
@@ -283,6 +287,7 @@
       return lease;
     },
     requiredPosition: positions.requiredPosition,
+    knownRequiredPosition: positions.knownRequiredPosition,
     noteAnswer,
     noteStatementAnswer(link, answer, sentAt, onPrimary) {
       noteAnswer(link, answer, sentAt);
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -9,7 +9,6 @@
   type AnswerMemory,
   type EndpointDriver,
   type EndpointStatus,
-  ErrorCode,
   SessionState,
   localError,
 } from '@quetzalreel/requests';
@@ -27,8 +26,16 @@
   type ServedConnection,
   tcpRelayDriver,
 } from '@quetzalreel/relay';
-import {type ClientAccount, accountOf} from './accounts.js';
+import {accountFor} from './accounts.js';
 import {CHANGE_LIMITS, TIMES} from './defaults.js';
+import {
+  type ExplainContext,
+  type ExplainQuery,
+  type Explanation,
+  type InstanceDescription,
+  describeInstance,
+  explainRequest,
+} from './explain.js';
 import type {GroupRuntime} from './group-types.js';
 import {groupRuntime} from './group.js';
 import {operationQuotas} from './operation-quotas.js';
@@ -45,6 +52,7 @@
 import {joinPeers} from './peers.js';
 import {periodicTick} from './periodic-tick.js';
 import {type CallerSession, callerSession} from './session.js';
+import {routeRefusal, sessionRefusal} from './session-refusal.js';
 import {type Shutdown, beginShutdown} from './shutdown.js';
 import {storeView} from './store-view.js';
 
@@ -94,6 +102,10 @@
   readonly configured: Promise<void>;
   /** Whether callers may be routed to this instance. */
   readonly ready: boolean;
+  /** Describes where a request would go now; sends nothing. */
+  explain(query: ExplainQuery): Explanation;
+  /** Describes this instance and its groups. */
+  describe(): InstanceDescription;
   /**
    * Ends all sessions within the grace period: idle sessions first, later idle
    * transactions by rollback; a request in progress is not interrupted before
@@ -341,37 +353,31 @@
     }
   }
 
-  function refuseSession(
-    code: ErrorCode,
-    database: string,
-    why: string,
-  ): Answer {
-    log.info({event: 'sessionRefused', database, code, why});
-    return localError(code, why, SessionState.Idle);
-  }
-
-  /** The account that holds a key, for a database's route. */
-  function accountFor(
-    database: string,
-    keyDigest: string,
-  ): ClientAccount | undefined {
-    const route = view.table?.routes.get(database);
-    return route && accountOf(view.table!.accounts, route, keyDigest);
-  }
+  const takesSessions = () => shutdown?.takesSessions ?? true;
+  const explainContext = (): ExplainContext => ({
+    instance,
+    dataCentre: options.dataCentre,
+    table: view.table,
+    groups,
+    quotas: quotas.state,
+    takesSessions: takesSessions(),
+    sessions: sessions.size,
+    now: clock.now(),
+  });
 
   const accept: AcceptCaller = ({database, keyDigest}, connection) => {
-    if (!view.table?.routes.has(database)) {
-      const text = `no route is named ${database}`;
-      return refuseSession(ErrorCode.NoDatabase, database, text);
-    }
-    const account = accountFor(database, keyDigest);
-    if (!account) {
-      const text = 'no client account holds this key; ask for a new one';
-      return refuseSession(ErrorCode.Unauthorized, database, text);
-    }
-    if (shutdown && !shutdown.takesSessions) {
-      const text = 'this instance stops; connect again';
-      return refuseSession(ErrorCode.Busy, database, text);
+    const caller = {type: 'keyDigest', digest: keyDigest} as const;
+    const accountNow = () => accountFor(view.table, database, caller);
+    const account = accountNow();
+    const refusal = sessionRefusal(database, {
+      table: view.table,
+      account,
+      takesSessions: takesSessions(),
+    });
+    if (refusal || !account) {
+      const {code, text} = refusal ?? routeRefusal(database);
+      log.info({event: 'sessionRefused', database, code, why: text});
+      return localError(code, text, SessionState.Idle);
     }
     const session = callerSession({
       clock,
@@ -382,9 +388,7 @@
       account,
       // Without a route the session ends for that reason.
       accountNow: () =>
-        view.table?.routes.has(database)
-          ? accountFor(database, keyDigest)
-          : account,
+        view.table?.routes.has(database) ? accountNow() : account,
       route: () => view.table?.routes.get(database),
       group: name => groups.get(name),
       admit: quotas.admit,
@@ -401,6 +405,8 @@
     accept,
     metrics,
     configured,
+    explain: query => explainRequest(query, explainContext()),
+    describe: () => describeInstance(explainContext()),
     dispose: () => owned.dispose(),
     get ready() {
       if (shutdown || !view.table) return false;
--- a/packages/proxy/src/single-statement.ts
+++ b/packages/proxy/src/single-statement.ts
@@ -11,8 +11,6 @@
 import type {Position} from '@quetzalreel/position';
 import {LIMITS, TIMES} from './defaults.js';
 import type {ConnectionLease} from './group-types.js';
-import {PRIMARY_NEED} from './placement.js';
-import {ReadRule} from './routes.js';
 import {
   rollBackAndRelease,
   openTransaction,
@@ -20,6 +18,7 @@
   countInFlight,
 } from './run-request.js';
 import {
+  NotRunReason,
   type ServeContext,
   forwardRequest,
   deadlineOf,
@@ -28,7 +27,6 @@
   noteCommit,
   noteRefusal,
   originOf,
-  readNeed,
 } from './session-context.js';
 import {type TriedEndpoints, noneTried} from './tried-endpoints.js';
 
@@ -47,11 +45,7 @@
   const limit = deadlineOf(context);
   const tried = noneTried();
   for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
-    const lease = await acquireConnection(
-      context,
-      route.rule === ReadRule.Primary,
-      () => readNeed(context, tried),
-    );
+    const lease = await acquireConnection(context, false, tried);
     if (!lease) break;
     const {atLeast} = lease.need;
     const left = limit - clock.now();
@@ -67,7 +61,7 @@
     context,
     req,
     SessionState.Idle,
-    'no endpoint could serve it',
+    NotRunReason.Read,
   );
 }
 
@@ -190,7 +184,7 @@
   const {clock} = context;
   const limit = deadlineOf(context);
   for (let attempt = 0; attempt < LIMITS.maxAttempts; attempt++) {
-    const lease = await acquireConnection(context, true, () => PRIMARY_NEED);
+    const lease = await acquireConnection(context, true, noneTried());
     if (!lease) break;
     const result = await writeOnce(context, req, lease, limit - clock.now());
     if (result !== 'again') return result;
@@ -200,7 +194,7 @@
     context,
     req,
     SessionState.Idle,
-    'no primary takes writes',
+    NotRunReason.Write,
   );
 }
 
