Let the limit of statements in flight follow how an endpoint responds

Cause: the limit started at two statements per slot and fell only with refusals, which an endpoint with a long queue hardly ever sends. One that came back after a shortage got up to 34 statements at once; one that failed 45 % of its reads looked fast and got its full share of them.

Change: endpoint-pace decides which share of the full limit is in force, from answer times against the endpoint's own calm ones by kind, reads that fail here and not elsewhere, lost connections, refusals, starts, promotions and returns after silence; halved at once, raised by half each 400 ms, one statement at least. concurrency.ts keeps the full limit and its tests. Placement counts failing reads and the cold start in the expected time of reads. Holders report a lowered share with the answers that they relay and with their observations, with its age; nothing is sent while the endpoint is well. A line endpointLimit and two gauges show the limit and the reason of its last change.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -52,6 +52,11 @@
    * until an endpoint that leaves must get no more work.
    */
   watchEndpointsMs: 4500,
+  /**
+   * Silence after which an endpoint that answers again starts with a low limit:
+   * longer than a slow answer plus a lost packet, and a change of primary.
+   */
+  returnSilenceMs: 1000,
   /** Interval between the beats of an instance that reads the store. */
   readerBeatMs: 1000,
   /**
--- a/packages/proxy/src/endpoint-facts.ts
+++ b/packages/proxy/src/endpoint-facts.ts
@@ -2,7 +2,7 @@
 import type {Position} from '@quetzalreel/position';
 import {type AnswerTime, NO_ANSWERS} from './answer-time.js';
 import {type CatchUpBackoff, NO_REFUSALS} from './catch-up.js';
-import {type ConcurrencyLimit, initialLimit} from './concurrency.js';
+import {type EndpointPace, initialPace} from './endpoint-pace.js';
 
 /** Observed state of an endpoint. Times are monotonic milliseconds. */
 export interface EndpointFacts {
@@ -35,8 +35,8 @@
   answerTime: AnswerTime;
   /** Statements of this instance in flight at the endpoint. */
   inFlight: number;
-  /** Limit on `inFlight`. */
-  concurrency: ConcurrencyLimit;
+  /** How it responds, and the limit on `inFlight` that follows. */
+  pace: EndpointPace;
 }
 
 /** The state of an endpoint with so many slots, before any contact. */
@@ -51,6 +51,6 @@
     provenNotPrimaryAt: -Infinity,
     answerTime: NO_ANSWERS,
     inFlight: 0,
-    concurrency: initialLimit(slots),
+    pace: initialPace(slots),
   };
 }
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -19,6 +19,7 @@
 } from '@quetzalreel/relay';
 import {NO_REFUSALS, afterRefusal} from './catch-up.js';
 import {LIMITS, TIMES} from './defaults.js';
+import {afterReport, afterReturn} from './endpoint-pace.js';
 import {type EndpointFacts, noFacts} from './endpoint-facts.js';
 import {type LoadCounts, noLoad} from './load-counts.js';
 import type {Log} from './log.js';
@@ -129,6 +130,7 @@
 
   /** Records contact with the endpoint at `at`. */
   function noteHeard(position: Position | undefined, at = clock.now()): void {
+    noteReturn(at);
     facts.lastContactAt = Math.max(facts.lastContactAt, at);
     notePosition(position);
     // A request sent after that contact is still unanswered.
@@ -138,6 +140,14 @@
     facts.refusingSince = undefined;
   }
 
+  /** Lowers the limit after contact that ends a silence. */
+  function noteReturn(at: number): void {
+    const {unansweredSince} = facts;
+    if (unansweredSince === undefined) return;
+    if (at - unansweredSince < TIMES.returnSilenceMs) return;
+    facts.pace = afterReturn(facts.pace, clock.now());
+  }
+
   function notePosition(position: Position | undefined): void {
     if (!position) return;
     facts.position = facts.position
@@ -356,7 +366,9 @@
       if (position) noteHeard(position);
     },
     noteUnanswered: noteUnanswered,
-    noteObservation({position, heardMsAgo, silentMs, isRefusing}, askedAt) {
+    noteObservation(observation, askedAt) {
+      const {position, heardMsAgo, silentMs, isRefusing, pace} = observation;
+      if (pace) facts.pace = afterReport(facts.pace, pace, clock.now());
       // Counted back from the time of the request: counting from the answer's
       // arrival would add the transit time, and make the contact look newer
       // with each instance that passes it on.
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -160,6 +160,13 @@
     sentAt: number,
     onPrimary: boolean,
   ): void;
+  /** Records that a statement has got no answer, and why. */
+  noteNoAnswer(
+    link: EndpointLink,
+    err: unknown,
+    sentAt: number,
+    onPrimary: boolean,
+  ): void;
   /** Records an answer that only a primary can give. */
   notePrimaryAnswer(link: EndpointLink, answer: Answer, sentAt: number): void;
   setEndpoints(endpoints: readonly ListedEndpoint[]): void;
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -5,7 +5,6 @@
 import {type Answer, ErrorCode} from '@quetzalreel/requests';
 import {isReachable, isProbeDue} from './probe-schedule.js';
 import {afterAnswer} from './answer-time.js';
-import {afterBusy, afterRun} from './concurrency.js';
 import {endpointReachability} from './endpoint-reachability.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {
@@ -20,6 +19,7 @@
   ConnectionLease,
   ConnectionRequest,
 } from './group-types.js';
+import {groupPace} from './group-pace.js';
 import {groupPrimary} from './group-primary.js';
 import {leavingEndpoints} from './leaving-endpoints.js';
 import {placementOf} from './link-placement.js';
@@ -32,6 +32,7 @@
   canServe,
   choosePlacement,
 } from './placement.js';
+import {paceLog} from './pace-log.js';
 import {probe} from './probe.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
 import {waitingRequests} from './waiting-requests.js';
@@ -50,6 +51,7 @@
   });
   const probing = new Set<string>();
   const overload = overloadLog(context);
+  const limits = paceLog(context);
   const reachability = endpointReachability({
     clock,
     log,
@@ -64,7 +66,15 @@
         addressesOf(group.primary),
       ),
   });
-  const primary = groupPrimary({...context, links, onChange: waiting.serve});
+  const pace = groupPace({clock, links});
+  const primary = groupPrimary({
+    ...context,
+    links,
+    onChange() {
+      pace.notePrimary(primary.id);
+      waiting.serve();
+    },
+  });
   const leaving = leavingEndpoints(context);
   let askedHoldersAt = -Infinity;
 
@@ -77,7 +87,12 @@
   function optionOf(link: EndpointLink): PlacementOption {
     const {id} = link.listed;
     const isPrimary = id === primary.id && !leaving.isOver(id);
-    return placementOf(link, {isPrimary, dataCentre, now: clock.now()});
+    return placementOf(link, {
+      isPrimary,
+      dataCentre,
+      now: clock.now(),
+      othersFailing: pace.othersFailing(link),
+    });
   }
 
   /**
@@ -272,18 +287,16 @@
     noteAnswer,
     noteStatementAnswer(link, answer, sentAt, onPrimary) {
       noteAnswer(link, answer, sentAt);
-      const {facts, listed} = link;
-      if (answer.error?.code === ErrorCode.Busy) {
-        facts.concurrency = afterBusy(facts.concurrency);
-        countRefusal(link, answer);
-      }
+      const {facts} = link;
+      pace.noteAnswer(link, answer, sentAt, onPrimary);
+      if (answer.error?.code === ErrorCode.Busy) countRefusal(link, answer);
       if (answer.error) return;
       link.load.ran++;
-      facts.concurrency = afterRun(facts.concurrency, listed.slots);
       if (onPrimary) return;
       const now = clock.now();
       facts.answerTime = afterAnswer(facts.answerTime, now - sentAt, now);
     },
+    noteNoAnswer: pace.noteNoAnswer,
     notePrimaryAnswer(link, {position}, sentAt) {
       // A replaced primary may still answer as one.
       if (primary.isReplaced(link.listed.id)) return;
@@ -330,6 +343,7 @@
       return hasContact() && !links.get(endpoint)?.isOnDetour;
     },
     setEndpoints(endpoints) {
+      const isFirstList = links.size === 0;
       const listedIds = new Set(endpoints.map(({id}) => id));
       for (const [id, link] of links) {
         if (listedIds.has(id)) continue;
@@ -340,7 +354,7 @@
         leaving.forget(id);
         reachability.forget(id);
       }
-      for (const endpoint of endpoints) updateEntry(endpoint);
+      for (const endpoint of endpoints) updateEntry(endpoint, isFirstList);
       primary.find();
     },
     replan() {
@@ -352,6 +366,7 @@
         link.closeUnused(LIMITS.minConnections);
         if (needsProbe(link)) probeEndpoint(link);
         reachability.askPeersIfDue(link);
+        limits.observe(link);
         overload.observe(link, {
           isPrimary: link.listed.id === primary.id,
           waiting: waiting.size,
@@ -365,7 +380,7 @@
     },
   };
 
-  function updateEntry(endpoint: ListedEndpoint): void {
+  function updateEntry(endpoint: ListedEndpoint, isFirstList: boolean): void {
     const {id} = endpoint;
     const known = links.get(id);
     leaving.note(endpoint);
@@ -385,6 +400,7 @@
     logListed(endpoint);
     const onIdle = waiting.serve;
     const link = endpointLink(endpoint, {...context, onIdle});
+    if (!isFirstList) pace.noteStart(link, known);
     links.set(id, link);
     replan(link);
   }
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -4,6 +4,7 @@
 import type {Answer} from '@quetzalreel/requests';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {GroupRuntime} from './group-types.js';
+import {inFlightLimit} from './link-placement.js';
 import {LOAD_COUNTS} from './load-counts.js';
 import type {ReadRule} from './routes.js';
 
@@ -100,6 +101,12 @@
       labelNames: ['group', 'endpoint'] as const,
       registers,
     }),
+    limit: new Gauge({
+      name: 'quetzalreel_endpoint_limit',
+      help: 'Statements that may be under way at an endpoint from here.',
+      labelNames: ['group', 'endpoint'] as const,
+      registers,
+    }),
     connections: new Gauge({
       name: 'quetzalreel_endpoint_connections',
       help: 'Connections to an endpoint from here.',
@@ -114,6 +121,12 @@
     }),
   };
 
+  const limitReason = new Gauge({
+    name: 'quetzalreel_endpoint_limit_reason',
+    help: '1 for the reason for which the limit of an endpoint last changed.',
+    labelNames: ['group', 'endpoint', 'reason'] as const,
+    registers,
+  });
   const work = new Gauge({
     name: 'quetzalreel_endpoint_work',
     help: 'What has happened to the work for an endpoint since the start, by outcome.',
@@ -127,6 +140,8 @@
       const silentMs = source.now() - link.facts.lastContactAt;
       gauges.silent.set(labels, silentMs / MS_PER_SECOND);
       gauges.running.set(labels, link.facts.inFlight);
+      gauges.limit.set(labels, inFlightLimit(link));
+      limitReason.set({...labels, reason: link.facts.pace.reason}, 1);
       gauges.connections.set(labels, link.connections);
       gauges.primary.set(labels, group.primary === link ? 1 : 0);
       for (const outcome of LOAD_COUNTS)
@@ -150,6 +165,7 @@
       // Drops the series of endpoints that are no longer listed.
       for (const gauge of Object.values(gauges)) gauge.reset();
       work.reset();
+      limitReason.reset();
       gauges.generation.set(source.generation());
       gauges.storeEra.set(source.storeEra());
       gauges.sessions.set(source.sessions());
--- a/packages/proxy/src/overload-log.ts
+++ b/packages/proxy/src/overload-log.ts
@@ -2,6 +2,7 @@
 import type {Clock} from '@quetzalreel/common';
 import {expectedMs} from './answer-time.js';
 import type {EndpointLink} from './endpoint-link.js';
+import {inFlightLimit} from './link-placement.js';
 import {type LoadReporter, loadReporter} from './load-counts.js';
 import type {Log} from './log.js';
 
@@ -44,7 +45,7 @@
       const now = clock.now();
       const counts = reporterOf(link).report(now);
       if (!counts) return;
-      const {inFlight, answerTime, concurrency} = link.facts;
+      const {inFlight, answerTime} = link.facts;
       log.info({
         event: 'endpointOverloaded',
         group: name,
@@ -53,7 +54,7 @@
         isHolder: link.plan.isHolder,
         ...counts,
         inFlight,
-        limit: concurrency.limit,
+        limit: inFlightLimit(link),
         answerMs: Math.round(expectedMs(answerTime, now)),
         connections: link.connections,
         idle: link.idle,
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -16,6 +16,7 @@
 } from '@quetzalreel/requests';
 import type {ServedConnection} from '@quetzalreel/relay';
 import {TIMES} from './defaults.js';
+import {reportOf} from './endpoint-pace.js';
 import type {ConnectionLease} from './group-types.js';
 import {ANY_ENDPOINT} from './placement.js';
 import {
@@ -182,7 +183,8 @@
       if (answer.state === SessionState.Idle) release(true);
       else if (hasDisconnected) rollBack();
       else idleTimer = clock.after(idleTransactionMs(), rollBack);
-      return answer;
+      const pace = reportOf(held.link.facts.pace, clock.now());
+      return pace ? {...answer, pace} : answer;
     } catch (err) {
       release(false);
       throw err;
@@ -218,6 +220,7 @@
     observe() {
       const now = clock.now();
       const facts = group.links.get(endpoint)?.facts;
+      const pace = facts && reportOf(facts.pace, now);
       const unansweredSince = facts?.unansweredSince;
       return {
         position: facts?.position,
@@ -225,6 +228,7 @@
         silentMs:
           unansweredSince === undefined ? undefined : now - unansweredSince,
         isRefusing: facts?.refusingSince !== undefined,
+        pace,
       };
     },
     async send(req) {
--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -95,7 +95,12 @@
   {timeoutMs, commits, onPrimary}: RunBounds,
 ): Promise<Answer> {
   const sentAt = clock.now();
-  const answer = await sendWithTimeout(clock, lease, req, timeoutMs);
+  const answer = await sendWithTimeout(clock, lease, req, timeoutMs).catch(
+    (err: unknown) => {
+      group.noteNoAnswer(lease.link, err, sentAt, onPrimary);
+      throw err;
+    },
+  );
   const {id} = lease.link.listed;
   if (onPrimary && !answer.error && !isUsableAsPrimary(group, lease)) {
     const what = 'it may have been replaced as the primary before it answered';
--- a/packages/proxy/test/fault-loads.ts
+++ b/packages/proxy/test/fault-loads.ts
@@ -77,8 +77,11 @@
 /** The disturbed endpoint, and the other replica. */
 export const DISTURBED = 'e-1';
 const OTHER_REPLICA = 'e-2';
+export const PRIMARY = 'e-0';
 const COLD_FACTOR = 1.6;
 const SLOW_FACTOR = 8;
+/** With it the primary can't run all that only it may run. */
+const PRIMARY_SLOW_FACTOR = 3;
 const FAILING_SHARE = 0.45;
 export const FAULT_AT_MS = 2000;
 export const FAULT_END_MS = 5000;
@@ -133,6 +136,11 @@
     backAtMs: COLD_END_MS,
     load: 1,
   },
+  'primary slowed 3 times': {
+    faults: [{...DURING, endpoint: PRIMARY, slowFactor: PRIMARY_SLOW_FACTOR}],
+    backAtMs: COLD_END_MS,
+    load: 1,
+  },
   'fails 45%': {
     faults: [{...DURING, failingShare: FAILING_SHARE}],
     backAtMs: COLD_END_MS,
--- a/packages/proxy/test/test-in-flight-limit.ts
+++ b/packages/proxy/test/test-in-flight-limit.ts
@@ -5,7 +5,12 @@
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {DISTURBED, disturbedLoad, mostInFlight} from './fault-loads.js';
+import {
+  DISTURBED,
+  PRIMARY,
+  disturbedLoad,
+  mostInFlight,
+} from './fault-loads.js';
 import {playLoad} from './simulated-load.js';
 
 const ONE_INSTANCE = 1;
@@ -20,7 +25,7 @@
     it(`stay within its limit when many are served at once (seed ${seed})`, async () => {
       const load = disturbedLoad('all but one gone', ONE_INSTANCE, seed);
       const result = await playLoad(load);
-      const most = mostInFlight(result, 0, END_MS, 'e-0');
+      const most = mostInFlight(result, 0, END_MS, PRIMARY);
       const allowed = load.endpoints.slots * PER_SLOT + IN_TRANSACTIONS;
       assert.ok(most <= allowed, `${most} at once`);
       assert.ok(mostInFlight(result, 0, END_MS, DISTURBED) <= allowed);
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -1,5 +1,5 @@
 /** The messages between an instance and a peer's relay. */
-import type {Answer, EndpointRequest} from '@quetzalreel/requests';
+import type {Answer, EndpointRequest, PaceReport} from '@quetzalreel/requests';
 import type {Position} from '@quetzalreel/position';
 
 /** The requested endpoint; the first frame that a requester sends. */
@@ -24,6 +24,8 @@
   readonly silentMs: number | undefined;
   /** Whether the endpoint refuses or resets connections. */
   readonly isRefusing: boolean;
+  /** How the endpoint responds; undefined while it is well. */
+  readonly pace?: PaceReport | undefined;
 }
 
 /**
--- a/packages/requests/src/answer.ts
+++ b/packages/requests/src/answer.ts
@@ -52,6 +52,16 @@
   readonly text: string;
 }
 
+/** What an instance that relays knows of how its endpoint responds. */
+export interface PaceReport {
+  /** Share of the full limit of statements in flight that is in force. */
+  readonly share: number;
+  /** Share of the reads that the endpoint answers with FAILED. */
+  readonly failing: number;
+  /** Age of this knowledge, in milliseconds. */
+  readonly ageMs: number;
+}
+
 /** A complete answer. It has either an error or a signature, never both. */
 export interface Answer {
   /** Rows in the endpoint's own text format. */
@@ -65,6 +75,8 @@
    * answer has none.
    */
   readonly position: Position | undefined;
+  /** Added by an instance that relays, while the endpoint is not well. */
+  readonly pace?: PaceReport | undefined;
 }
 
 /** Error codes of endpoints that mean the statement did not run. */
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -3,6 +3,7 @@
   type Answer,
   type AnswerError,
   ErrorCode,
+  type PaceReport,
   ROW_BYTES,
   SessionState,
   didNotRun,
