--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -6,6 +6,7 @@
 import {maxInFlightPerHolder} from './concurrency.js';
 import {TIMES} from './defaults.js';
 import type {ConnectionUse, EndpointLink} from './endpoint-link.js';
+import {excessFailing, limitOf} from './endpoint-pace.js';
 import type {PlacementOption} from './placement.js';
 
 /** State needed beside the link itself. */
@@ -17,6 +18,8 @@
   readonly now: number;
   /** The requests that the connection is for. */
   readonly use: ConnectionUse;
+  /** Lowest share of failing reads at the group's other endpoints. */
+  readonly othersFailing: number;
 }
 
 /**
@@ -24,9 +27,10 @@
  * endpoint.
  */
 export function inFlightLimit({facts, listed, plan}: EndpointLink): number {
-  const {limit} = facts.concurrency;
-  if (!plan.isHolder) return limit;
-  return Math.min(limit, maxInFlightPerHolder(listed.slots, plan.holderCount));
+  const most = plan.isHolder
+    ? maxInFlightPerHolder(listed.slots, plan.holderCount)
+    : Infinity;
+  return limitOf(facts.pace, most);
 }
 
 /** Why an endpoint gets no new work. */
@@ -42,12 +46,19 @@
   return listed.leaving && !isPrimary ? 'leaving' : undefined;
 }
 
+/**
+ * Weight of a failing read in the expected time of reads, in milliseconds: a
+ * read that fails costs its caller more than one that waits elsewhere.
+ */
+const FAILED_READ_MS = 500;
+
 /** Describes the link as a placement option. */
 export function placementOf(
   link: EndpointLink,
-  {isPrimary, dataCentre, now, use}: PlacementContext,
+  {isPrimary, dataCentre, now, use, othersFailing}: PlacementContext,
 ): PlacementOption {
   const {facts, listed} = link;
+  const failing = excessFailing(facts.pace, othersFailing, now);
   const isBelowLimit = facts.inFlight < inFlightLimit(link);
   return {
     id: listed.id,
@@ -56,7 +67,7 @@
     position: facts.position,
     positionAgeMs: now - facts.lastContactAt,
     catchUpDelayMs: catchUpDelayMs(facts.catchUp),
-    answerMs: expectedMs(facts.answerTime, now),
+    answerMs: expectedMs(facts.answerTime, now) + failing * FAILED_READ_MS,
     inFlight: facts.inFlight,
     slots: listed.slots,
     distanceMs: listed.dataCentre === dataCentre ? 0 : TIMES.otherDataCentreMs,
--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -6,6 +6,7 @@
   type BeginRequest,
   type EndpointRequest,
   ErrorCode,
+  type PaceReport,
   type RequestOrigin,
   SessionState,
   type StatementRequest,
@@ -34,6 +35,8 @@
   readonly silentMs: number | undefined;
   /** Whether the endpoint refuses or resets connections. */
   readonly isRefusing: boolean;
+  /** How the endpoint responds; undefined while it is well. */
+  readonly pace?: PaceReport | undefined;
 }
 
 /**
