--- a/packages/relay/src/messages.ts
+++ b/packages/relay/src/messages.ts
@@ -268,8 +268,9 @@
 export function packRequest(req: RelayRequest): PackedRequest {
   if (req.type === 'openAndRun') {
     const {begin, statement} = req;
-    const {origin: _, ...rest} = statement;
-    return {...req, begin: packRequest(begin), statement: rest};
+    const bare: {origin?: RequestOrigin | undefined} = {...statement};
+    delete bare.origin;
+    return {...req, begin: packRequest(begin), statement: bare};
   }
   if (!('origin' in req) || !req.origin) return {...req};
   const {origin, ...rest} = req;
