Test quotas in fleets and under random faults, and close two gaps

Cause: random runs found an instance that owned accounts at once although the owner had only vanished from its first list, and a joining one that was confirmed by an instance which was no owner itself. Change: an instance grants tokens after most instances told it who joined and who vanished; roles count vanished instances until they have stopped. Fleet tests with five and sixty instances, and a property test on a simulated network.

--- a/packages/quota/src/account-quotas.ts
+++ b/packages/quota/src/account-quotas.ts
@@ -16,7 +16,7 @@
 import {ANSWER_MS, type RateLimit, TOKEN_MS, ownerCount} from './limits.js';
 import {
   LenderRole,
-  MAX_JOINED,
+  MAX_LISTED,
   type QuotaMessage,
   type TokenAnswer,
   type TokenRequest,
@@ -309,15 +309,20 @@
     const {from, seq, instance} = message;
     fleet.noteJoined([instance], clock.now());
     if (rolesVersion !== fleet.version) refreshRoles();
-    const joined = message.digest === fleet.digest ? [] : fleet.joined;
+    const isSame = message.digest === fleet.digest;
+    const listOf = (instances: readonly QuotaInstance[]) =>
+      isSame
+        ? []
+        : instances
+            .filter(item => item.instance !== instance.instance)
+            .slice(-MAX_LISTED);
     context.send(from, {
       type: 'joinedNoted',
       from: self().address,
       seq,
       instance: self().instance,
-      joined: joined
-        .filter(item => item.instance !== instance.instance)
-        .slice(-MAX_JOINED),
+      joined: listOf(fleet.joined),
+      vanished: listOf(fleet.vanished),
     });
   }
 
@@ -330,6 +335,7 @@
       fleet.noteJoined(added, clock.now());
       announce(added);
     }
+    fleet.noteVanished(message.vanished, clock.now());
     fleet.noteConfirmed(message.instance);
     if (rolesVersion !== fleet.version) refreshSoon();
   }
--- a/packages/quota/src/fleet.ts
+++ b/packages/quota/src/fleet.ts
@@ -34,13 +34,17 @@
   readonly listed: readonly QuotaInstance[];
   /** The same with those that vanished and may still grant tokens. */
   readonly counted: readonly QuotaInstance[];
-  /** Equal on instances with the same list. */
+  /** Equal on instances that count the same instances. */
   readonly digest: number;
+  /** Those that vanished and may still grant tokens. */
+  readonly vanished: readonly QuotaInstance[];
   /** Those that announced themselves a short time ago. */
   readonly joined: readonly QuotaInstance[];
   setOthers(others: readonly QuotaInstance[], now: number): void;
   /** Instances that joined, from themselves or from peers. */
   noteJoined(instances: readonly QuotaInstance[], now: number): void;
+  /** Instances that vanished from the list of a peer. */
+  noteVanished(instances: readonly QuotaInstance[], now: number): void;
   noteLeft(instance: string, now: number): void;
   /** This instance owns nothing from now on. */
   leave(now: number): void;
@@ -51,6 +55,11 @@
   isConfirmed(instance: string): boolean;
   /** Whether this instance needs confirmations of previous owners. */
   readonly isJoining: boolean;
+  /**
+   * Whether most instances have told this one since its start who joined and who
+   * vanished.
+   */
+  readonly isIntroduced: boolean;
   hasAddress(address: string): boolean;
   /** Whether enough instances list this one for it to grant tokens. */
   mayGrant(now: number): boolean;
@@ -116,6 +125,7 @@
   let digest = 0;
   let isKnown = false;
   let isJoining = !start.mayOwnAtOnce;
+  let isIntroduced = false;
   let isLeaving = false;
   let listed: QuotaInstance[] = [];
   let counted: readonly QuotaInstance[] = [];
@@ -148,7 +158,7 @@
     if (!isLeaving) listed.unshift(self());
     const gone = [...vanished.values()].map(({instance}) => instance);
     counted = [...listed, ...gone];
-    digest = digestOf(listed);
+    digest = digestOf(counted);
     const addresses = new Set(counted.map(({address}) => address));
     for (const address of listedBy.keys()) {
       if (!addresses.has(address)) listedBy.delete(address);
@@ -195,6 +205,9 @@
     get digest() {
       return digest;
     },
+    get vanished() {
+      return [...vanished.values()].map(({instance}) => instance);
+    },
     get joined() {
       return [...announced.values()].map(({instance}) => instance);
     },
@@ -212,6 +225,17 @@
       }
       update(now);
     },
+    noteVanished(instances, now) {
+      let isChanged = false;
+      for (const instance of instances) {
+        const name = instance.instance;
+        if (name === self().instance) continue;
+        if (effective.has(name) || vanished.has(name)) continue;
+        vanished.set(name, {instance, at: now});
+        isChanged = true;
+      }
+      if (isChanged) rebuild(now);
+    },
     noteLeft(instance, now) {
       left.add(instance);
       announced.delete(instance);
@@ -227,9 +251,15 @@
     },
     noteConfirmed(instance) {
       confirmed.add(instance);
-      if (isJoining) version++;
+      if (isJoining || !isIntroduced) version++;
+      // A list that was read at the start does not show who vanished before.
+      const count = listed.filter(item => confirmed.has(item.instance)).length;
+      if ((count + 1) * 2 > listed.length) isIntroduced = true;
     },
     isConfirmed: instance => confirmed.has(instance),
+    get isIntroduced() {
+      return isIntroduced || listed.length === 1;
+    },
     get isJoining() {
       return isJoining;
     },
@@ -255,8 +285,10 @@
       // A partitioned minority must not take over: most instances may be alive
       // on the other side, with the owners.
       if (!hasMajority(now)) return;
-      if (isJoining && now - start.now >= TAKEOVER_MS) {
+      const isNew = isJoining || !isIntroduced;
+      if (isNew && now - start.now >= TAKEOVER_MS) {
         isJoining = false;
+        isIntroduced = true;
         version++;
       }
       let isChanged = false;
--- a/packages/quota/src/lender.ts
+++ b/packages/quota/src/lender.ts
@@ -124,9 +124,10 @@
   return {
     setRole(account, {kind, share, waitsFor}, now) {
       pending.delete(account);
-      if (!share || waitsFor.length > 0) {
+      const isPending = kind === 'owner' && waitsFor.length > 0;
+      if (!share || isPending) {
         active.delete(account);
-        if (share) pending.add(account);
+        if (kind !== 'none') pending.add(account);
         return;
       }
       const loans = active.get(account);
--- a/packages/quota/src/messages.ts
+++ b/packages/quota/src/messages.ts
@@ -59,15 +59,17 @@
     | {
         readonly type: 'joined';
         readonly instance: QuotaInstance;
-        /** Of the instances that the sender lists. */
+        /** Of the instances that the sender counts. */
         readonly digest: number;
       }
     /** The sender grants nothing any more that the joined instance owns. */
     | {
         readonly type: 'joinedNoted';
         readonly instance: string;
-        /** Others that joined a short time ago, if the lists differ. */
+        /** Others that joined a short time ago, if the digests differ. */
         readonly joined: readonly QuotaInstance[];
+        /** Those that vanished and may still grant tokens; likewise. */
+        readonly vanished: readonly QuotaInstance[];
       }
     /** The sender grants nothing any more. */
     | {readonly type: 'left'; readonly instance: string}
@@ -88,8 +90,8 @@
 export const MAX_GRANT = 1_000_000;
 /** Settled grants in one request. */
 export const MAX_SETTLED = 64;
-/** Joined instances in one message. */
-export const MAX_JOINED = 64;
+/** Instances in one list of a message. */
+export const MAX_LISTED = 256;
 const MAX_NAME_LENGTH = 256;
 /** No lender tells a borrower to stay away for longer. */
 export const MAX_RETRY_MS = 1000;
@@ -118,8 +120,10 @@
     ROLES.has(role),
   joined: ({instance, digest}) =>
     isInstance(instance) && Number.isSafeInteger(digest),
-  joinedNoted: ({instance, joined}) =>
-    isName(instance) && isListOf(joined, MAX_JOINED, isInstance),
+  joinedNoted: ({instance, joined, vanished}) =>
+    isName(instance) &&
+    isListOf(joined, MAX_LISTED, isInstance) &&
+    isListOf(vanished, MAX_LISTED, isInstance),
   left: ({instance}) => isName(instance),
   listedWanted: () => true,
   listed: () => true,
--- a/packages/quota/src/roles.ts
+++ b/packages/quota/src/roles.ts
@@ -12,12 +12,15 @@
 /** The lenders of an account, as this instance sees them. */
 export interface AccountRole extends Assignment {
   readonly kind: 'owner' | 'backup' | 'none';
-  /** The own share of the limit; undefined for neither owner nor backup. */
+  /** The own share of the limit; undefined while there is none to grant. */
   readonly share: RateLimit | undefined;
-  /** Previous owners that may still grant what this instance is to own. */
+  /** Those that keep this instance from being an owner. */
   readonly waitsFor: readonly string[];
 }
 
+/** Stands for the instances of which a starting one needs to hear. */
+const MOST_INSTANCES = 'most instances';
+
 /** Determines the roles for all accounts. */
 export interface Roles {
   roleOf(account: string, limit: RateLimit): AccountRole;
@@ -31,49 +34,55 @@
 ): Roles {
   const choice = ownerChoice();
 
-  function namesOf(
+  function namesOf(instances: readonly QuotaInstance[]): string[] {
+    return instances.map(({instance}) => instance);
+  }
+
+  /** Those whose confirmation this instance, as an owner, still needs. */
+  function unconfirmed(
     account: string,
-    instances: readonly QuotaInstance[],
     count: number,
+    owners: readonly string[],
   ): string[] {
-    const {owners} = choice.choose(account, instances, count);
-    return owners.map(({instance}) => instance);
-  }
-
-  /** The instances that must have ceased to grant tokens as owners. */
-  function previousOwners(account: string, count: number): string[] {
-    const own = self().instance;
-    const names = new Set(fleet.listed.map(({instance}) => instance));
-    const withVanished = namesOf(account, fleet.counted, count);
-    if (!withVanished.includes(own))
-      return withVanished.filter(name => !names.has(name));
+    if (!fleet.isIntroduced) return [MOST_INSTANCES];
     if (!fleet.isJoining) return [];
+    const own = self().instance;
     const others = fleet.counted.filter(({instance}) => instance !== own);
-    const previous = namesOf(account, others, count);
+    const previous = namesOf(choice.choose(account, others, count).owners);
     // One more owner makes the shares of all others smaller.
-    const isAdded = previous.length < withVanished.length;
+    const isAdded = previous.length < owners.length;
     return previous.filter(
-      name =>
-        (isAdded || !withVanished.includes(name)) && !fleet.isConfirmed(name),
+      name => (isAdded || !owners.includes(name)) && !fleet.isConfirmed(name),
     );
   }
 
   return {
     roleOf(account, limit) {
       const count = ownerCount(limit);
-      const {owners, backup} = choice.choose(account, fleet.listed, count);
+      const lenders = choice.choose(account, fleet.listed, count);
+      const counted = choice.choose(account, fleet.counted, count);
       const own = self().instance;
-      const lenders = {owners, backup};
-      if (backup?.instance === own) {
+      const owners = namesOf(counted.owners);
+      if (owners.includes(own)) {
+        const shares = Math.min(count, fleet.counted.length);
+        const share = ownerLimit(limit, rule, shares);
+        const waitsFor = unconfirmed(account, count, owners);
+        return {...lenders, kind: 'owner', share, waitsFor};
+      }
+      const listed = namesOf(fleet.listed);
+      const isListedOwner = namesOf(lenders.owners).includes(own);
+      const waitsFor = isListedOwner
+        ? owners.filter(name => !listed.includes(name))
+        : [];
+      // A backup that is to become an owner lends its reserve until it is one.
+      const isBackup = counted.backup?.instance === own && fleet.isIntroduced;
+      if (isBackup) {
         const share = backupLimit(limit, rule);
-        return {...lenders, kind: 'backup', share, waitsFor: []};
+        return {...lenders, kind: 'backup', share, waitsFor};
       }
-      if (!owners.some(({instance}) => instance === own))
-        return {...lenders, kind: 'none', share: undefined, waitsFor: []};
-      const shares = Math.min(count, fleet.counted.length);
-      const share = ownerLimit(limit, rule, shares);
-      const waitsFor = previousOwners(account, count);
-      return {...lenders, kind: 'owner', share, waitsFor};
+      const isListedBackup = lenders.backup?.instance === own;
+      const kind = isListedOwner ? 'owner' : isListedBackup ? 'backup' : 'none';
+      return {...lenders, kind, share: undefined, waitsFor};
     },
   };
 }
--- a/packages/quota/test/quota-network.ts
+++ b/packages/quota/test/quota-network.ts
@@ -32,13 +32,12 @@
   return usual * (1 + RULE.excess) + RULE.slack;
 }
 
-/** The most operations in a window that starts at `from` or later. */
-export function mostInWindow(times: readonly number[], from = 0): number {
+/** The most operations in a window. */
+export function mostInWindow(times: readonly number[]): number {
   let most = 0;
   let first = 0;
   for (const [i, time] of times.entries()) {
-    while (times[first]! < from || times[first]! <= time - RULE.windowMs)
-      first++;
+    while (times[first]! <= time - RULE.windowMs) first++;
     most = Math.max(most, i - first + 1);
   }
   return most;
@@ -51,6 +50,8 @@
   suspendedUntil: number;
   /** When the store last took its entry. */
   renewedAt: number;
+  /** Since when the store has answered it. */
+  servedSince: number;
   /** Whether the store answers it. */
   isServed: boolean;
   /** Messages to and from instances on another side are lost. */
@@ -76,8 +77,22 @@
   /** Suspends an instance; with `stopsClock`, its clock as well. */
   suspend(instance: SimulatedInstance, ms: number, stopsClock: boolean): void;
   leave(instance: SimulatedInstance): void;
-  /** Sets limits, in force on each instance after up to `lagMs`. */
-  setLimits(limits: ReadonlyMap<string, RateLimit>, lagMs: number): void;
+  /**
+   * Puts instances on sides that do not reach each other; the store answers
+   * those for which `isServed` is true.
+   */
+  partition(
+    sideOf: (index: number) => number,
+    isServed: (index: number) => boolean,
+  ): void;
+  /**
+   * Sets limits, in force on each instance after up to `lagMs`. The result
+   * contains the time at which they were in force everywhere.
+   */
+  setLimits(
+    limits: ReadonlyMap<string, RateLimit>,
+    lagMs: number,
+  ): {readonly at: number};
   run(ms: number, onStep?: () => void): Promise<void>;
 }
 
@@ -209,14 +224,28 @@
       hasLeft.add(instance.instance);
       publish();
     },
+    partition(sideOf, isServed) {
+      for (const [i, instance] of network.instances.entries()) {
+        instance.side = sideOf(i);
+        if (!instance.isServed) instance.servedSince = clock.now();
+        instance.isServed = isServed(i);
+      }
+      publish();
+    },
     setLimits(next, lagMs) {
       limits = next;
+      const force = {at: clock.now()};
       for (const instance of network.instances) {
-        const {life} = instance;
+        const {life, isAlive} = instance;
+        if (!isAlive) continue;
         whenRunning(instance, random(lagMs), () => {
-          if (instance.life === life) instance.quotas.setLimits(next);
+          if (instance.life !== life) return;
+          // Configurations only rise: an older one does not replace a newer one.
+          instance.quotas.setLimits(limits);
+          force.at = clock.now();
         });
       }
+      return force;
     },
     async run(ms, onStep) {
       for (let step = 0; step < ms; step++) {
@@ -288,8 +317,13 @@
       instance.renewedAt = now;
     }
     let isChanged = false;
+    // Entries don't expire: an instance removes those that it saw unchanged.
+    const readers = network.instances.filter(
+      item => isRunning(item) && item.isServed,
+    );
+    const readSince = Math.min(...readers.map(item => item.servedSince));
     for (const [name, {renewedAt}] of entries) {
-      if (now - renewedAt < ENTRY_TIMEOUT_MS) continue;
+      if (now - Math.max(renewedAt, readSince) < ENTRY_TIMEOUT_MS) continue;
       entries.delete(name);
       isChanged = true;
     }
@@ -334,6 +368,7 @@
       isAlive: false,
       suspendedUntil: 0,
       renewedAt: 0,
+      servedSince: 0,
       isServed: true,
       side: 0,
       life: 0,
@@ -355,6 +390,7 @@
     instance.isAlive = true;
     instance.suspendedUntil = 0;
     instance.isServed = true;
+    instance.servedSince = now;
     entries.set(instance.instance, {info: infoOf(instance), renewedAt: now});
     instance.renewedAt = now;
     const renewedMs = () => clock.now() - instance.renewedAt;
