--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -22,6 +22,14 @@
   type Violation,
   search,
 } from './search.js';
+export {
+  GRANT_INVARIANTS,
+  type GrantBounds,
+  GrantOmission,
+  type GrantState,
+  grantSteps,
+  initialGrantState,
+} from './token-grants.js';
 export {
   CHANGE_INVARIANTS,
   type ChangeBounds,
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -16,6 +16,12 @@
 import {OMISSIONS} from './omissions.js';
 import {search} from './search.js';
 import {INVARIANTS} from './spec.js';
+import {
+  GRANT_INVARIANTS,
+  GrantOmission,
+  grantSteps,
+  initialGrantState,
+} from './token-grants.js';
 import {
   CHANGE_INVARIANTS,
   ChangeOmission,
@@ -66,10 +72,11 @@
 
 const ORDER_BOUNDS = {changes: 3};
 const CHANGE_BOUNDS = {ticks: 2};
+const GRANT_BOUNDS = {ticks: 4};
 const READ_BOUNDS = {commits: 1, ticks: 3};
 /** Bounds within which each disabled rule leads to a violation. */
 const OMITTED_READ_BOUNDS = {commits: 2, ticks: 3};
-/** Maximum number of states per search of the two platform models. */
+/** Maximum number of states per search of the platform models. */
 const PLATFORM_STATES = 400_000;
 
 function searchOrders(omit?: OrderOmission) {
@@ -99,14 +106,29 @@
   );
 }
 
+function searchGrants(omit?: GrantOmission) {
+  const bounds = omit ? {...GRANT_BOUNDS, omit} : GRANT_BOUNDS;
+  return search(
+    initialGrantState(),
+    state => grantSteps(state, bounds),
+    PLATFORM_STATES,
+  );
+}
+
 const changes = searchChanges();
+const grants = searchGrants();
 const orders = searchOrders();
 const reads = searchReads();
 print({...ORDER_BOUNDS, invariants: ORDER_INVARIANTS, ...orders});
 print({...READ_BOUNDS, invariants: READ_INVARIANTS, ...reads});
 print({...CHANGE_BOUNDS, invariants: CHANGE_INVARIANTS, ...changes});
-if (orders.violation || reads.violation || changes.violation)
-  process.exitCode = 1;
+print({...GRANT_BOUNDS, invariants: GRANT_INVARIANTS, ...grants});
+for (const {violation} of [orders, reads, changes, grants]) {
+  if (violation) process.exitCode = 1;
+}
+for (const omit of Object.values(GrantOmission)) {
+  print({omitted: omit, ...searchGrants(omit)});
+}
 for (const omit of Object.values(ChangeOmission)) {
   print({omitted: omit, ...searchChanges(omit)});
 }
--- a/packages/model/test/test-platform-model.ts
+++ b/packages/model/test/test-platform-model.ts
@@ -1,6 +1,6 @@
 /**
- * Searches the models of fenced orders and of replica reads exhaustively, then
- * checks that disabling any one rule breaks an invariant.
+ * Searches the models of fenced orders, of changes without fences, of replica
+ * reads and of token grants exhaustively, then checks that disabling any one rule breaks an invariant.
  */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
@@ -11,6 +11,11 @@
 } from '../src/fenced-orders.js';
 import {ReadOmission, initialReadState, readSteps} from '../src/fresh-reads.js';
 import {search} from '../src/search.js';
+import {
+  GrantOmission,
+  grantSteps,
+  initialGrantState,
+} from '../src/token-grants.js';
 import {
   ChangeOmission,
   changeSteps,
@@ -21,6 +26,8 @@
 const ORDERS = {changes: 3};
 /** Bounds of the changes without fences. */
 const CHANGES = {ticks: 2};
+/** Bounds of the tokens of an account. */
+const GRANTS = {ticks: 4};
 /** Bounds of the exhaustive search. */
 const READS = {commits: 1, ticks: 3};
 /** Bounds within which each disabled rule leads to a violation. */
@@ -88,3 +95,26 @@
     });
   }
 });
+
+describe('token grants', () => {
+  const explore = (omit?: GrantOmission) => {
+    const bounds = omit ? {...GRANTS, omit} : GRANTS;
+    return search(
+      initialGrantState(),
+      state => grantSteps(state, bounds),
+      MAX_STATES,
+    );
+  };
+
+  it('never exceed the refills of a window and one burst', () => {
+    const {violation, complete} = explore();
+    assert.equal(violation, undefined);
+    assert.equal(complete, true);
+  });
+
+  for (const omit of Object.values(GrantOmission)) {
+    it(`break an invariant with: ${omit}`, () => {
+      assert.ok(explore(omit).violation);
+    });
+  }
+});
