Keep connections of client accounts open for longer

Cause: a closed connection of an account is opened again with its next statement, which takes a slot for 12 ms where the statement takes 9. Change: 80% of an endpoint's connections are kept in place of 45%, where they belong to accounts.

--- a/packages/proxy/src/connection-sharing.ts
+++ b/packages/proxy/src/connection-sharing.ts
@@ -76,6 +76,12 @@
  * has not noticed the death.
  */
 const KEPT_SHARE = 0.45;
+/**
+ * The same where each connection belongs to one client account: one that is closed
+ * is opened again for the account's next statement, and takes a slot for longer than
+ * the statement does.
+ */
+const KEPT_ACCOUNT_SHARE = 0.8;
 /**
  * Minimum connections per instance for a plan in which every instance is a
  * holder: one in use and one for the next statement.
@@ -122,7 +128,8 @@
 ): SharingPlan {
   const {maxConnections, hasAccounts} = endpoint;
   const planned = Math.floor(maxConnections * PLANNED_SHARE);
-  const kept = Math.floor(maxConnections * KEPT_SHARE);
+  const keptShare = hasAccounts ? KEPT_ACCOUNT_SHARE : KEPT_SHARE;
+  const kept = Math.floor(maxConnections * keptShare);
   const fleetSize = peers.length + 1;
   const least = hasAccounts ? MIN_PER_ACCOUNT_INSTANCE : MIN_PER_INSTANCE;
   if (fleetSize * least <= planned) {
