Let a statement of the highest priority pass the limit by one

Cause: while reads fill the statements that a holder may send, the most important kind waits for one of them to end: 3 ms of work with an objective of 100 ms. Change: a request of priority 0 may be sent with one more in flight.

--- a/packages/proxy/src/explain.ts
+++ b/packages/proxy/src/explain.ts
@@ -12,7 +12,11 @@
   NO_ACCOUNT,
   accountFor,
 } from './accounts.js';
-import type {GroupRuntime} from './group-types.js';
+import {
+  type GroupRuntime,
+  OWN_REQUESTS,
+  type RequestSource,
+} from './group-types.js';
 import type {EndpointLink} from './endpoint-link.js';
 import {
   type UnusableReason,
@@ -270,7 +274,7 @@
   const {sessions, quotas} = context;
   const groups = [...context.groups.values()].map(group => ({
     ...describeGroup(group, now),
-    endpoints: group.optionsFor({}, undefined).map(option => {
+    endpoints: group.optionsFor({}, OWN_REQUESTS).map(option => {
       const link = group.links.get(option.id)!;
       return describeEndpoint(link, option, now);
     }),
@@ -305,8 +309,11 @@
     const outcome = refusedSession(routeRefusal(database));
     return {...of, ...NO_GROUP, route, outcome};
   }
-  const {name} = account ?? NO_ACCOUNT;
-  const found = explainOnGroup(query, route, group, name, context.now);
+  const from = {
+    priority: route.priority,
+    account: (account ?? NO_ACCOUNT).name,
+  };
+  const found = explainOnGroup(query, route, group, from, context.now);
   return {...of, route, ...found};
 }
 
@@ -348,12 +355,12 @@
   {statement, position}: ExplainQuery,
   route: Route,
   group: GroupRuntime,
-  account: string,
+  from: RequestSource,
   now: number,
 ): Pick<Explanation, 'group' | 'need' | 'endpoints' | 'outcome'> {
   const need = currentNeed(route, group, statement, position);
-  const options = group.optionsFor(need, account);
-  const decision = group.decide(need, account);
+  const options = group.optionsFor(need, from);
+  const decision = group.decide(need, from);
   const view = {group, need, options, decision, now};
   const endpoints = options.map(option => verdictOn(option, view));
   return {
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -36,18 +36,26 @@
   release(reusable: boolean): void;
 }
 
-/** A request for a connection to a suitable endpoint. */
-export interface ConnectionRequest {
-  /** Whether the request always needs the primary. */
-  readonly primaryOnly: boolean;
-  /** The current need; it may change while the request waits. */
-  readonly need: () => Need;
+/** Where a request comes from. */
+export interface RequestSource {
+  /** Of the route; 0 is the highest. */
   readonly priority: number;
   /**
    * The client account, '' for none; undefined for requests of this instance
    * itself, which may use a connection of any account.
    */
   readonly account: string | undefined;
+}
+
+/** Requests of this instance itself. */
+export const OWN_REQUESTS: RequestSource = {priority: 1, account: undefined};
+
+/** A request for a connection to a suitable endpoint. */
+export interface ConnectionRequest extends RequestSource {
+  /** Whether the request always needs the primary. */
+  readonly primaryOnly: boolean;
+  /** The current need; it may change while the request waits. */
+  readonly need: () => Need;
   /** Priority among the accounts; 0 is the highest. */
   readonly accountPriority: number;
   /**
@@ -134,16 +142,13 @@
   countPrimaryWork(): () => void;
   /** Whether some endpoint can serve a need, now or once it has capacity. */
   canServe(need: Need): boolean;
-  /**
-   * The endpoints as options for a statement of an account; undefined for one of
-   * this instance itself.
-   */
+  /** The endpoints as options for a request. */
   optionsFor(
     need: Pick<Need, 'directOnly'>,
-    account: string | undefined,
+    from: RequestSource,
   ): readonly PlacementOption[];
   /** What a request with this need would meet now; changes nothing. */
-  decide(need: Need, account: string | undefined): PlacementDecision;
+  decide(need: Need, from: RequestSource): PlacementDecision;
   /** Number of requests that wait for a connection. */
   readonly waiting: number;
   /**
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -15,11 +15,13 @@
   endpointLink,
 } from './endpoint-link.js';
 import {confirmedPositions} from './confirmed-positions.js';
-import type {
-  GroupContext,
-  GroupRuntime,
-  ConnectionLease,
-  ConnectionRequest,
+import {
+  type GroupContext,
+  type GroupRuntime,
+  type ConnectionLease,
+  type ConnectionRequest,
+  OWN_REQUESTS,
+  type RequestSource,
 } from './group-types.js';
 import {groupPace} from './group-pace.js';
 import {groupPrimary} from './group-primary.js';
@@ -84,7 +86,11 @@
     );
   }
 
-  function optionOf(link: EndpointLink, use = OWN_USE): PlacementOption {
+  function optionOf(
+    link: EndpointLink,
+    use: ConnectionUse = OWN_USE,
+    {priority}: RequestSource = OWN_REQUESTS,
+  ): PlacementOption {
     const {id} = link.listed;
     const isPrimary = id === primary.id && !leaving.isOver(id);
     return placementOf(link, {
@@ -92,6 +98,7 @@
       dataCentre,
       now: clock.now(),
       use,
+      isUrgent: priority === 0,
       othersFailing: pace.othersFailing(link),
     });
   }
@@ -99,10 +106,11 @@
   /** The options for a request, whether it may use the primary or not. */
   function optionsFor(
     {directOnly}: Pick<Need, 'directOnly'>,
-    account: string | undefined,
+    from: RequestSource,
   ): readonly PlacementOption[] {
     const way = directOnly ? ConnectionWay.Direct : ConnectionWay.Any;
-    return [...links.values()].map(link => optionOf(link, {way, account}));
+    const use = {way, account: from.account};
+    return [...links.values()].map(link => optionOf(link, use, from));
   }
 
   /**
@@ -156,10 +164,10 @@
     return lease;
   }
 
-  function decide(need: Need, account: string | undefined): PlacementDecision {
-    const way = wayFor(need);
-    return decidePlacement(optionsFor(need, account), need, {
-      hasConnection: id => links.get(id)!.hasIdle({way, account}),
+  function decide(need: Need, from: RequestSource): PlacementDecision {
+    const use = {way: wayFor(need), account: from.account};
+    return decidePlacement(optionsFor(need, from), need, {
+      hasConnection: id => links.get(id)!.hasIdle(use),
       isOutOfReach: () => isOutOfReach(need),
     });
   }
@@ -167,7 +175,7 @@
   function tryAcquire(req: ConnectionRequest): AcquireAttempt {
     const need = req.need();
     const {account, settingsKey} = req;
-    const decision = decide(need, account);
+    const decision = decide(need, req);
     if (decision.type === 'take') {
       const link = links.get(decision.endpoint)!;
       const use = {way: wayFor(need), account};
--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -18,6 +18,8 @@
   readonly now: number;
   /** The requests that the connection is for. */
   readonly use: ConnectionUse;
+  /** Whether the route has the highest priority. */
+  readonly isUrgent: boolean;
   /** Lowest share of failing reads at the group's other endpoints. */
   readonly othersFailing: number;
 }
@@ -52,14 +54,21 @@
  */
 const FAILED_READ_MS = 500;
 
+/**
+ * Statements of the highest priority that may be sent beyond the limit. While reads
+ * fill it, such a statement would wait for one of them to end.
+ */
+const URGENT_EXTRA = 1;
+
 /** Describes the link as a placement option. */
 export function placementOf(
   link: EndpointLink,
-  {isPrimary, dataCentre, now, use, othersFailing}: PlacementContext,
+  {isPrimary, dataCentre, now, use, isUrgent, othersFailing}: PlacementContext,
 ): PlacementOption {
   const {facts, listed} = link;
   const failing = excessFailing(facts.pace, othersFailing, now);
-  const isBelowLimit = facts.inFlight < inFlightLimit(link);
+  const extra = isUrgent ? URGENT_EXTRA : 0;
+  const isBelowLimit = facts.inFlight < inFlightLimit(link) + extra;
   return {
     id: listed.id,
     isPrimary,
