--- a/packages/quota/test/test-fleets.ts
+++ b/packages/quota/test/test-fleets.ts
@@ -126,7 +126,7 @@
   {what, spread, maxLoss}: Profile,
   share: number,
 ): void {
-  it(`refuse little of ${share} of ${nameOf(limit)}, ${what}`, async t => {
+  it(`${count} instances refuse little of ${share} of ${nameOf(limit)}, ${what}`, async t => {
     const network = await filledNetwork(count, limit);
     const loadMs = Math.max(
       LOAD_MS,
@@ -149,7 +149,7 @@
   {what, spread}: Profile,
   share: number,
 ): void {
-  it(`serve ${nameOf(limit)} of ${share} times as much, ${what}`, async t => {
+  it(`${count} instances serve ${nameOf(limit)} of ${share} times as much, ${what}`, async t => {
     const network = await filledNetwork(count, limit);
     await network.run(LOAD_MS, poissonLoad(network, limit, share, spread));
     const steadyMs = LOAD_MS - RULE.windowMs;
