Keep the parts of a frame apart until its end arrives

Cause: the decoder joined what was pending with each chunk, so that a frame of 4 MiB was copied once for each 64 KiB of it, as garbage outside of the heap. Change: the parts are kept, and joined when the frame is whole; `pendingBytes` tells how much is kept. Result: the tests of packages/peer and packages/relay pass; no speed was measured.

--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -54,15 +54,47 @@
   /** Returns the values that `chunk` completes. Throws PeerFrameError; the link
    * must be closed then. */
   push(chunk: Buffer): unknown[];
+  /** Bytes of a frame whose end has not arrived. */
+  readonly pendingBytes: number;
 }
 
+/** Parts of a frame that are kept apart; many small ones would take more memory
+ * than their bytes. */
+const MAX_PARTS = 256;
+
 /** Creates a decoder that refuses frames longer than `maxBytes`. */
 export function frameDecoder(maxBytes: number): FrameDecoder {
-  let pending: Buffer = Buffer.alloc(0);
+  /** The parts of a frame whose end has not arrived. */
+  let parts: Buffer[] = [];
+  let pendingBytes = 0;
+  /** Bytes that have to be there before more can be decoded. */
+  let neededBytes = LENGTH_BYTES;
+
+  function keep(part: Buffer): void {
+    if (part.length === 0) return;
+    if (parts.length >= MAX_PARTS) parts = [Buffer.concat(parts)];
+    parts.push(part);
+    pendingBytes += part.length;
+  }
+
+  /** The parts as one buffer, which are no longer kept. */
+  function takeAll(): Buffer {
+    const all = parts.length === 1 ? parts[0]! : Buffer.concat(parts);
+    parts = [];
+    pendingBytes = 0;
+    return all;
+  }
+
   return {
+    get pendingBytes() {
+      return pendingBytes;
+    },
     push(chunk) {
-      let rest = pending.length > 0 ? Buffer.concat([pending, chunk]) : chunk;
+      keep(chunk);
+      if (pendingBytes < neededBytes) return [];
+      let rest = takeAll();
       const values: unknown[] = [];
+      neededBytes = LENGTH_BYTES;
       while (rest.length >= LENGTH_BYTES) {
         const length = rest.readUInt32BE(0);
         const isCompressed = length >= COMPRESSED_BIT;
@@ -71,13 +103,16 @@
           throw new PeerFrameError(
             `${size} bytes exceed the limit of ${maxBytes}`,
           );
-        if (rest.length < LENGTH_BYTES + size) break;
         const end = LENGTH_BYTES + size;
+        if (rest.length < end) {
+          neededBytes = end;
+          break;
+        }
         const body = rest.subarray(LENGTH_BYTES, end);
         values.push(decodeValue(isCompressed ? inflate(body, maxBytes) : body));
         rest = rest.subarray(end);
       }
-      pending = rest;
+      keep(rest);
       return values;
     },
   };
