Bound what callers make a process keep

Pooled connections are cleared when much is prepared on them. All limits are settings; gauges, a counter and a bounded log line tell of them.

--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -352,3 +352,14 @@
   orderWindowMs: 1500,
   retryMs: 100,
 } as const;
+
+/**
+ * What one session may set and prepare. Sessions in use set a few values of some
+ * hundred bytes and prepare some dozen statements.
+ */
+export const SESSION_LIMITS = {
+  values: 1000,
+  valueBytes: 2 * 1024 * 1024,
+  prepared: 2000,
+  preparedBytes: 4 * 1024 * 1024,
+} as const;
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -311,6 +311,7 @@
         connection.connection.dispose();
         return;
       }
+      connection.trim();
       connection.idleSince = clock.now();
       idle.push(member);
       onIdle();
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -1,5 +1,5 @@
 /** Public exports of `@quetzalreel/proxy`. */
-export {ANSWER_LIMITS} from './defaults.js';
+export {ANSWER_LIMITS, SESSION_LIMITS} from './defaults.js';
 export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
 export {type Log, type LogTarget, createLog} from './log.js';
 export {type Metrics, serveMetrics} from './metrics.js';
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -1,7 +1,12 @@
 /** Counters and histograms for operators, with a bounded number of series. */
 import http from 'node:http';
 import type {Disposable} from '@quetzalreel/common';
-import type {Answer} from '@quetzalreel/requests';
+import {
+  type Answer,
+  type CallerLimit,
+  type CallerMemory,
+  KeptKind,
+} from '@quetzalreel/requests';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {GroupRuntime} from './group-types.js';
 import {LOAD_COUNTS} from './load-counts.js';
@@ -15,6 +20,8 @@
   observeWait(rule: ReadRule, waitedMs: number): void;
   /** Records by how much the periodic work was late. */
   observeTickDelay(delayMs: number): void;
+  /** Counts that a limit has refused a caller something. */
+  countLimit(limit: CallerLimit): void;
   /** The metrics in the text format of `contentType`. */
   text(): Promise<string>;
   readonly contentType: string;
@@ -28,6 +35,9 @@
   storeEra(): number;
   sessions(): number;
   heldAnswerBytes(): number;
+  readonly callerMemory?: CallerMemory;
+  /** Connections of callers that are open. */
+  callerConnections?(): number;
   now(): number;
 }
 
@@ -67,6 +77,12 @@
     buckets: BUCKETS,
     registers,
   });
+  const limited = new Counter({
+    name: 'quetzalreel_callers_limited_total',
+    help: 'What was refused to callers or closed, by limit.',
+    labelNames: ['limit'] as const,
+    registers,
+  });
   const gauges = {
     generation: new Gauge({
       name: 'quetzalreel_configuration_generation',
@@ -88,6 +104,22 @@
       help: 'Long answers that callers have not received yet; more of them wait above a limit.',
       registers,
     }),
+    callerBytes: new Gauge({
+      name: 'quetzalreel_caller_kept_bytes',
+      help: 'What callers make this instance keep, by kind.',
+      labelNames: ['kind'] as const,
+      registers,
+    }),
+    callerBudget: new Gauge({
+      name: 'quetzalreel_caller_budget_bytes',
+      help: 'Limit of what callers make this instance keep.',
+      registers,
+    }),
+    callerConnections: new Gauge({
+      name: 'quetzalreel_caller_connections',
+      help: 'Connections of callers that are open.',
+      registers,
+    }),
     silent: new Gauge({
       name: 'quetzalreel_endpoint_silent_seconds',
       help: 'Time since an endpoint was last heard of; the age of what is believed of it.',
@@ -121,6 +153,15 @@
     registers,
   });
 
+  function readCallers(): void {
+    const {callerMemory} = source;
+    gauges.callerConnections.set(source.callerConnections?.() ?? 0);
+    if (!callerMemory) return;
+    gauges.callerBudget.set(callerMemory.limits.totalBytes);
+    for (const kind of Object.values(KeptKind))
+      gauges.callerBytes.set({kind}, callerMemory.keptOf(kind));
+  }
+
   function readGroup(group: GroupRuntime): void {
     for (const [endpoint, link] of group.links) {
       const labels = {group: group.name, endpoint};
@@ -143,6 +184,7 @@
     observeWait(rule, waitedMs) {
       waits.observe({rule}, waitedMs / MS_PER_SECOND);
     },
+    countLimit: limit => limited.inc({limit}),
     observeTickDelay(delayMs) {
       tickDelays.observe(delayMs / MS_PER_SECOND);
     },
@@ -154,6 +196,7 @@
       gauges.storeEra.set(source.storeEra());
       gauges.sessions.set(source.sessions());
       gauges.heldAnswers.set(source.heldAnswerBytes());
+      readCallers();
       for (const group of source.groups()) readGroup(group);
       return registry.metrics();
     },
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -18,14 +18,9 @@
   linksOf,
 } from '@quetzalreel/facts';
 import type {KindStore} from '@quetzalreel/object-store';
-import type {AnswerMemory} from '@quetzalreel/requests';
+import type {AnswerMemory, CallerMemory} from '@quetzalreel/requests';
 import {type PeerTransport, tcpTransport} from '@quetzalreel/peer';
-import {
-  type Relay,
-  type RelayTarget,
-  type ServedConnection,
-  startRelay,
-} from '@quetzalreel/relay';
+import {type Relay, type RelayOptions, startRelay} from '@quetzalreel/relay';
 import {
   type ChangeQueries,
   type ChangeSource,
@@ -61,7 +56,10 @@
    * Creates the executor for a requester at an endpoint; undefined for an
    * unknown endpoint.
    */
-  readonly serveRelayed: (target: RelayTarget) => ServedConnection | undefined;
+  readonly serveRelayed: RelayOptions['serve'];
+  readonly callerMemory: CallerMemory;
+  /** Requesters that may be connected to the relay at the same time. */
+  readonly maxRequesters: number;
   /** Called when instances have joined or left. */
   readonly onChange: () => void;
   readonly clock: Clock;
@@ -217,6 +215,8 @@
       ...context.relay,
       idleTimeoutMs: TIMES.requesterIdleTimeoutMs,
       memory: context.answerMemory,
+      callerMemory: context.callerMemory,
+      maxRequesters: context.maxRequesters,
       serve: context.serveRelayed,
       onEnd: (target, why) => log.info({event: 'relayEnded', ...target, why}),
     });
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -7,11 +7,16 @@
   type AcceptCaller,
   type Answer,
   type AnswerMemory,
+  type CallerLimit,
+  type CallerMemory,
   type EndpointDriver,
   type EndpointStatus,
   ErrorCode,
+  type OnLimit,
+  type SessionLimits,
   SessionState,
   localError,
+  unlimitedCallerMemory,
 } from '@quetzalreel/requests';
 import {suspensionDetector} from '@quetzalreel/freshness';
 import type {KindStore} from '@quetzalreel/object-store';
@@ -22,11 +27,13 @@
   primaryChanger,
 } from '@quetzalreel/failover';
 import {
+  type KeepForRequester,
   type RelayTarget,
   type ServedConnection,
   tcpRelayDriver,
 } from '@quetzalreel/relay';
-import {CHANGE_LIMITS, TIMES} from './defaults.js';
+import {callerLimitLog} from './caller-limit-log.js';
+import {CHANGE_LIMITS, SESSION_LIMITS, TIMES} from './defaults.js';
 import type {GroupRuntime} from './group-types.js';
 import {groupRuntime} from './group.js';
 import {serveRelayedRequests} from './relayed-requests.js';
@@ -66,6 +73,14 @@
   readonly driver: EndpointDriver;
   /** Shared with `driver` and the listener for callers. */
   readonly answerMemory: AnswerMemory;
+  /** Counts what callers and peers' relayed requests make this process keep;
+   * not bounded without it. */
+  readonly callerMemory?: CallerMemory;
+  readonly sessionLimits?: SessionLimits;
+  /** Requesters that may be connected to the relay at the same time. */
+  readonly maxRequesters?: number;
+  /** Connections of callers that are open. */
+  readonly callerConnections?: () => number;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
   readonly orders: PromotionOrders;
   /**
@@ -80,6 +95,8 @@
 /** A running proxy. */
 export interface Proxy {
   readonly metrics: Metrics;
+  /** Reports that a limit has refused a caller something. */
+  readonly onLimit: OnLimit;
   /** Accepts a caller's session. */
   readonly accept: AcceptCaller;
   /**
@@ -106,6 +123,9 @@
   const sessions = new Set<CallerSession>();
   const groups = new Map<string, GroupRuntime>();
   const guard = suspensionDetector(() => clock.now(), options.timeOfDay);
+  const callerMemory = options.callerMemory ?? unlimitedCallerMemory();
+  const sessionLimits = options.sessionLimits ?? SESSION_LIMITS;
+  const limitLog = callerLimitLog(clock, log);
   let shutdown: Shutdown | undefined;
   let onConfigured = () => {};
   const configured = new Promise<void>(resolve => {
@@ -118,11 +138,20 @@
     storeEra: () => options.store.era.current,
     sessions: () => sessions.size,
     heldAnswerBytes: () => options.answerMemory.heldBytes,
+    callerMemory,
+    callerConnections: options.callerConnections ?? (() => sessions.size),
     now: () => clock.now(),
   });
 
+  function onLimit(limit: CallerLimit, bytes: number): void {
+    metrics.countLimit(limit);
+    limitLog.note(limit, bytes);
+  }
+
   const peers = joinPeers({
     ...options,
+    callerMemory,
+    maxRequesters: options.maxRequesters ?? Infinity,
     serveRelayed: serveOthers,
     onChange: () => {
       for (const group of groups.values()) group.replan();
@@ -257,7 +286,10 @@
     );
   }
 
-  function serveOthers(target: RelayTarget): ServedConnection | undefined {
+  function serveOthers(
+    target: RelayTarget,
+    keep: KeepForRequester,
+  ): ServedConnection | undefined {
     const {endpoint} = target;
     const group = groups.get(target.group);
     if (!group?.links.has(endpoint)) return undefined;
@@ -267,6 +299,7 @@
       group,
       endpoint,
       clock,
+      keep,
       idleTransactionMs: idleTransactionMs,
     });
   }
@@ -344,6 +377,8 @@
       idleTransactionMs: () => view.table!.idleTransactionMs,
       stopping: () => shutdown?.endsSessions ?? false,
       answerBy: () => shutdown?.answerBy ?? Infinity,
+      limits: sessionLimits,
+      onLimit,
       onEnd: () => sessions.delete(session),
     });
     sessions.add(session);
@@ -353,6 +388,7 @@
   return {
     accept,
     metrics,
+    onLimit,
     configured,
     dispose: () => owned.dispose(),
     get ready() {
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -10,17 +10,19 @@
   ConnectionLostError,
   type EndpointRequest,
   ErrorCode,
+  KeptKind,
   SessionState,
   localAnswer,
   localError,
 } from '@quetzalreel/requests';
-import type {ServedConnection} from '@quetzalreel/relay';
+import type {KeepForRequester, ServedConnection} from '@quetzalreel/relay';
 import {TIMES} from './defaults.js';
 import type {ConnectionLease} from './group-types.js';
 import {ANY_ENDPOINT} from './placement.js';
 import {
   NO_SETTINGS,
   type PreparedStatement,
+  sizeOfPrepared,
   withValue,
 } from './pooled-connection.js';
 import {
@@ -69,15 +71,18 @@
    * requester does so earlier unless it has failed.
    */
   readonly idleTransactionMs: () => number;
+  /** Counts what is kept for the requester. */
+  readonly keep: KeepForRequester;
 }
 
 /** Executes the requests of one requester at one endpoint. */
 export function serveRelayedRequests(
   context: RelayedRequestsContext,
 ): ServedConnection {
-  const {group, endpoint, clock, idleTransactionMs} = context;
+  const {group, endpoint, clock, idleTransactionMs, keep} = context;
   let settings = NO_SETTINGS;
   const prepared = new Map<string, PreparedStatement>();
+  let preparedBytes = 0;
   let lease: ConnectionLease | undefined;
   let hasDisconnected = false;
   let isServing = false;
@@ -104,6 +109,14 @@
     });
   }
 
+  function prepare(name: string, statement: PreparedStatement): void {
+    const before = prepared.get(name);
+    if (before) preparedBytes -= sizeOfPrepared(name, before);
+    prepared.set(name, statement);
+    preparedBytes += sizeOfPrepared(name, statement);
+    keep(KeptKind.Prepared, preparedBytes);
+  }
+
   function forgetLease(): void {
     lease = undefined;
     endPrimaryWork?.();
@@ -231,13 +244,17 @@
       switch (req.type) {
         case 'set':
           settings = withValue(settings, req.name, req.value);
+          keep(KeptKind.Values, settings.bytes);
           return localSuccess();
         case 'prepare':
-          prepared.set(req.name, {access: req.access, shape: req.shape});
+          prepare(req.name, {access: req.access, shape: req.shape});
           return localSuccess();
         case 'discard':
           settings = NO_SETTINGS;
           prepared.clear();
+          preparedBytes = 0;
+          keep(KeptKind.Values, 0);
+          keep(KeptKind.Prepared, 0);
           return localSuccess();
         case 'rollback':
           wasRolledBack = false;
@@ -248,6 +265,8 @@
     },
     dispose() {
       hasDisconnected = true;
+      settings = NO_SETTINGS;
+      prepared.clear();
       idleTimer?.dispose();
       if (!isServing) rollBack();
       else clock.after(TIMES.abandonedAnswerTimeoutMs, closeAbandoned);
--- a/packages/proxy/src/session-context.ts
+++ b/packages/proxy/src/session-context.ts
@@ -30,6 +30,8 @@
   settings: SessionSettings;
   /** Prepared statements, by the caller's names. */
   readonly prepared: Map<string, PreparedStatement>;
+  /** Memory that `prepared` takes, in bytes. */
+  preparedBytes: number;
   /**
    * Position of the session's newest commit in each group; its reads must not
    * go below it.
@@ -39,7 +41,12 @@
 
 /** The state of a new session. */
 export function newSessionData(): SessionData {
-  return {settings: NO_SETTINGS, prepared: new Map(), floors: new Map()};
+  return {
+    settings: NO_SETTINGS,
+    prepared: new Map(),
+    preparedBytes: 0,
+    floors: new Map(),
+  };
 }
 
 /** Dependencies and state for serving one request. */
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -7,6 +7,8 @@
   type CallerHandler,
   type CallerRequest,
   ErrorCode,
+  type OnLimit,
+  type SessionLimits,
   SessionState,
   type Statement,
   localAnswer,
@@ -15,9 +17,9 @@
 import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
-import {withValue} from './pooled-connection.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newSessionData} from './session-context.js';
+import {limitedSessionData} from './session-limits.js';
 import {serveRead, serveWrite} from './single-statement.js';
 import {type Transaction, callerTransaction} from './transaction.js';
 
@@ -37,6 +39,9 @@
   readonly stopping: () => boolean;
   /** When this instance stops answering, in monotonic milliseconds. */
   readonly answerBy: () => number;
+  readonly limits: SessionLimits;
+  /** Called when a limit refuses a statement. */
+  readonly onLimit: OnLimit;
   readonly onEnd: () => void;
 }
 
@@ -55,6 +60,12 @@
 export function callerSession(context: SessionContext): CallerSession {
   const {clock, log, connection} = context;
   const memory = newSessionData();
+  const kept = limitedSessionData({
+    data: memory,
+    limits: context.limits,
+    connection,
+    onLimit: context.onLimit,
+  });
   const queue: Array<{req: CallerRequest; arrivedAt: number}> = [];
   let transaction: Transaction | undefined;
   /** The route in force when the open transaction began; used until it ends. */
@@ -67,6 +78,8 @@
     ended = true;
     transaction?.abandon();
     transaction = undefined;
+    // A request in progress may hold on to the session.
+    queue.splice(0);
     context.onEnd();
   }
 
@@ -82,20 +95,13 @@
     if (state === SessionState.Failed) return undefined;
     switch (statement.type) {
       case 'set':
-        memory.settings = withValue(
-          memory.settings,
-          statement.name,
-          statement.value,
-        );
-        return localAnswer(state);
+        return kept.set(statement.name, statement.value, state);
       case 'prepare': {
         const {name, access, shape} = statement;
-        memory.prepared.set(name, {access, shape});
-        return localAnswer(state);
+        return kept.prepare(name, access, shape, state);
       }
       case 'close':
-        memory.prepared.delete(statement.name);
-        return localAnswer(state);
+        return kept.close(statement.name, state);
       case 'execute':
         if (memory.prepared.has(statement.name)) return undefined;
         return localError(
--- a/packages/proxy/test/simulated-fleet.ts
+++ b/packages/proxy/test/simulated-fleet.ts
@@ -56,6 +56,7 @@
 
   const accept: AcceptRequester = (relay, {endpoint}) =>
     serveRelayedRequests({
+      keep() {},
       group: groups.get(relay)!,
       endpoint,
       clock,
--- a/packages/proxy/test/test-pooled-connection.ts
+++ b/packages/proxy/test/test-pooled-connection.ts
@@ -2,6 +2,7 @@
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
 import {
+  Access,
   type EndpointConnection,
   type EndpointRequest,
   SessionState,
@@ -66,3 +67,26 @@
     );
   });
 });
+
+describe('a shared connection', () => {
+  const prepared = (length: number) => ({
+    access: Access.Read,
+    shape: 's'.repeat(length),
+  });
+
+  it('is cleared when more is prepared on it than sessions usually need', () => {
+    const {connection, sent} = recordingConnection();
+    const pooled = pooledConnection(connection, 0);
+    pooled.applySettings(withValue(NO_SETTINGS, 'mode', 'on'));
+    for (let i = 0; i < 9; i++) pooled.statementName(prepared(1000 + i));
+    sent.length = 0;
+    pooled.trim();
+    assert.deepEqual(sent, []);
+    const long = pooled.statementName(prepared(300_000));
+    pooled.trim();
+    assert.deepEqual(sent.at(-1), {type: 'discard'});
+    assert.equal(pooled.settingsKey, NO_SETTINGS.key);
+    // It has to be prepared again, under a name that was not used before.
+    assert.notEqual(pooled.statementName(prepared(300_000)), long);
+  });
+});
--- a/packages/proxy/test/test-single-statement.ts
+++ b/packages/proxy/test/test-single-statement.ts
@@ -73,6 +73,7 @@
       const pooled = {
         connection: {endpoint: id, dispose() {}},
         applySettings() {},
+        trim() {},
         async send(request: EndpointRequest) {
           sent.push({req: request, need: {...need, avoid}, endpoint: id});
           return answers[sent.length - 1]!;
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -1,6 +1,7 @@
 /** Public exports of `@quetzalreel/relay`. */
 export type {EndpointObservation, RelayTarget} from './messages.js';
 export {
+  type KeepForRequester,
   type Relay,
   type RelayOptions,
   type ServedConnection,
--- a/packages/relay/src/relay.ts
+++ b/packages/relay/src/relay.ts
@@ -7,9 +7,13 @@
 import {
   type Answer,
   type AnswerMemory,
+  type CallerMemory,
   ConnectionLostError,
+  ENTRY_BYTES,
   type EndpointRequest,
+  KeptKind,
   SessionState,
+  readTurns,
   sizeOfRows,
 } from '@quetzalreel/requests';
 import {encodeFrame, frameDecoder} from '@quetzalreel/peer';
@@ -35,6 +39,9 @@
   observe(): EndpointObservation;
 }
 
+/** Counts what the executor of one requester keeps. */
+export type KeepForRequester = (kind: KeptKind, bytes: number) => void;
+
 /** Options of a relay. */
 export interface RelayOptions {
   readonly host: string;
@@ -49,9 +56,16 @@
    * Creates the executor for one requester; undefined for an endpoint unknown
    * to this instance.
    */
-  readonly serve: (target: RelayTarget) => ServedConnection | undefined;
+  readonly serve: (
+    target: RelayTarget,
+    keep: KeepForRequester,
+  ) => ServedConnection | undefined;
   /** Counts the answers until requesters have received them. */
   readonly memory: AnswerMemory;
+  /** Counts what is kept for requesters, which is not bounded without it. */
+  readonly callerMemory?: CallerMemory;
+  /** Requesters that may be connected at the same time; any number by default. */
+  readonly maxRequesters?: number;
   /** Called with the reason when a requester is rejected or disconnected. */
   readonly onEnd: (target: RelayTarget | undefined, why: string) => void;
 }
@@ -71,6 +85,21 @@
   stop(): void;
 }
 
+/** A requester is not read from while requests without an answer take more than
+ * this together, in bytes. One request may be longer. */
+const MAX_QUEUED_BYTES = 1024 * 1024;
+/** What the system may hold for a requester that is not read from, in bytes. */
+const UNREAD_BYTES = 256 * 1024;
+
+/** Memory that a waiting request takes, in bytes. */
+function sizeOfRequest(req: EndpointRequest): number {
+  let bytes = ENTRY_BYTES;
+  for (const field of Object.values(req)) {
+    if (typeof field === 'string') bytes += field.length;
+  }
+  return bytes;
+}
+
 /** The connection of one requester. */
 interface RequesterConnection extends Disposable {
   /**
@@ -88,6 +117,12 @@
 ): RequesterConnection {
   const decoder = frameDecoder(MAX_FRAME_BYTES);
   const queue: EndpointRequest[] = [];
+  let queuedBytes = 0;
+  /** Whether the requester is not read from because of its waiting requests. */
+  let isHeld = false;
+  const share = options.callerMemory?.join(close);
+  const turns = readTurns(socket, () => queuedBytes <= MAX_QUEUED_BYTES);
+  const keep: KeepForRequester = (kind, bytes) => share?.set(kind, bytes);
   let target: RelayTarget | undefined;
   let served: ServedConnection | undefined;
   let isServing = false;
@@ -108,22 +143,47 @@
     for (const message of messages.slice(0, -1)) sendMessage(message);
     const last = encodeFrame(messages[messages.length - 1]);
     // Also called, with an error, for a connection that was closed.
-    socket.write(last, () => held.dispose());
+    socket.write(last, () => {
+      held.dispose();
+      keep(KeptKind.Answers, socket.writableLength);
+    });
+    keep(KeptKind.Answers, socket.writableLength);
+  }
+
+  /** Counts the requests that wait, and reads on when they are few. */
+  function countQueued(added: number): void {
+    queuedBytes += added;
+    const waits = queuedBytes > MAX_QUEUED_BYTES;
+    if (waits) socket.pause();
+    else if (isHeld) socket.resume();
+    isHeld = waits;
+    keep(KeptKind.Unread, waits ? UNREAD_BYTES : 0);
+    keep(KeptKind.Requests, queuedBytes);
   }
 
   function close(why: string): void {
     if (socket.destroyed) return;
     options.onEnd(target, why);
+    // What is kept is dropped now: `close` may come much later under load.
+    drop();
     socket.destroy();
   }
 
+  function drop(): void {
+    isLost = true;
+    queue.splice(0);
+    share?.dispose();
+    served?.dispose();
+    served = undefined;
+  }
+
   function open(value: unknown): void {
     if (!isRelayTarget(value)) {
       close('the first frame is not a relay target');
       return;
     }
     target = value;
-    served = options.serve(value);
+    served = options.serve(value, keep);
     if (served) sendMessage({type: 'open'});
     else close('the endpoint is unknown to this instance');
   }
@@ -133,6 +193,7 @@
     isServing = true;
     for (let req = queue.shift(); req && !isLost; req = queue.shift()) {
       await serveOne(req);
+      countQueued(-sizeOfRequest(req));
     }
     isServing = false;
   }
@@ -158,6 +219,7 @@
       sendMessage({type: 'sign', sign: served.observe()});
     } else if (isRequest(value)) {
       queue.push(value);
+      countQueued(sizeOfRequest(value));
       void serveQueue();
     } else {
       close('a frame is not a valid request');
@@ -167,15 +229,14 @@
   socket.setNoDelay(true);
   socket.setTimeout(options.idleTimeoutMs, () => close('the asker is silent'));
   socket.on('error', err => close(err.message));
-  socket.on('close', () => {
-    isLost = true;
-    served?.dispose();
-  });
+  socket.on('close', drop);
   socket.on('data', chunk => {
+    turns.note(chunk.length);
     try {
       for (const value of decoder.push(chunk)) {
         if (!socket.destroyed) handleFrame(value);
       }
+      keep(KeptKind.Message, decoder.pendingBytes);
     } catch (err) {
       close(messageOf(err));
     }
@@ -194,6 +255,11 @@
 export async function startRelay(options: RelayOptions): Promise<Relay> {
   const requesters = new Set<RequesterConnection>();
   const server = net.createServer(socket => {
+    if (requesters.size >= (options.maxRequesters ?? Infinity)) {
+      options.onEnd(undefined, 'too many requesters are connected');
+      socket.destroy();
+      return;
+    }
     const requester = serveRequester(socket, options);
     requesters.add(requester);
     socket.on('close', () => requesters.delete(requester));
--- a/packages/requests/src/caller.ts
+++ b/packages/requests/src/caller.ts
@@ -1,6 +1,7 @@
 /** Abstract classes for caller connections; each protocol implements them. */
 import type {Disposable} from '@quetzalreel/common';
 import type {Answer} from './answer.js';
+import type {KeptKind} from './caller-memory.js';
 import type {CallerRequest, SessionStart} from './request.js';
 
 /** One caller's connection. */
@@ -13,6 +14,8 @@
   abstract answer(answer: Answer): Promise<void> | undefined;
   /** Closes the connection once everything written has been sent. */
   abstract end(): void;
+  /** Counts what the session keeps of one kind; may close the connection. */
+  abstract keep(kind: KeptKind, bytes: number): void;
 }
 
 /**
@@ -36,6 +39,8 @@
 /** Listens for callers that use one protocol. */
 export abstract class CallerListener implements Disposable {
   abstract readonly port: number;
+  /** Connections that are open. */
+  abstract readonly connections: number;
   /**
    * Accepts no more callers. Resolves when the network has taken all that was
    * written to them, or after `atMostMs`.
--- a/packages/requests/src/index.ts
+++ b/packages/requests/src/index.ts
@@ -18,6 +18,21 @@
   type GatheredAnswer,
   answerMemory,
 } from './answer-memory.js';
+export {
+  CallerLimit,
+  type ConnectionLimits,
+  type OnLimit,
+  type SessionLimits,
+} from './caller-limits.js';
+export {
+  type CallerMemory,
+  type CallerMemoryLimits,
+  type CallerShare,
+  ENTRY_BYTES,
+  KeptKind,
+  callerMemory,
+  unlimitedCallerMemory,
+} from './caller-memory.js';
 export {
   type AcceptCaller,
   CallerConnection,
@@ -33,6 +48,7 @@
   type EndpointRequest,
   type EndpointStatus,
 } from './endpoint.js';
+export {type ReadTurns, readTurns} from './read-turns.js';
 export {
   Access,
   type CallerRequest,
