--- a/packages/common/src/chunk-buffer.ts
+++ b/packages/common/src/chunk-buffer.ts
@@ -9,6 +9,8 @@
   push(chunk: Buffer): Buffer | undefined;
   /** Keeps `rest` until `needed` bytes in all have arrived. */
   keep(rest: Buffer, needed: number): void;
+  /** Memory that the kept bytes take, in bytes. */
+  readonly keptBytes: number;
 }
 
 const NOTHING = Buffer.alloc(0);
@@ -34,6 +36,9 @@
   }
 
   return {
+    get keptBytes() {
+      return storage.length;
+    },
     push(chunk) {
       if (length + chunk.length < needs) {
         append(chunk);
--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -55,12 +55,17 @@
   /** Returns the values that `chunk` completes. Throws PeerFrameError; the link
    * must be closed then. */
   push(chunk: Buffer): unknown[];
+  /** Bytes of a frame whose end has not arrived. */
+  readonly pendingBytes: number;
 }
 
 /** Creates a decoder that refuses frames longer than `maxBytes`. */
 export function frameDecoder(maxBytes: number): FrameDecoder {
   const pending = chunkBuffer(LENGTH_BYTES);
   return {
+    get pendingBytes() {
+      return pending.keptBytes;
+    },
     push(chunk) {
       const values: unknown[] = [];
       let rest = pending.push(chunk);
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -383,6 +383,7 @@
         connection.connection.dispose();
         return;
       }
+      connection.trim();
       connection.idleSince = clock.now();
       idle.push(member);
       onIdle();
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -6,7 +6,7 @@
   NO_ACCOUNT,
   accountDirectory,
 } from './accounts.js';
-export {ANSWER_LIMITS} from './defaults.js';
+export {ANSWER_LIMITS, SESSION_LIMITS} from './defaults.js';
 export {
   type AccountDescription,
   type EndpointDescription,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -7,10 +7,15 @@
   type AcceptCaller,
   type Answer,
   type AnswerMemory,
+  type CallerLimit,
+  type CallerMemory,
   type EndpointDriver,
   type EndpointStatus,
+  type OnLimit,
+  type SessionLimits,
   SessionState,
   localError,
+  unlimitedCallerMemory,
 } from '@quetzalreel/requests';
 import {suspensionDetector} from '@quetzalreel/freshness';
 import type {KindStore} from '@quetzalreel/object-store';
@@ -22,12 +27,14 @@
 } from '@quetzalreel/failover';
 import type {QuotaRule} from '@quetzalreel/quota';
 import {
+  type KeepForRequester,
   type RelayTarget,
   type ServedConnection,
   tcpRelayDriver,
 } from '@quetzalreel/relay';
 import {accountFor} from './accounts.js';
-import {CHANGE_LIMITS, TIMES} from './defaults.js';
+import {callerLimitLog} from './caller-limit-log.js';
+import {CHANGE_LIMITS, SESSION_LIMITS, TIMES} from './defaults.js';
 import {
   type ExplainContext,
   type ExplainQuery,
@@ -77,6 +84,14 @@
   readonly driver: EndpointDriver;
   /** Shared with `driver` and the listener for callers. */
   readonly answerMemory: AnswerMemory;
+  /** Counts what callers and peers' relayed requests make this process keep;
+   * not bounded without it. */
+  readonly callerMemory?: CallerMemory;
+  readonly sessionLimits?: SessionLimits;
+  /** Requesters that may be connected to the relay at the same time. */
+  readonly maxRequesters?: number;
+  /** Connections of callers that are open. */
+  readonly callerConnections?: () => number;
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
   readonly orders: PromotionOrders;
   /**
@@ -93,6 +108,8 @@
 /** A running proxy. */
 export interface Proxy {
   readonly metrics: Metrics;
+  /** Reports that a limit has refused a caller something. */
+  readonly onLimit: OnLimit;
   /** Accepts a caller's session. */
   readonly accept: AcceptCaller;
   /**
@@ -123,6 +140,9 @@
   const sessions = new Set<CallerSession>();
   const groups = new Map<string, GroupRuntime>();
   const guard = suspensionDetector(() => clock.now(), options.timeOfDay);
+  const callerMemory = options.callerMemory ?? unlimitedCallerMemory();
+  const sessionLimits = options.sessionLimits ?? SESSION_LIMITS;
+  const limitLog = callerLimitLog(clock, log);
   let shutdown: Shutdown | undefined;
   let onConfigured = () => {};
   const configured = new Promise<void>(resolve => {
@@ -135,6 +155,8 @@
     storeEra: () => options.store.era.current,
     sessions: () => sessions.size,
     heldAnswerBytes: () => options.answerMemory.heldBytes,
+    callerMemory,
+    callerConnections: options.callerConnections ?? (() => sessions.size),
     now: () => clock.now(),
   });
 
@@ -149,8 +171,15 @@
     }),
   );
 
+  function onLimit(limit: CallerLimit, bytes: number): void {
+    metrics.countLimit(limit);
+    limitLog.note(limit, bytes);
+  }
+
   const peers = joinPeers({
     ...options,
+    callerMemory,
+    maxRequesters: options.maxRequesters ?? Infinity,
     serveRelayed: serveOthers,
     onChange: () => {
       for (const group of groups.values()) group.replan();
@@ -289,7 +318,10 @@
     );
   }
 
-  function serveOthers(target: RelayTarget): ServedConnection | undefined {
+  function serveOthers(
+    target: RelayTarget,
+    keep: KeepForRequester,
+  ): ServedConnection | undefined {
     const {endpoint} = target;
     const group = groups.get(target.group);
     if (!group?.links.has(endpoint)) return undefined;
@@ -299,6 +331,7 @@
       group,
       endpoint,
       clock,
+      keep,
       idleTransactionMs: idleTransactionMs,
     });
   }
@@ -395,6 +428,8 @@
       idleTransactionMs: () => view.table!.idleTransactionMs,
       stopping: () => shutdown?.endsSessions ?? false,
       answerBy: () => shutdown?.answerBy ?? Infinity,
+      limits: sessionLimits,
+      onLimit,
       onEnd: () => sessions.delete(session),
     });
     sessions.add(session);
@@ -404,6 +439,7 @@
   return {
     accept,
     metrics,
+    onLimit,
     configured,
     explain: query => explainRequest(query, explainContext()),
     describe: () => describeInstance(explainContext()),
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -7,6 +7,8 @@
   type CallerHandler,
   type CallerRequest,
   ErrorCode,
+  type OnLimit,
+  type SessionLimits,
   SessionState,
   type Statement,
   localAnswer,
@@ -18,9 +20,9 @@
 import type {Log} from './log.js';
 import type {Metrics} from './metrics.js';
 import {TIMES} from './defaults.js';
-import {withValue} from './pooled-connection.js';
 import type {Route} from './routes.js';
 import {type ServeContext, newSessionData} from './session-context.js';
+import {limitedSessionData} from './session-limits.js';
 import {routeRefusal} from './session-refusal.js';
 import {serveRead, serveWrite} from './single-statement.js';
 import {type Transaction, callerTransaction} from './transaction.js';
@@ -50,6 +52,9 @@
   readonly stopping: () => boolean;
   /** When this instance stops answering, in monotonic milliseconds. */
   readonly answerBy: () => number;
+  readonly limits: SessionLimits;
+  /** Called when a limit refuses a statement. */
+  readonly onLimit: OnLimit;
   readonly onEnd: () => void;
 }
 
@@ -96,6 +101,12 @@
 export function callerSession(context: SessionContext): CallerSession {
   const {clock, log, connection} = context;
   const memory = newSessionData();
+  const kept = limitedSessionData({
+    data: memory,
+    limits: context.limits,
+    connection,
+    onLimit: context.onLimit,
+  });
   const queue: Array<{req: CallerRequest; arrivedAt: number}> = [];
   let transaction: Transaction | undefined;
   /** The route in force when the open transaction began; used until it ends. */
@@ -111,6 +122,8 @@
     ended = true;
     transaction?.abandon();
     transaction = undefined;
+    // A request in progress may hold on to the session.
+    queue.splice(0);
     context.onEnd();
   }
 
@@ -126,20 +139,13 @@
     if (state === SessionState.Failed) return undefined;
     switch (statement.type) {
       case 'set':
-        memory.settings = withValue(
-          memory.settings,
-          statement.name,
-          statement.value,
-        );
-        return localAnswer(state);
+        return kept.set(statement.name, statement.value, state);
       case 'prepare': {
         const {name, access, shape} = statement;
-        memory.prepared.set(name, {access, shape});
-        return localAnswer(state);
+        return kept.prepare(name, access, shape, state);
       }
       case 'close':
-        memory.prepared.delete(statement.name);
-        return localAnswer(state);
+        return kept.close(statement.name, state);
       case 'execute':
         if (memory.prepared.has(statement.name)) return undefined;
         return localError(
--- a/packages/relay/src/index.ts
+++ b/packages/relay/src/index.ts
@@ -6,6 +6,7 @@
   RelayTarget,
 } from './messages.js';
 export {
+  type KeepForRequester,
   type Relay,
   type RelayOptions,
   type ServedConnection,
