Give up requests that become late while late ones are not served

Change: the rate is that of the rank, in time and late apart; a request that would become late, or does, is refused unless late ones are served soon enough.

--- a/packages/proxy/src/wait-queue.ts
+++ b/packages/proxy/src/wait-queue.ts
@@ -25,19 +25,28 @@
   readonly objectiveAt: number;
 }
 
+/** The need and the route's priority of a request. */
+export type QueueRank = Pick<QueuedRequest, 'primaryOnly' | 'priority'>;
+
 /** A queue of waiting requests. */
 export interface WaitQueue<T extends QueuedRequest> {
   readonly size: number;
-  /** Number of requests that would be served before `item`. */
-  ahead(item: T): number;
+  /** Number of waiting requests of the rank, in time or late. */
+  waiting(rank: QueueRank, isLate: boolean): number;
   add(item: T): void;
   remove(item: T): void;
   /**
    * Calls `place` with the requests in order, and removes those for which it
    * returns true. Examines at most `lookAhead` requests per lane that are not
-   * placed.
+   * placed. Calls `givesUp` with each request that becomes late, and removes those
+   * for which it returns true.
    */
-  dispatch(place: (item: T) => boolean, lookAhead: number, now: number): void;
+  dispatch(
+    place: (item: T) => boolean,
+    lookAhead: number,
+    now: number,
+    givesUp?: (item: T) => boolean,
+  ): void;
 }
 
 /**
@@ -53,9 +62,7 @@
   readonly turns: Map<string, T[]>;
 }
 
-type Rank = Pick<Lane<unknown>, 'isLate' | 'priority' | 'accountPriority'>;
-
-function byRank(a: Rank, b: Rank): number {
+function byRank<T>(a: Lane<T>, b: Lane<T>): number {
   return (
     Number(a.isLate) - Number(b.isLate) ||
     a.priority - b.priority ||
@@ -91,13 +98,14 @@
   }
 
   /** Moves requests past their objective to the late lanes. */
-  function moveLate(now: number): void {
+  function moveLate(now: number, givesUp: (item: T) => boolean): void {
     for (const lane of [...lanes]) {
       if (lane.isLate) continue;
       for (const [account, items] of lane.turns) {
         while (items[0] && items[0].objectiveAt <= now) {
           const item = items.shift()!;
-          addTo(laneOf(item, true), item);
+          if (givesUp(item)) size--;
+          else addTo(laneOf(item, true), item);
         }
         if (items.length === 0) lane.turns.delete(account);
       }
@@ -154,12 +162,12 @@
     get size() {
       return size;
     },
-    ahead(item) {
-      const own = {...item, isLate: false};
+    waiting({primaryOnly, priority}, isLate) {
       let count = 0;
       for (const lane of lanes) {
-        if (lane.primaryOnly !== item.primaryOnly || byRank(lane, own) > 0)
+        if (lane.primaryOnly !== primaryOnly || lane.isLate !== isLate)
           continue;
+        if (lane.priority !== priority) continue;
         for (const items of lane.turns.values()) count += items.length;
       }
       return count;
@@ -173,8 +181,8 @@
         if (takeOut(turns, item.account ?? '', item)) return;
       }
     },
-    dispatch(place, lookAhead, now) {
-      moveLate(now);
+    dispatch(place, lookAhead, now, givesUp = () => false) {
+      moveLate(now, givesUp);
       for (const lane of lanes) offerLane(lane, place, lookAhead);
     },
   };
--- a/packages/proxy/src/waiting-requests.ts
+++ b/packages/proxy/src/waiting-requests.ts
@@ -5,7 +5,7 @@
 import type {Clock} from '@quetzalreel/common';
 import {LIMITS} from './defaults.js';
 import type {ConnectionLease, ConnectionRequest} from './group-types.js';
-import {type WaitEstimate, waitEstimate} from './wait-estimate.js';
+import {waitEstimates} from './wait-estimate.js';
 import {waitQueue} from './wait-queue.js';
 
 /** The result of an attempt to take a connection for a request. */
@@ -42,17 +42,21 @@
   tryAcquire,
 }: WaitingContext): WaitingRequests {
   const queue = waitQueue<Waiter>();
-  const estimates = {primary: waitEstimate(), any: waitEstimate()};
-
-  function estimateFor({primaryOnly}: ConnectionRequest): WaitEstimate {
-    return primaryOnly ? estimates.primary : estimates.any;
-  }
+  const estimates = waitEstimates(queue);
 
   /** Whether the requests ahead of it take longer than it has. */
   function waitsTooLong(waiter: Waiter): boolean {
     const now = clock.now();
-    const waitMs = estimateFor(waiter).waitMs(queue.ahead(waiter), now);
-    return now + waitMs > waiter.deadline;
+    return now + estimates.waitMs(waiter, now) > waiter.deadline;
+  }
+
+  /** Gives up a request that has become late and can't be served any more. */
+  function giveUpLate(waiter: Waiter): boolean {
+    const now = clock.now();
+    if (now + estimates.lateWaitMs(waiter, now) <= waiter.deadline)
+      return false;
+    settle(waiter, undefined);
+    return true;
   }
 
   function settle(waiter: Waiter, lease: ConnectionLease | undefined): void {
@@ -72,7 +76,7 @@
     }
     const {lease, isHopeless} = tryAcquire(waiter);
     if (!lease && !isHopeless) return false;
-    if (lease) estimateFor(waiter).noteServed(clock.now());
+    if (lease) estimates.noteServed(waiter, clock.now());
     settle(waiter, lease);
     return true;
   }
@@ -97,10 +101,8 @@
       }),
     serve() {
       if (queue.size === 0) return;
-      queue.dispatch(serveOne, LIMITS.laneLookAhead, clock.now());
-      if (queue.size > 0) return;
-      estimates.primary.noteEmpty();
-      estimates.any.noteEmpty();
+      queue.dispatch(serveOne, LIMITS.laneLookAhead, clock.now(), giveUpLate);
+      estimates.review(clock.now());
     },
   };
 }
