Keep the types of explanations in a module of their own

Change: the types moved to explain-types.ts; no code changed. Measured: the tests of explanations pass.

--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -20,7 +20,7 @@
   type Rejection,
   StatementKind,
   WaitCause,
-} from './explain.js';
+} from './explain-types.js';
 export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
 export {type Log, type LogTarget, createLog} from './log.js';
 export {type Metrics} from './metrics.js';
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -36,10 +36,12 @@
 import {callerLimitLog} from './caller-limit-log.js';
 import {CHANGE_LIMITS, SESSION_LIMITS, TIMES} from './defaults.js';
 import {
-  type ExplainContext,
   type ExplainQuery,
   type Explanation,
   type InstanceDescription,
+} from './explain-types.js';
+import {
+  type ExplainContext,
   describeInstance,
   explainRequest,
 } from './explain.js';
--- a/packages/proxy/test/test-explain.ts
+++ b/packages/proxy/test/test-explain.ts
@@ -9,10 +9,9 @@
   SessionState,
   localAnswer,
 } from '@quetzalreel/requests';
+import {type ExplainQuery, StatementKind} from '../src/explain-types.js';
 import {
   type ExplainContext,
-  type ExplainQuery,
-  StatementKind,
   describeInstance,
   explainRequest,
 } from '../src/explain.js';
