Serve waiting requests after a statement only where no connection is released next

Cause: since connections count as in flight when taken, each statement's end served the queue, and the release of its connection right after served it again; in between, a waiting request found no idle connection and opened one, which takes a slot for 12 ms. Change: the end of a statement serves the queue only if a transaction stays open.

--- a/packages/proxy/src/run-request.ts
+++ b/packages/proxy/src/run-request.ts
@@ -184,21 +184,33 @@
 }
 
 /** Counts `work` as a statement in flight at the lease's endpoint. */
-export async function countInFlight<T>(
-  lease: ConnectionLease,
-  work: () => Promise<T>,
-): Promise<T> {
+export async function countInFlight<
+  T extends Answer | OpeningResult | undefined,
+>(lease: ConnectionLease, work: () => Promise<T>): Promise<T> {
   const {facts} = lease.link;
   if (!lease.isReserved) facts.inFlight++;
   lease.isReserved = false;
+  let leavesOpen = false;
   try {
-    return await work();
+    const result = await work();
+    leavesOpen = hasOpenTransaction(result);
+    return result;
   } finally {
     facts.inFlight--;
-    lease.onStatementEnd?.();
+    // Elsewhere the connection is released next, and waiting requests are served
+    // then; now they would open another one.
+    if (leavesOpen) lease.onStatementEnd?.();
   }
 }
 
+/** Whether a transaction stays open after the statement with this result. */
+function hasOpenTransaction(
+  result: Answer | OpeningResult | undefined,
+): boolean {
+  const answer = result && 'answer' in result ? result.answer : result;
+  return answer !== undefined && answer.state !== SessionState.Idle;
+}
+
 /**
  * Sends a rollback without waiting, and releases the connection after its
  * answer; without one in time the connection is closed.
