--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -115,10 +115,8 @@
     const now = clock.now();
     const {account, priority, accountPriority, objectiveMs, deadlineMs} =
       originOf(req);
-    // A read may be run elsewhere in the rest of its time, others may not.
-    const waitMs = needsPrimary(req)
-      ? deadlineMs
-      : Math.min(deadlineMs, TIMES.relayedAcquireMs);
+    // Another endpoint may run a read, and another holder may reach the primary.
+    const waitMs = Math.min(deadlineMs, TIMES.relayedAcquireMs);
     return group.acquire({
       primaryOnly: false,
       need: () => ({...ANY_ENDPOINT, only: endpoint, directOnly: true}),
