Decode, keep and pass on only the fields of stored objects that are used

Cause: an entry that names no database was refused where it is parsed, and nowhere else. Before that, the answer was decoded whole; after it, the decoded value stayed in the copy of its kind and was sent whole to peers. Decoded JSON takes up to twenty times its bytes.

Change: a selection names the fields of each kind that are used. The client of the store decodes by it while the answer arrives (over 128 KiB in pieces, by @streamparser/json, so that the rest is never built), for all kinds that are read; what peers send is reduced to it, as builds before this one send whole values. Entries that can't be used are kept and sent by name and revision, up to 512 KiB; beyond that the newest are passed over. Lines about unreadable entries are limited, with a count of the others. An answer may have 64 MiB instead of 8 when only a selection of it is used: a watch has no pages.

Why this works: what is decoded at once is one piece and the fields that are used; what is kept and sent is bounded by those fields and the number of entries that can be used.

Evidence: test-crowd-entries starts three daemons with the flags of the deploy file beside seven kinds of such entries, and checks that none ends, that each stays within 350 MB, that its log stays below 500 kB, and that a configuration and a leaving endpoint written afterwards are known, also by a daemon that starts then.

test-fuzz of the proxy: its reference took an array with a named field for an object. Neither JSON nor CBOR brings one; it now counts as unreadable there as well, which the view agrees with for every input.

The stand-in store ends pages at 1 MB, as the platform's does.

--- a/packages/facts/src/feed-types.ts
+++ b/packages/facts/src/feed-types.ts
@@ -1,6 +1,6 @@
 /** What a feed needs and offers. */
 import type {Clock, Disposable} from '@quetzalreel/common';
-import type {KindEvent, KindStore} from '@quetzalreel/object-store';
+import type {KindEvent, KindObject, KindStore} from '@quetzalreel/object-store';
 import type {FactMessage} from './messages.js';
 import type {PreferenceOf, ReaderLimits} from './reader-role.js';
 
@@ -9,6 +9,12 @@
   readonly kind: string;
   /** Duration of one watch, in milliseconds. */
   readonly watchMs: number;
+  /**
+   * Returns what is used of an object, with its name and revision: that alone is
+   * kept and passed on. Anyone may have written the object, and a peer of another
+   * build may have passed it on whole.
+   */
+  readonly usedPart: (object: KindObject) => KindObject;
   /** Called with the events that changed the copy. */
   readonly onEvents: (events: readonly KindEvent[]) => void;
   /**
--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -3,12 +3,17 @@
  * of them read, and what one learns is passed on over the links.
  */
 import {disposableStore, messageOf} from '@quetzalreel/common';
-import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
+import {
+  type KindEvent,
+  type StoreVersion,
+  compareVersions,
+} from '@quetzalreel/object-store';
 import {
   type KindCopy,
   type KindDelta,
   type Merge,
   deltaOf,
+  isKnown,
   isPlausible,
   mergeDelta,
   onwardDelta,
@@ -47,6 +52,18 @@
   readonly askedMs?: number;
 }
 
+/** The delta with what is used of its objects; nothing of removed ones is. */
+function usedDelta({usedPart}: FollowedKind, delta: KindDelta): KindDelta {
+  const usedEvent = ({object, deleted}: KindEvent): KindEvent => {
+    const {name, revision} = object;
+    const used = deleted
+      ? {name, revision, value: undefined}
+      : usedPart(object);
+    return {object: used, deleted};
+  };
+  return {...delta, events: delta.events.map(usedEvent)};
+}
+
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, store, times, preferenceOf} = context;
@@ -153,10 +170,12 @@
 
   function merge(
     state: KindState,
-    delta: KindDelta,
+    received: KindDelta,
     {from, askedMs}: DeltaSource,
   ): Merge['type'] {
     const before = state.copy;
+    if (isKnown(before, received)) return 'known';
+    const delta = usedDelta(state.followed, received);
     const merged = mergeDelta(before, delta);
     if (merged.type === 'known') return merged.type;
     if (merged.type === 'gap') {
@@ -171,7 +190,8 @@
     const {kind, era, revision} = delta;
     const objects = merged.events.length;
     const source = from ?? 'store';
-    const change = {kind, era, revision, objects, source, askedMs};
+    const {passedOver} = merged;
+    const change = {kind, era, revision, objects, source, askedMs, passedOver};
     context.onEvent({event: 'kindChanged', ...change});
     state.followed.onEvents(merged.events);
     if (before) {
--- a/packages/facts/src/kind-copy.ts
+++ b/packages/facts/src/kind-copy.ts
@@ -10,8 +10,9 @@
   type StoreVersion,
   compareVersions,
 } from '@quetzalreel/object-store';
+import {boundUnreadable} from './unreadable-objects.js';
 
-/** All objects of a kind as of a version. */
+/** All objects of a kind as of a version, but for unreadable ones beyond a bound. */
 export interface KindCopy extends StoreVersion {
   readonly objects: ReadonlyMap<string, KindObject>;
 }
@@ -46,6 +47,11 @@
   return revision - copy.revision <= MAX_REVISION_STEP;
 }
 
+/** Whether the copy already includes the delta. */
+export function isKnown(copy: KindCopy | undefined, delta: KindDelta): boolean {
+  return copy !== undefined && compareVersions(delta, copy) <= 0;
+}
+
 /** What became of a delta. */
 export type Merge =
   /** The copy already includes it. */
@@ -57,6 +63,8 @@
       readonly type: 'merged';
       readonly copy: KindCopy;
       readonly events: readonly KindEvent[];
+      /** Number of unreadable objects that the copy lacks, as there are many. */
+      readonly passedOver: number;
     };
 
 /** Merges a delta into the copy; undefined stands for no copy yet. */
@@ -64,7 +72,7 @@
   copy: KindCopy | undefined,
   delta: KindDelta,
 ): Merge {
-  if (copy && compareVersions(delta, copy) <= 0) return {type: 'known'};
+  if (isKnown(copy, delta)) return {type: 'known'};
   if (delta.since === 0) return mergeAll(copy, delta);
   if (!copy || delta.era !== copy.era) return {type: 'gap'};
   if (delta.since > copy.revision) return {type: 'gap'};
@@ -73,8 +81,19 @@
   for (const event of delta.events) {
     if (applyEvent(objects, event)) events.push(event);
   }
-  const {era, revision} = delta;
-  return {type: 'merged', copy: {era, revision, objects}, events};
+  return merged(copy, delta, objects, events);
+}
+
+function merged(
+  before: KindCopy | undefined,
+  {era, revision}: StoreVersion,
+  objects: ReadonlyMap<string, KindObject>,
+  events: readonly KindEvent[],
+): Merge {
+  const bounded = boundUnreadable(before?.objects, objects, events);
+  const copy = {era, revision, objects: bounded.objects};
+  const {passedOver} = bounded;
+  return {type: 'merged', copy, events: bounded.events, passedOver};
 }
 
 /** Replaces the copy by the objects that `delta` lists. */
@@ -87,14 +106,13 @@
   for (const [name, object] of copy?.objects ?? []) {
     if (!objects.has(name)) events.push({object, deleted: true});
   }
-  const {era, revision} = delta;
-  const isSameEra = copy?.era === era;
+  const isSameEra = copy?.era === delta.era;
   for (const [name, object] of objects) {
     const isKnown =
       isSameEra && copy.objects.get(name)?.revision === object.revision;
     if (!isKnown) events.push({object, deleted: false});
   }
-  return {type: 'merged', copy: {era, revision, objects}, events};
+  return merged(copy, delta, objects, events);
 }
 
 /** Returns whether the event changed `objects`. */
--- a/packages/facts/test/fleet.ts
+++ b/packages/facts/test/fleet.ts
@@ -321,6 +321,7 @@
         {
           kind: KIND,
           watchMs: WATCH_MS,
+          usedPart: object => object,
           onEvents(events) {
             for (const {object, deleted} of events)
               note(instance, object, deleted);
--- a/packages/facts/test/test-fuzz.ts
+++ b/packages/facts/test/test-fuzz.ts
@@ -76,6 +76,7 @@
       {
         kind: KIND,
         watchMs: 1000,
+        usedPart: object => object,
         onEvents(events) {
           for (const {object, deleted} of events) {
             const before = known.get(object.name) ?? 0;
--- a/packages/facts/test/test-messages.ts
+++ b/packages/facts/test/test-messages.ts
@@ -92,6 +92,7 @@
       {
         kind: 'k',
         watchMs: 1000,
+        usedPart: object => object,
         onEvents(changes) {
           for (const {object, deleted} of changes) {
             if (deleted) known.delete(object.name);
--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -38,6 +38,7 @@
 } from './change-reason.js';
 export {
   LEASE_KIND,
+  LEASE_SELECTION,
   LEASE_NAME,
   type LeaseRecord,
   type LeaseStore,
--- a/packages/failover/src/lease.ts
+++ b/packages/failover/src/lease.ts
@@ -8,9 +8,13 @@
   type KindStore,
   type ReadObject,
   RevisionConflictError,
+  SCALAR,
   type StoreEra,
   type StoreVersion,
   isRevision,
+  listOf,
+  recordOf,
+  scalarsOf,
 } from '@quetzalreel/object-store';
 import {
   type ChangeRecord,
@@ -66,6 +70,15 @@
 /** Name of the lease object in the store. */
 export const LEASE_NAME = 'promotion';
 
+/** What is used of the lease object. */
+export const LEASE_SELECTION = recordOf({
+  holder: SCALAR,
+  fence: SCALAR,
+  change: scalarsOf('group', 'from', 'to'),
+  changes: listOf(scalarsOf('group', 'from', 'to', 'fence', 'isPlanned')),
+  completeIn: SCALAR,
+});
+
 /** Parses the object; undefined if its value is not a lease. */
 export function parseLease(object: ReadObject): LeaseSnapshot | undefined {
   const value = object.value as Partial<LeaseRecord> | null;
--- a/packages/object-store/src/index.ts
+++ b/packages/object-store/src/index.ts
@@ -21,6 +21,19 @@
   type StoreVersion,
   compareVersions,
   isRevision,
+  unreadableObject,
 } from './kind-store.js';
 export {isNestedTooDeep} from './nesting.js';
+export {
+  MAX_TEXT_LENGTH,
+  NESTED_TOO_DEEP,
+  SCALAR,
+  type Selection,
+  contentsOf,
+  listOf,
+  recordOf,
+  scalarsOf,
+  select,
+} from './selection.js';
+export {type SelectionDecoder, selectionDecoder} from './selection-decoder.js';
 export {type EraListener, type StoreEra, storeEra} from './store-era.js';
--- a/packages/object-store/src/kind-store.ts
+++ b/packages/object-store/src/kind-store.ts
@@ -34,13 +34,15 @@
   readonly revision: number;
   /** Contents written by the object's owner; any JSON value. */
   readonly value: unknown;
-  /**
-   * True if the stored value can't be decoded or is nested too deep; `value` is
-   * undefined then.
-   */
+  /** True if the stored value can't be used; `value` is undefined then. */
   readonly unreadable?: boolean;
 }
 
+/** The object without its value, which can't be used. */
+export function unreadableObject({name, revision}: KindObject): KindObject {
+  return {name, revision, value: undefined, unreadable: true};
+}
+
 /** An object as the store returned it in an era. */
 export type ReadObject = KindObject & StoreVersion;
 
--- a/packages/object-store/src/nesting.ts
+++ b/packages/object-store/src/nesting.ts
@@ -4,7 +4,7 @@
  * Nesting that a value may have; those of this project and of the platform use
  * fewer than ten levels. Encoders and comparisons recurse into values.
  */
-const MAX_NESTING = 32;
+export const MAX_NESTING = 32;
 
 /**
  * Whether objects and arrays are nested deeper in `value` than any valid one.
--- a/packages/peer-queries/src/index.ts
+++ b/packages/peer-queries/src/index.ts
@@ -22,6 +22,7 @@
 export {
   type InstanceRegistration,
   INSTANCE_KIND,
+  INSTANCE_SELECTION,
   type ListedInstance,
   type InstanceLocation,
   instanceRegistration,
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -7,11 +7,20 @@
   RevisionConflictError,
   type StoreVersion,
   isRevision,
+  scalarsOf,
 } from '@quetzalreel/object-store';
 
 /** Kind of the instances' entries in the store. */
 export const INSTANCE_KIND = 'instances';
 
+/** What is used of an entry. */
+export const INSTANCE_SELECTION = scalarsOf(
+  'address',
+  'relay',
+  'dataCentre',
+  'facts',
+);
+
 /** Addresses and data centre of an instance. */
 export interface InstanceLocation {
   /** Address of its peer port, `host:port`. */
--- a/packages/proxy/src/caller-limit-log.ts
+++ b/packages/proxy/src/caller-limit-log.ts
@@ -1,16 +1,11 @@
 /** Logs what limits refuse callers, with few lines under load. */
 import type {Clock} from '@quetzalreel/common';
 import type {CallerLimit} from '@quetzalreel/requests';
+import {type LineLimit, lineLimit} from './line-limit.js';
 import type {Log} from './log.js';
 
-/** Least interval between two lines about one limit, in milliseconds. */
-const LINE_INTERVAL_MS = 1000;
-
-interface Reported {
-  at: number;
-  /** Refusals since then. */
-  unreported: number;
-}
+/** Lines about one limit. */
+const LIMIT_LINES = {burst: 1, intervalMs: 1000};
 
 /** The log of all limits. */
 export interface CallerLimitLog {
@@ -20,17 +15,20 @@
 
 /** Creates the log of a process. */
 export function callerLimitLog(clock: Clock, log: Log): CallerLimitLog {
-  const reported = new Map<CallerLimit, Reported>();
+  const lines = new Map<CallerLimit, LineLimit>();
+
+  function linesOf(limit: CallerLimit): LineLimit {
+    const known = lines.get(limit);
+    if (known) return known;
+    const created = lineLimit(clock, LIMIT_LINES);
+    lines.set(limit, created);
+    return created;
+  }
+
   return {
     note(limit, bytes) {
-      const now = clock.now();
-      const last = reported.get(limit);
-      if (last && now - last.at < LINE_INTERVAL_MS) {
-        last.unreported++;
-        return;
-      }
-      reported.set(limit, {at: now, unreported: 0});
-      const before = last?.unreported ?? 0;
+      const before = linesOf(limit).ask();
+      if (before === undefined) return;
       log.warn({event: 'callerLimited', limit, bytes, before});
     },
   };
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -24,6 +24,7 @@
 export {type LogWriter, logWriter, standardOutput} from './log-writer.js';
 export {type Log, type LogTarget, createLog} from './log.js';
 export {type Metrics} from './metrics.js';
+export {storeSelections} from './store-selections.js';
 export {type Proxy, type ProxyOptions, startProxy} from './proxy.js';
 export {
   StoreFormat,
--- a/packages/proxy/src/instance-list.ts
+++ b/packages/proxy/src/instance-list.ts
@@ -22,8 +22,12 @@
   updatePresence,
 } from '@quetzalreel/peer-queries';
 import {TIMES} from './defaults.js';
+import {lineLimit} from './line-limit.js';
 import type {Log} from './log.js';
 
+/** Lines about unreadable entries: a few at once, then one each minute. */
+const ENTRY_LINES = {burst: 10, intervalMs: 60_000};
+
 /** Dependencies of a list. */
 export interface InstanceListContext {
   readonly instance: string;
@@ -79,6 +83,13 @@
   let isKnown = false;
   let wasKnown = false;
   let wasListedAtStart = false;
+  const entryLines = lineLimit(clock, ENTRY_LINES);
+
+  function noteUnreadable(other: string): void {
+    const before = entryLines.ask();
+    if (before === undefined) return;
+    log.warn({event: 'instanceEntryUnreadable', other, before});
+  }
 
   async function renew(): Promise<void> {
     const now = clock.now();
@@ -89,9 +100,7 @@
 
   async function read(): Promise<void> {
     try {
-      const listed = await listInstances(store, other =>
-        log.warn({event: 'instanceEntryUnreadable', other}),
-      );
+      const listed = await listInstances(store, noteUnreadable);
       if (!isKnown)
         wasListedAtStart = listed.some(entry => entry.instance === instance);
       isKnown = true;
--- a/packages/proxy/src/routes.ts
+++ b/packages/proxy/src/routes.ts
@@ -1,4 +1,5 @@
 /** The configuration by operators: routes from databases to groups. */
+import type {Selection} from '@quetzalreel/object-store';
 import type {AccountDirectory} from './accounts.js';
 
 /** The commits that reads of a route must see. */
@@ -104,9 +105,13 @@
   abstract readonly configuration: {
     readonly kind: string;
     readonly name: string;
+    readonly selection: Selection;
+  };
+  /** The endpoints' entries. */
+  abstract readonly endpoints: {
+    readonly kind: string;
+    readonly selection: Selection;
   };
-  /** The kind of the endpoints' entries. */
-  abstract readonly endpointKind: string;
   /** Throws when the value can't be parsed. */
   abstract readConfiguration(value: unknown): RoutingTable;
   /** Throws when the value can't be parsed. */
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -12,7 +12,12 @@
   startFeed,
 } from '@quetzalreel/facts';
 import type {SuspensionDetector} from '@quetzalreel/freshness';
-import type {KindEvent, KindObject, KindStore} from '@quetzalreel/object-store';
+import {
+  type KindEvent,
+  type KindObject,
+  type KindStore,
+  select,
+} from '@quetzalreel/object-store';
 import {LIMITS, READER_LIMITS, TIMES} from './defaults.js';
 import {
   type Directory,
@@ -22,6 +27,7 @@
 } from './endpoint-directory.js';
 import type {Log} from './log.js';
 import type {StoreFormat, ListedEndpoint, RoutingTable} from './routes.js';
+import {usedObjects} from './used-objects.js';
 
 /** The instances with which a view shares what it reads. */
 export interface FactPeers {
@@ -94,6 +100,7 @@
 export function storeView(context: StoreViewContext): StoreView {
   const {clock, log, catalog, onConfiguration, onEndpoints} = context;
   const owned = disposableStore();
+  const used = usedObjects(context);
   let table: RoutingTable | undefined;
   let spelled: RawConfiguration | undefined;
   let directory: Directory = emptyDirectory(clock.now());
@@ -112,8 +119,9 @@
     onConfiguration(next);
   }
 
-  function takeConfiguration(value: unknown): void {
+  function takeConfiguration(offered: unknown): void {
     try {
+      const value = select(catalog.configuration.selection, offered);
       apply(catalog.readConfiguration(value), value);
     } catch (err) {
       log.error({event: 'configurationUnreadable', why: messageOf(err)});
@@ -129,27 +137,13 @@
     directory = stepDirectory(directory, event, clock.now());
   }
 
-  function readEntry({
-    name: endpoint,
-    value,
-    unreadable,
-  }: KindObject): ListedEndpoint | undefined {
-    try {
-      if (unreadable) throw new Error('it is nested too deep');
-      return catalog.readEndpoint(endpoint, value);
-    } catch (err) {
-      log.warn({event: 'entryUnreadable', endpoint, why: messageOf(err)});
-      return undefined;
-    }
-  }
-
   function stepEntry({object, deleted}: KindEvent): void {
     if (deleted) {
       step({type: 'deleted', id: object.name});
       return;
     }
-    const endpoint = readEntry(object);
-    if (!endpoint) return;
+    if (object.unreadable) return;
+    const endpoint = catalog.readEndpoint(object.name, object.value);
     const before = directory;
     step({type: 'put', endpoint});
     if (directory === before)
@@ -167,6 +161,7 @@
         {
           kind: catalog.configuration.kind,
           watchMs: TIMES.watchConfigurationMs,
+          usedPart: used.ofConfigurations,
           onEvents: events => {
             for (const {object, deleted} of events) {
               if (!deleted) takeObject(object);
@@ -175,8 +170,9 @@
           onReach: () => {},
         },
         {
-          kind: catalog.endpointKind,
+          kind: catalog.endpoints.kind,
           watchMs: TIMES.watchEndpointsMs,
+          usedPart: used.ofEntries,
           onEvents: events => {
             events.forEach(stepEntry);
             onEndpoints();
--- a/packages/proxy/test/test-fuzz.ts
+++ b/packages/proxy/test/test-fuzz.ts
@@ -7,7 +7,11 @@
 import fc from 'fast-check';
 import {mutated, oddValue} from '@quetzalreel/checks';
 import {manualClock} from '@quetzalreel/common';
-import {KindStore, StoreUnavailableError} from '@quetzalreel/object-store';
+import {
+  KindStore,
+  StoreUnavailableError,
+  scalarsOf,
+} from '@quetzalreel/object-store';
 import {createLog} from '../src/log.js';
 import {
   type ListedEndpoint,
@@ -37,16 +41,24 @@
   return Number.isSafeInteger(value);
 }
 
-/** The generation of a value; undefined when it can't be read. */
+/**
+ * The generation of a value; undefined when it can't be read. An array has none:
+ * what arrives as JSON or CBOR has no named fields then.
+ */
 function generationOf(value: unknown): number | undefined {
   if (typeof value !== 'object' || value === null) return undefined;
+  if (Array.isArray(value)) return undefined;
   const {generation} = value as {generation?: unknown};
   return isGeneration(generation) ? generation : undefined;
 }
 
 class GenerationFormat extends StoreFormat {
-  readonly configuration = {kind: CONFIGURATION, name: 'main'};
-  readonly endpointKind = SERVERS;
+  readonly configuration = {
+    kind: CONFIGURATION,
+    name: 'main',
+    selection: scalarsOf('generation'),
+  };
+  readonly endpoints = {kind: SERVERS, selection: scalarsOf('generation')};
 
   readConfiguration(value: unknown): RoutingTable {
     const generation = generationOf(value);
