Take a list of several pages as of its first page

Seen: by reading only, in the report of the review: an instance that lists a kind over several pages could go on with an older state of an object, an endpoint that leaves for instance, until the object changed again.

Cause: the copy of a list got the revision of the newest object listed. An object of a later page that changed while the pages were read has a revision above the first page's; the change of another object, on an earlier page and below that revision, came with the next watch and counted as known.

Change: the copy of a list has the revision of the list, at most.

--- a/packages/facts/src/kind-copy.ts
+++ b/packages/facts/src/kind-copy.ts
@@ -133,7 +133,8 @@
  * the copy. Readers that read at different times give equal deltas the same
  * revision, that of the last change, so that the second one is known already. A
  * removed object no longer shows the revision of its removal; then the store's
- * own revision counts.
+ * own revision counts. A list is as of its first page, though objects of later
+ * pages may have changed since: what changed on earlier ones is yet to come.
  */
 export function deltaOf(
   kind: string,
@@ -153,6 +154,7 @@
   }
   if (isAll && copy) hasRemoval = copy.objects.size > 0;
   if (hasRemoval) revision = read.revision;
+  if (isAll) revision = Math.min(revision, read.revision);
   return {kind, since, era, revision, events};
 }
 
--- a/packages/facts/test/test-kind-copy.ts
+++ b/packages/facts/test/test-kind-copy.ts
@@ -193,3 +193,23 @@
     );
   });
 });
+
+describe('a list of several pages', () => {
+  it('does not hide a change on an earlier page behind one on a later page', () => {
+    const at = (name: string, revision: number): KindEvent => ({
+      object: {name, revision, value: revision},
+      deleted: false,
+    });
+    // `a` was listed, then `a` and `b` changed, then `b` was listed.
+    const listed = [at('a', 5), at('b', 12)];
+    const list = {isAll: true, era: ERA, revision: 10, events: listed};
+    const first = mergeDelta(undefined, deltaOf('k', undefined, list));
+    assert.ok(first.type === 'merged');
+    const changed = [at('a', 11), at('b', 12)];
+    const watch = {isAll: false, era: ERA, revision: 12, events: changed};
+    const next = mergeDelta(first.copy, deltaOf('k', first.copy, watch));
+    assert.ok(next.type === 'merged');
+    assert.deepEqual(revisionsIn(next.copy).get('a'), 11);
+    assert.deepEqual(next.events, [at('a', 11)]);
+  });
+});
