Refuse frames of peers that stand for very many values

Seen: in a trial, a compressed frame of 2,059 bytes decoded to 2,097,131 empty maps, 139 MB of heap of the 160 MB that the deploy file allows. Peers are the project's own processes, but one of a build without selections passes on what other writers left in the store.

Cause: a frame is bounded by the bytes of its encoded value, not by what these take when they are decoded: an empty map is a byte of CBOR, and some sixty as an object.

Change: the pass over a frame that finds tags counts arrays and maps as well; a frame with more than 150,000 closes the link. The 9,000 entries that fill the longest frame have 27,000.

Evidence: of the four new tests in test-codec the two on maps and arrays fail without the change; the other two show what must stay possible.

--- a/packages/peer/src/codec.ts
+++ b/packages/peer/src/codec.ts
@@ -5,7 +5,7 @@
 import {deflateRawSync, inflateRawSync} from 'node:zlib';
 import {TypedError, chunkBuffer} from '@quetzalreel/common';
 import {Encoder} from 'cbor-x';
-import {isPlainCbor} from './plain-cbor.js';
+import {cborFault} from './plain-cbor.js';
 
 /** Protocol version; a link to a peer of another version is closed. */
 export const PEER_VERSION = 1;
@@ -102,7 +102,8 @@
 }
 
 function decodeValue(bytes: Buffer): unknown {
-  if (!isPlainCbor(bytes)) throw new PeerFrameError('it has a tagged value');
+  const fault = cborFault(bytes);
+  if (fault !== undefined) throw new PeerFrameError(fault);
   try {
     return encoder.decode(bytes);
   } catch (err) {
--- a/packages/peer/test/test-codec.ts
+++ b/packages/peer/test/test-codec.ts
@@ -83,3 +83,38 @@
     PeerFrameError,
   );
 });
+
+for (const [what, item, isRefused] of [
+  ['maps, refused', {}, true],
+  ['arrays, refused', [], true],
+  ['numbers, decoded', 1, false],
+] as const) {
+  test(`a short frame that stands for very many ${what}`, () => {
+    const items = Array.from({length: 200_000}, () => item);
+    const frame = encodeCompressedFrame(items);
+    assert.ok(frame.length < 4096, `${frame.length} bytes`);
+    const decode = () => frameDecoder(LIMIT_BYTES).push(frame);
+    if (isRefused) assert.throws(decode, PeerFrameError);
+    else assert.equal((decode()[0] as unknown[]).length, items.length);
+  });
+}
+
+test('a copy of the entries that fill a frame is decoded', () => {
+  const entry = {
+    Service: 'pension-ledger-1',
+    Address: '10.1.2.3:5432',
+    Zone: 'ege-a',
+    Slots: 3,
+    State: 'ready',
+    DbRole: 'replica',
+    SeqNo: 1_000_000,
+    ColdLeftMs: 0,
+    born: 1_700_000_000_000,
+  };
+  const events = Array.from({length: 9000}, (_, i) => ({
+    object: {name: `i-${i}`, revision: 1_000_000 + i, value: entry},
+    deleted: false,
+  }));
+  const frame = encodeCompressedFrame({type: 'kindDelta', delta: {events}});
+  assert.equal(frameDecoder(2 * LIMIT_BYTES).push(frame).length, 1);
+});
