Count nothing that arrives on a connection after it was closed

Cause: a connection whose answer waits for memory is paused. When its request times out, the connection is closed and its answer counted off; the socket then still hands out the piece that it had read, which was counted again. Nothing ended that count. It stood for an answer older than all later ones, for which every answer over 64 KiB waited until its time was over.

--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -174,12 +174,15 @@
   }
 
   private read(chunk: Buffer): void {
+    // A paused socket still hands out what it has read, after it was closed.
+    if (!this.isOpen) return;
     if (!this.arriving.add(chunk.length)) {
       this.giveUpLongAnswer();
       return;
     }
     try {
       for (const value of this.decoder.push(chunk)) {
+        if (!this.isOpen) return;
         if (!isRelayMessage(value))
           throw new Error('a frame is not a relay message');
         this.handle(value);
