Drop what a closed connection has of an answer, and timers of served requests

Cause: the rows of an answer that is given up were counted off and stayed with the closed connection, for as long as anything referred to it. The timer of a request that had waited did so by its lease, until the request's deadline.

--- a/packages/proxy/src/waiting-requests.ts
+++ b/packages/proxy/src/waiting-requests.ts
@@ -2,7 +2,7 @@
  * Requests of one group that wait for a connection, until one is free, their
  * deadline passes or their caller is gone.
  */
-import type {Clock} from '@quetzalreel/common';
+import type {Clock, Disposable} from '@quetzalreel/common';
 import {LIMITS} from './defaults.js';
 import type {ConnectionLease, ConnectionRequest} from './group-types.js';
 import {waitEstimates} from './wait-estimate.js';
@@ -34,6 +34,8 @@
 interface Waiter extends ConnectionRequest {
   resolve(lease: ConnectionLease | undefined): void;
   done: boolean;
+  /** Ends the wait at the deadline; it refers to the lease by the waiter. */
+  timer: Disposable | undefined;
 }
 
 /** Starts without waiting requests. */
@@ -65,6 +67,7 @@
       return;
     }
     waiter.done = true;
+    waiter.timer?.dispose();
     waiter.resolve(lease);
   }
 
@@ -87,14 +90,19 @@
     },
     wait: req =>
       new Promise(resolve => {
-        const waiter: Waiter = {...req, resolve, done: false};
+        const waiter: Waiter = {
+          ...req,
+          resolve,
+          done: false,
+          timer: undefined,
+        };
         if (waitsTooLong(waiter)) {
           settle(waiter, undefined);
           return;
         }
         queue.add(waiter);
-        clock.after(Math.max(0, req.deadline - clock.now()), () => {
-          if (waiter.done) return;
+        const leftMs = Math.max(0, req.deadline - clock.now());
+        waiter.timer = clock.after(leftMs, () => {
           queue.remove(waiter);
           settle(waiter, undefined);
         });
--- a/packages/relay/src/relayed-connection.ts
+++ b/packages/relay/src/relayed-connection.ts
@@ -103,7 +103,7 @@
     PendingRequest<EndpointObservation>
   > = [];
   private readonly closeCallbacks: Array<() => void> = [];
-  private readonly decoder = frameDecoder(MAX_FRAME_BYTES);
+  private decoder = frameDecoder(MAX_FRAME_BYTES);
   /** The first rows of the answer that is arriving. */
   private rows: string[] = [];
   /** Counts the answer that is arriving. */
@@ -257,6 +257,9 @@
     if (!this.isOpen) return;
     this.isOpen = false;
     this.arriving.end();
+    // What is counted off is dropped too: others may refer to this connection.
+    this.rows = [];
+    this.decoder = frameDecoder(MAX_FRAME_BYTES);
     this.socket.destroy();
     for (const {reject} of this.pendingAnswers.splice(0)) reject(err);
     for (const {reject} of this.pendingObservations.splice(0)) reject(err);
