Count the objects of the store that an instance keeps

The gauge quetzalreel_store_objects counts, by kind, readable and unreadable objects that are kept and unreadable ones that the last change left out.

--- a/packages/facts/src/feed-types.ts
+++ b/packages/facts/src/feed-types.ts
@@ -77,6 +77,16 @@
     : never
   : never;
 
+/** Number of objects that a copy keeps. */
+export interface KeptObjects {
+  readonly kind: string;
+  readonly readable: number;
+  /** Objects that can't be used. */
+  readonly unreadable: number;
+  /** Such objects that were not kept after the last change, as there are many. */
+  readonly passedOver: number;
+}
+
 /** A running feed. */
 export interface Feed extends Disposable {
   receive(message: FactMessage): void;
@@ -92,4 +102,6 @@
    * kind.
    */
   isReached(kind: string): boolean;
+  /** What the copies keep, by kind; counted at each call. */
+  keptObjects(): readonly KeptObjects[];
 }
--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -26,6 +26,7 @@
   FeedContext,
   FeedMessage,
   FollowedKind,
+  KeptObjects,
 } from './feed-types.js';
 import {heardReaders} from './heard-readers.js';
 import type {FactMessage, KindReading} from './messages.js';
@@ -35,6 +36,8 @@
   readonly followed: FollowedKind;
   reader: KindReader;
   copy: KindCopy | undefined;
+  /** Unreadable objects that the last change brought and that are not kept. */
+  passedOver: number;
   /** Since when the store answers this instance; undefined while it does not. */
   ownReachedSince: number | undefined;
   isReached: boolean | undefined;
@@ -64,6 +67,13 @@
   return {...delta, events: delta.events.map(usedEvent)};
 }
 
+function keptObjects({followed, copy, passedOver}: KindState): KeptObjects {
+  const objects = [...(copy?.objects.values() ?? [])];
+  const unreadable = objects.filter(object => object.unreadable).length;
+  const readable = objects.length - unreadable;
+  return {kind: followed.kind, readable, unreadable, passedOver};
+}
+
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, store, times, preferenceOf} = context;
@@ -87,6 +97,7 @@
       followed,
       reader: undefined as unknown as KindReader,
       copy: undefined,
+      passedOver: 0,
       ownReachedSince: undefined,
       isReached: undefined,
       behindSince: undefined,
@@ -186,6 +197,7 @@
     if (isSameEra && merged.events.length === 0 && delta.since === 0)
       return 'known';
     state.copy = merged.copy;
+    state.passedOver = merged.passedOver;
     state.behindSince = undefined;
     const {kind, era, revision} = delta;
     const objects = merged.events.length;
@@ -405,6 +417,7 @@
     isReached(kind) {
       return states.get(kind)?.isReached ?? false;
     },
+    keptObjects: () => [...states.values()].map(keptObjects),
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/facts/src/index.ts
+++ b/packages/facts/src/index.ts
@@ -7,6 +7,7 @@
   type FeedMessage,
   type FeedTimes,
   type FollowedKind,
+  type KeptObjects,
 } from './feed-types.js';
 export {
   type KindCopy,
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -5,6 +5,7 @@
   type CallerMemory,
   KeptKind,
 } from '@quetzalreel/requests';
+import type {KeptObjects} from '@quetzalreel/facts';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 import type {GroupRuntime} from './group-types.js';
 import {inFlightLimit} from './link-placement.js';
@@ -32,6 +33,8 @@
   generation(): number;
   /** Number of times the store was restored. */
   storeEra(): number;
+  /** What copies keep of the objects in the store. */
+  keptObjects?(): readonly KeptObjects[];
   sessions(): number;
   heldAnswerBytes(): number;
   readonly callerMemory?: CallerMemory;
@@ -93,6 +96,12 @@
       help: 'Number of times the store was restored from an older copy, as far as it tells.',
       registers,
     }),
+    storeObjects: new Gauge({
+      name: 'quetzalreel_store_objects',
+      help: 'Objects of the store by kind: readable and unreadable ones that are kept, and unreadable ones passed over by the last change.',
+      labelNames: ['kind', 'state'] as const,
+      registers,
+    }),
     sessions: new Gauge({
       name: 'quetzalreel_sessions',
       help: 'Sessions that are open.',
@@ -173,6 +182,13 @@
       gauges.callerBytes.set({kind}, callerMemory.keptOf(kind));
   }
 
+  function readStoreObjects(): void {
+    for (const {kind, ...counts} of source.keptObjects?.() ?? []) {
+      for (const [state, count] of Object.entries(counts))
+        gauges.storeObjects.set({kind, state}, count);
+    }
+  }
+
   function readGroup(group: GroupRuntime): void {
     for (const [endpoint, link] of group.links) {
       const labels = {group: group.name, endpoint};
@@ -211,6 +227,7 @@
       gauges.sessions.set(source.sessions());
       gauges.heldAnswers.set(source.heldAnswerBytes());
       readCallers();
+      readStoreObjects();
       for (const group of source.groups()) readGroup(group);
       return registry.metrics();
     },
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -155,6 +155,7 @@
     groups: () => groups.values(),
     generation: () => view.table?.generation ?? 0,
     storeEra: () => options.store.era.current,
+    keptObjects: () => view.keptObjects(),
     sessions: () => sessions.size,
     heldAnswerBytes: () => options.answerMemory.heldBytes,
     callerMemory,
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -9,6 +9,7 @@
 import {
   type FactMessage,
   type FeedMessage,
+  type KeptObjects,
   startFeed,
 } from '@quetzalreel/facts';
 import type {SuspensionDetector} from '@quetzalreel/freshness';
@@ -77,6 +78,8 @@
   offerConfiguration(value: unknown): void;
   /** The listed endpoints, by group. */
   endpointsByGroup(): ReadonlyMap<string, readonly ListedEndpoint[]>;
+  /** How many objects of the store this instance keeps, by kind. */
+  keptObjects(): readonly KeptObjects[];
   /** Handles a message of a linked instance. */
   receiveFact(message: FactMessage): void;
   /** Handles the loss of a link to an instance. */
@@ -221,6 +224,7 @@
       }
       return byGroup;
     },
+    keptObjects: () => feed.keptObjects(),
     receiveFact: message => feed.receive(message),
     noteLinkLost: address => feed.noteLinkLost(address),
     tick() {
