--- a/packages/facts/test/test-fuzz.ts
+++ b/packages/facts/test/test-fuzz.ts
@@ -8,17 +8,13 @@
 import fc from 'fast-check';
 import {mutated, oddValue} from '@quetzalreel/checks';
 import {manualClock} from '@quetzalreel/common';
-import {
-  KindStore,
-  StoreUnavailableError,
-  isRevision,
-} from '@quetzalreel/object-store';
+import {isRevision} from '@quetzalreel/object-store';
 import {MAX_READERS, heardReaders} from '../src/heard-readers.js';
-import {type FeedMessage, isFactMessage, startFeed} from '../src/index.js';
+import {type FeedMessage, isFactMessage} from '../src/index.js';
+import {KIND, singleFeed} from './single-feed.js';
 
 const SEED = 54;
 const FROM = '10.0.0.9:1';
-const KIND = 'k';
 const IN_FORCE = {name: 'a', revision: 5, value: 1};
 const DELTA = {
   kind: KIND,
@@ -52,59 +48,24 @@
 ];
 const message = fc.oneof(...MESSAGES.map(mutated), oddValue);
 
-class AbsentStore extends KindStore {
-  private unavailable(): Promise<never> {
-    return Promise.reject(new StoreUnavailableError('away', true));
-  }
-  list = () => this.unavailable();
-  get = () => this.unavailable();
-  create = () => this.unavailable();
-  replace = () => this.unavailable();
-  remove = () => this.unavailable();
-  watch = () => this.unavailable();
-}
-
 /** A feed that knows one object, at revision 5. */
 function knowingFeed() {
   const known = new Map<string, number>();
   const sent: FeedMessage[] = [];
-  const feed = startFeed({
-    instance: 'self',
-    clock: manualClock(),
-    store: new AbsentStore(),
-    kinds: [
-      {
-        kind: KIND,
-        watchMs: 1000,
-        usedPart: object => object,
-        onEvents(events) {
-          for (const {object, deleted} of events) {
-            const before = known.get(object.name) ?? 0;
-            assert.ok(deleted || object.revision >= before);
-            if (deleted) known.delete(object.name);
-            else known.set(object.name, object.revision);
-          }
-        },
-        onReach: () => {},
-      },
-    ],
-    times: {
-      beatMs: 1000,
-      firstReadMs: 100,
-      firstCopyMs: 100,
-      firstAloneMs: 100,
-      lateMs: 100,
+  const feed = singleFeed({
+    links: [FROM],
+    onEvents(events) {
+      for (const {object, deleted} of events) {
+        const before = known.get(object.name) ?? 0;
+        assert.ok(deleted || object.revision >= before);
+        if (deleted) known.delete(object.name);
+        else known.set(object.name, object.revision);
+      }
     },
-    limits: () => ({readers: 2, mostReaders: 8, heardMs: 2000, spreadMs: 500}),
-    preferenceOf: () => 0.5,
-    suspensions: () => 0,
-    life: 1,
-    links: () => [FROM],
     send(addresses, item) {
       for (const address of addresses) assert.equal(typeof address, 'string');
       sent.push(item);
     },
-    onEvent: () => {},
   });
   feed.receive({type: 'kindDelta', from: FROM, delta: DELTA});
   return {feed, known, sent};
--- a/packages/facts/test/test-messages.ts
+++ b/packages/facts/test/test-messages.ts
@@ -2,17 +2,11 @@
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import fc from 'fast-check';
-import {manualClock} from '@quetzalreel/common';
-import {KindStore, StoreUnavailableError} from '@quetzalreel/object-store';
-import {
-  type FactMessage,
-  type FeedEvent,
-  isFactMessage,
-  startFeed,
-} from '../src/index.js';
+import {type FactMessage, type FeedEvent, isFactMessage} from '../src/index.js';
+import {KIND, singleFeed} from './single-feed.js';
 
 const FROM = '10.0.0.9:1';
-const DELTA = {kind: 'k', since: 0, era: 1, revision: 5, events: []};
+const DELTA = {kind: KIND, since: 0, era: 1, revision: 5, events: []};
 const BEAT = {reader: 'a', life: 1, seq: 1, ageMs: 0, kinds: []};
 
 const MALFORMED: ReadonlyArray<readonly [string, unknown]> = [
@@ -59,62 +53,17 @@
   });
 });
 
-class AbsentStore extends KindStore {
-  async list(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-  async get(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-  async create(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-  async replace(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-  async remove(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-  async watch(): Promise<never> {
-    throw new StoreUnavailableError('away', true);
-  }
-}
-
 /** A feed that has one object, at revision 5. */
 function knowingFeed() {
   const events: FeedEvent[] = [];
   const known = new Map<string, number>();
-  const feed = startFeed({
-    instance: 'self',
-    clock: manualClock(),
-    store: new AbsentStore(),
-    kinds: [
-      {
-        kind: 'k',
-        watchMs: 1000,
-        usedPart: object => object,
-        onEvents(changes) {
-          for (const {object, deleted} of changes) {
-            if (deleted) known.delete(object.name);
-            else known.set(object.name, object.revision);
-          }
-        },
-        onReach: () => {},
-      },
-    ],
-    times: {
-      beatMs: 1000,
-      firstReadMs: 100,
-      firstCopyMs: 100,
-      firstAloneMs: 100,
-      lateMs: 100,
+  const feed = singleFeed({
+    onEvents(changes) {
+      for (const {object, deleted} of changes) {
+        if (deleted) known.delete(object.name);
+        else known.set(object.name, object.revision);
+      }
     },
-    limits: () => ({readers: 2, mostReaders: 8, heardMs: 2000, spreadMs: 500}),
-    preferenceOf: () => 0.5,
-    suspensions: () => 0,
-    life: 1,
-    links: () => [],
-    send: () => {},
     onEvent: event => events.push(event),
   });
   const object = {name: 'a', revision: 5, value: 1};
--- a/packages/facts/test/test-used-part.ts
+++ b/packages/facts/test/test-used-part.ts
@@ -1,30 +1,12 @@
 /** What a feed keeps and passes on of objects that anyone may have written. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
-import {manualClock} from '@quetzalreel/common';
-import {
-  type KindObject,
-  KindStore,
-  StoreUnavailableError,
-  unreadableObject,
-} from '@quetzalreel/object-store';
-import {type FeedMessage, startFeed} from '../src/index.js';
+import {type KindObject, unreadableObject} from '@quetzalreel/object-store';
+import type {FeedMessage} from '../src/index.js';
+import {KIND, singleFeed} from './single-feed.js';
 
 const PEER = '10.0.0.9:1';
 const OTHER_PEER = '10.0.0.8:1';
-const KIND = 'k';
-
-class AbsentStore extends KindStore {
-  private unavailable(): Promise<never> {
-    return Promise.reject(new StoreUnavailableError('away', true));
-  }
-  list = () => this.unavailable();
-  get = () => this.unavailable();
-  create = () => this.unavailable();
-  replace = () => this.unavailable();
-  remove = () => this.unavailable();
-  watch = () => this.unavailable();
-}
 
 /** Uses the field `n`, which has to be there. */
 function usedPart(object: KindObject): KindObject {
@@ -34,33 +16,10 @@
 
 function fixture() {
   const sent: FeedMessage[] = [];
-  const feed = startFeed({
-    instance: 'self',
-    clock: manualClock(),
-    store: new AbsentStore(),
-    kinds: [
-      {
-        kind: KIND,
-        watchMs: 1000,
-        usedPart,
-        onEvents: () => {},
-        onReach: () => {},
-      },
-    ],
-    times: {
-      beatMs: 1000,
-      firstReadMs: 100,
-      firstCopyMs: 100,
-      firstAloneMs: 100,
-      lateMs: 100,
-    },
-    limits: () => ({readers: 2, mostReaders: 8, heardMs: 2000, spreadMs: 500}),
-    preferenceOf: () => 0.5,
-    suspensions: () => 0,
-    life: 1,
-    links: () => [PEER, OTHER_PEER],
+  const feed = singleFeed({
+    usedPart,
+    links: [PEER, OTHER_PEER],
     send: (_addresses, message) => sent.push(message),
-    onEvent: () => {},
   });
   const receive = (
     since: number,
