Answer requests that are on their way while the key of a session is removed

Cause: an idle session of a removed key ended in the turn of the event loop that applied the configuration. What its caller had sent by then was read afterwards and dropped: on a busy instance that can be any request of the last tenths of a second.

Change: such a session ends after the connections were polled once more; a request that is read meanwhile is told that the key holds no longer.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,5 +1,5 @@
 /** One caller's session: serves its requests one at a time, in order. */
-import {type Clock, messageOf} from '@quetzalreel/common';
+import {type Clock, afterPendingReads, messageOf} from '@quetzalreel/common';
 import {
   Access,
   type Answer,
@@ -116,6 +116,8 @@
   let {account} = context;
   /** When the key was found to be removed, in monotonic milliseconds. */
   let revokedAt: number | undefined;
+  /** Whether requests that were sent before the key was removed may be unread. */
+  let hasPendingReads = false;
 
   function end(): void {
     if (ended) return;
@@ -286,10 +288,12 @@
 
   /**
    * Ends a session whose key was removed, once nothing of it is under way, or an
-   * open transaction has had its time.
+   * open transaction has had its time. A request that is still unread gets an
+   * answer first.
    */
   function endRevoked(): void {
-    if (isRevoked() && !ended && queue.length === 0) closeSession();
+    const isBusy = queue.length > 0 || hasPendingReads;
+    if (isRevoked() && !ended && !isBusy) closeSession();
   }
 
   function isRevoked(): boolean {
@@ -317,7 +321,11 @@
         database: context.database,
         account: account.name,
       });
-      endRevoked();
+      hasPendingReads = true;
+      afterPendingReads(() => {
+        hasPendingReads = false;
+        endRevoked();
+      });
     },
     request(req) {
       if (ended) return;
