--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -122,9 +122,9 @@
     onConfiguration(next);
   }
 
-  function takeConfiguration(offered: unknown): void {
+  /** Takes a configuration of which only the used part is left. */
+  function takeConfiguration(value: unknown): void {
     try {
-      const value = select(catalog.configuration.selection, offered);
       apply(catalog.readConfiguration(value), value);
     } catch (err) {
       log.error({event: 'configurationUnreadable', why: messageOf(err)});
@@ -214,7 +214,8 @@
     get isConfigurationReachable() {
       return feed.isReached(catalog.configuration.kind);
     },
-    offerConfiguration: takeConfiguration,
+    offerConfiguration: value =>
+      takeConfiguration(select(catalog.configuration.selection, value)),
     endpointsByGroup() {
       const byGroup = new Map<string, ListedEndpoint[]>();
       for (const {endpoint} of directory.entries.values()) {
