--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -3,20 +3,18 @@
  * of them read, and what one learns is passed on over the links.
  */
 import {disposableStore, messageOf} from '@quetzalreel/common';
-import {
-  type KindEvent,
-  type StoreVersion,
-  compareVersions,
-} from '@quetzalreel/object-store';
+import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
 import {
   type KindCopy,
   type KindDelta,
   type Merge,
+  countObjects,
   deltaOf,
   isKnown,
   isPlausible,
   mergeDelta,
   onwardDelta,
+  usedDelta,
   versionOf,
   wholeCopy,
 } from './kind-copy.js';
@@ -26,7 +24,6 @@
   FeedContext,
   FeedMessage,
   FollowedKind,
-  KeptObjects,
 } from './feed-types.js';
 import {heardReaders} from './heard-readers.js';
 import type {FactMessage, KindReading} from './messages.js';
@@ -55,25 +52,6 @@
   readonly askedMs?: number;
 }
 
-/** The delta with what is used of its objects; nothing of removed ones is. */
-function usedDelta({usedPart}: FollowedKind, delta: KindDelta): KindDelta {
-  const usedEvent = ({object, deleted}: KindEvent): KindEvent => {
-    const {name, revision} = object;
-    const used = deleted
-      ? {name, revision, value: undefined}
-      : usedPart(object);
-    return {object: used, deleted};
-  };
-  return {...delta, events: delta.events.map(usedEvent)};
-}
-
-function keptObjects({followed, copy, passedOver}: KindState): KeptObjects {
-  const objects = [...(copy?.objects.values() ?? [])];
-  const unreadable = objects.filter(object => object.unreadable).length;
-  const readable = objects.length - unreadable;
-  return {kind: followed.kind, readable, unreadable, passedOver};
-}
-
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, store, times, preferenceOf} = context;
@@ -186,7 +164,7 @@
   ): Merge['type'] {
     const before = state.copy;
     if (isKnown(before, received)) return 'known';
-    const delta = usedDelta(state.followed, received);
+    const delta = usedDelta(received, state.followed.usedPart);
     const merged = mergeDelta(before, delta);
     if (merged.type === 'known') return merged.type;
     if (merged.type === 'gap') {
@@ -417,7 +395,12 @@
     isReached(kind) {
       return states.get(kind)?.isReached ?? false;
     },
-    keptObjects: () => [...states.values()].map(keptObjects),
+    keptObjects: () =>
+      [...states.values()].map(({followed: {kind}, copy, passedOver}) => ({
+        kind,
+        ...countObjects(copy),
+        passedOver,
+      })),
     dispose: () => owned.dispose(),
   };
 }
--- a/packages/facts/src/kind-copy.ts
+++ b/packages/facts/src/kind-copy.ts
@@ -158,6 +158,32 @@
   return {kind, since, era, revision, events};
 }
 
+/**
+ * The delta with what `usedPart` returns of its objects; of a removed one only the
+ * name and the revision are used.
+ */
+export function usedDelta(
+  delta: KindDelta,
+  usedPart: (object: KindObject) => KindObject,
+): KindDelta {
+  const events = delta.events.map(({object, deleted}) => {
+    const {name, revision} = object;
+    const removed = {name, revision, value: undefined};
+    return {object: deleted ? removed : usedPart(object), deleted};
+  });
+  return {...delta, events};
+}
+
+/** Number of objects in a copy that can be used, and that can't. */
+export function countObjects(copy: KindCopy | undefined): {
+  readonly readable: number;
+  readonly unreadable: number;
+} {
+  const objects = [...(copy?.objects.values() ?? [])];
+  const unreadable = objects.filter(object => object.unreadable).length;
+  return {readable: objects.length - unreadable, unreadable};
+}
+
 /** The whole copy as a delta. */
 export function wholeCopy(kind: string, copy: KindCopy): KindDelta {
   const events = [...copy.objects.values()].map(object => ({
--- a/packages/peer/test/test-codec.ts
+++ b/packages/peer/test/test-codec.ts
@@ -101,15 +101,15 @@
 
 test('a copy of the entries that fill a frame is decoded', () => {
   const entry = {
-    Service: 'pension-ledger-1',
-    Address: '10.1.2.3:5432',
-    Zone: 'ege-a',
-    Slots: 3,
-    State: 'ready',
-    DbRole: 'replica',
-    SeqNo: 1_000_000,
-    ColdLeftMs: 0,
-    born: 1_700_000_000_000,
+    group: 'pension-ledger-1',
+    address: '10.1.2.3:5432',
+    dataCentre: 'ege-a',
+    slots: 3,
+    state: 'ready',
+    role: 'replica',
+    sequence: 1_000_000,
+    coldMs: 0,
+    startedAt: 1_700_000_000_000,
   };
   const events = Array.from({length: 9000}, (_, i) => ({
     object: {name: `i-${i}`, revision: 1_000_000 + i, value: entry},
