--- a/packages/facts/src/feed.ts
+++ b/packages/facts/src/feed.ts
@@ -5,7 +5,6 @@
 import {disposableStore, messageOf} from '@quetzalreel/common';
 import {type StoreVersion, compareVersions} from '@quetzalreel/object-store';
 import {
-  type KindCopy,
   type KindDelta,
   type Merge,
   countObjects,
@@ -19,6 +18,7 @@
   wholeCopy,
 } from './kind-copy.js';
 import {type KindRead, type KindReader, kindReader} from './kind-reader.js';
+import type {DeltaSource, KindState} from './kind-state.js';
 import type {
   Feed,
   FeedContext,
@@ -29,29 +29,6 @@
 import type {FactMessage, KindReading} from './messages.js';
 import {type ReaderRole, nextRole} from './reader-role.js';
 
-interface KindState {
-  readonly followed: FollowedKind;
-  reader: KindReader;
-  copy: KindCopy | undefined;
-  /** Unreadable objects that the last change brought and that are not kept. */
-  passedOver: number;
-  /** Since when the store answers this instance; undefined while it does not. */
-  ownReachedSince: number | undefined;
-  isReached: boolean | undefined;
-  /** Since when a beat shows a newer copy than this one. */
-  behindSince: number | undefined;
-  /** Peers that asked for a copy when there was none. */
-  readonly waiting: Set<string>;
-}
-
-/** Where a delta came from. */
-interface DeltaSource {
-  /** Address of the instance that sent it; undefined if it was read. */
-  readonly from: string | undefined;
-  /** Time from the call that read it to the answer, in milliseconds. */
-  readonly askedMs?: number;
-}
-
 /** Starts following the kinds. */
 export function startFeed(context: FeedContext): Feed {
   const {instance, clock, store, times, preferenceOf} = context;
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -88,9 +88,9 @@
    */
   open(use?: ConnectionUse): void;
   /**
-   * Closes connections that the plan no longer calls for, and the oldest idle
-   * one beyond `least`, and beyond those that the plan keeps, once it has been
-   * unused for `TIMES.idleConnectionMs`.
+   * Closes connections that the plan no longer calls for. Of the others it closes
+   * the one that has been idle longest, if that is `TIMES.idleConnectionMs` or
+   * more and both `least` and the plan allow one fewer.
    */
   closeUnused(least: number): void;
   /**
--- a/packages/proxy/src/line-limit.ts
+++ b/packages/proxy/src/line-limit.ts
@@ -11,8 +11,8 @@
 }
 
 /**
- * Allows `burst` lines at once, and one more after each `intervalMs` without
- * needing all of them.
+ * Allows `burst` lines at once. Each `intervalMs` allows one more, up to `burst`
+ * again.
  */
 export function lineLimit(
   clock: Clock,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -2,7 +2,12 @@
  * Assembles the proxy: the store view, groups, sessions, peers and the
  * shutdown.
  */
-import {type Clock, disposableStore, messageOf} from '@quetzalreel/common';
+import {
+  afterPendingReads,
+  type Clock,
+  disposableStore,
+  messageOf,
+} from '@quetzalreel/common';
 import {
   type AcceptCaller,
   type Answer,
@@ -425,6 +430,7 @@
       // Without a route the session ends for that reason.
       accountNow: () =>
         view.table?.routes.has(database) ? accountNow() : account,
+      afterPendingReads,
       route: () => view.table?.routes.get(database),
       group: name => groups.get(name),
       admit: quotas.admit,
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -1,5 +1,5 @@
 /** One caller's session: serves its requests one at a time, in order. */
-import {type Clock, afterPendingReads, messageOf} from '@quetzalreel/common';
+import {type Clock, messageOf} from '@quetzalreel/common';
 import {
   Access,
   type Answer,
@@ -40,6 +40,8 @@
    * removed.
    */
   readonly accountNow: () => ClientAccount | undefined;
+  /** Calls back once what callers had sent by now was read. */
+  readonly afterPendingReads: (callback: () => void) => void;
   /** The route in force; undefined once the route has been removed. */
   readonly route: () => Route | undefined;
   readonly group: (name: string) => GroupRuntime | undefined;
@@ -322,7 +324,7 @@
         account: account.name,
       });
       hasPendingReads = true;
-      afterPendingReads(() => {
+      context.afterPendingReads(() => {
         hasPendingReads = false;
         endRevoked();
       });
