Show that machines take a whole quota each after a first start

Case review/14, rule QUOTA: reads that allow old data are answered with data 3 s old, so no machine sees another for 17.5 s after the first start.

--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -24,7 +24,7 @@
  * that the rule was broken, ends everything that was started and exits: with 1 if
  * it was broken, 0 if it held, 2 if the case couldn't run.
  */
-export async function playCase(moduleUrl, {databases: change = {}, config, params, machines = 6}, play) {
+export async function playCase(moduleUrl, {databases: change = {}, config, params, machines = 6, staleMs = 0}, play) {
   const folder = path.dirname(fileURLToPath(moduleUrl));
   const root = path.resolve(folder, '../..');
   const record = fs.createWriteStream(path.join(folder, 'record.txt'));
@@ -52,7 +52,7 @@
       ...change,
     });
     owned.push(databases);
-    const store = await startStore(`${net}.1`, (_, id) => databases.promote(id), note);
+    const store = await startStore(`${net}.1`, (_, id) => databases.promote(id), note, staleMs);
     owned.push(store);
     const entries = registerDatabases(store, SERVICE, databases, ZONES, SLOTS, host);
     owned.push(entries);
@@ -70,9 +70,10 @@
     const names = Array.from({length: machines}, (_, at) => `front-${at + 1}`);
     const fleet = startMachines(root, names, {net, zones: ZONES, storeAddress: store.address, params});
     owned.push(fleet);
+    const machinesStartedAt = Date.now();
     if (!(await fleet.ready(READY_MS))) throw new Error('the machines are not ready');
     note({what: 'ready'});
-    const broken = await play({databases, store, configure, note, host, fleet, machines: fleet.machines});
+    const broken = await play({databases, store, configure, note, host, fleet, machines: fleet.machines, machinesStartedAt});
     status = broken > 0 ? 1 : 0;
   } catch (err) {
     console.error(String(err));
--- a/review/standins-3/platform.mjs
+++ b/review/standins-3/platform.mjs
@@ -13,8 +13,11 @@
 const ROOT = '/quetzalreel/objects/';
 export const BEAT_MS = 1200;
 
-/** Starts the store. `promote(service, id)` carries out an order. */
-export async function startStore(host, promote, note) {
+/**
+ * Starts the store. `promote(service, id)` carries out an order. Reads with StaleOk
+ * return what was there `staleMs` before.
+ */
+export async function startStore(host, promote, note, staleMs = 0) {
   const kinds = new Map();
   const history = [];
   const watchers = new Set();
@@ -27,7 +30,8 @@
   };
 
   function changed(kind, object, deleted) {
-    history.push({revision, kind, event: {Object: structuredClone(object), Deleted: deleted}});
+    const event = {Object: structuredClone(object), Deleted: deleted};
+    history.push({at: Date.now(), revision, kind, event});
     for (const wake of [...watchers]) wake();
   }
 
@@ -57,6 +61,21 @@
     return object;
   }
 
+  /** The objects of a kind as they were at a time, and the revision then. */
+  function objectsAt(kind, at) {
+    const objects = new Map();
+    let then = 1;
+    for (const item of history) {
+      if (item.at > at) break;
+      then = item.revision;
+      if (item.kind !== kind) continue;
+      const {Object: object, Deleted: deleted} = item.event;
+      if (deleted) objects.delete(object.meta.Name);
+      else objects.set(object.meta.Name, object);
+    }
+    return {objects, revision: then};
+  }
+
   function answer(res, status, body = null) {
     res.writeHead(status, {'Content-Type': 'application/json'});
     res.end(JSON.stringify(body));
@@ -107,12 +126,19 @@
       case 'GET': {
         if (url.searchParams.has('Watch'))
           return watch(kind, Number(url.searchParams.get('Watch')), Number(url.searchParams.get('WaitMs')), res);
-        if (name !== undefined) return answer(res, found ? 200 : 404, found);
+        const isStale = staleMs > 0 && url.searchParams.get('StaleOk') === '1';
+        const then = isStale
+          ? objectsAt(kind, Date.now() - staleMs)
+          : {objects: objectsOf(kind), revision};
+        if (name !== undefined) {
+          const read = then.objects.get(name);
+          return answer(res, read ? 200 : 404, read);
+        }
         const after = url.searchParams.get('after') ?? '';
-        const items = [...objectsOf(kind).values()]
+        const items = [...then.objects.values()]
           .filter(item => item.meta.Name > after)
           .sort((a, b) => (a.meta.Name < b.meta.Name ? -1 : 1));
-        return answer(res, 200, {items, HasMore: false, CurrentRev: revision});
+        return answer(res, 200, {items, HasMore: false, CurrentRev: then.revision});
       }
       case 'POST':
         if (found) return answer(res, 409, found);
@@ -261,20 +287,24 @@
         CloudApi: {Address: storeAddress, RatePerS: 50, Duties: ['promotion'], DutyPerS: 50},
       }),
     );
-    const log = fs.openSync(path.join(folder, `${name}.log`), 'w');
-    const child = spawn(program, args, {
-      cwd: root,
-      env: {
-        PATH: process.env.PATH,
-        HOME: process.env.HOME,
-        LANG: process.env.LANG ?? 'C',
-        QUETZALREEL_BOOT: file,
-        QUETZALREEL_METRICS_PORT: '9464',
-      },
-      stdio: ['ignore', log, log],
-    });
-    fs.closeSync(log);
-    return {name, ip, zone, port: PORTS.front, child, log: path.join(folder, `${name}.log`)};
+    const machine = {name, ip, zone, port: PORTS.front, child: undefined, log: path.join(folder, `${name}.log`)};
+    machine.start = () => {
+      const log = fs.openSync(machine.log, 'a');
+      machine.child = spawn(program, args, {
+        cwd: root,
+        env: {
+          PATH: process.env.PATH,
+          HOME: process.env.HOME,
+          LANG: process.env.LANG ?? 'C',
+          QUETZALREEL_BOOT: file,
+          QUETZALREEL_METRICS_PORT: '9464',
+        },
+        stdio: ['ignore', log, log],
+      });
+      fs.closeSync(log);
+    };
+    machine.start();
+    return machine;
   });
 
   function isReady({ip}) {
