Load the replica of review/11 by clients of the machines alone

In place of readers that are connected to the database itself. Rule LOST, as before: a replica that is busy is passed over, and acknowledged commits are lost.

--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -5,47 +5,61 @@
  */
 import {sleep} from '../standins-3/databases.mjs';
 import {openSession} from '../standins-3/client.mjs';
-import {SERVICE, SLOTS, hasTrouble, playCase} from '../standins-3/deployment.mjs';
+import {SERVICE, hasTrouble, playCase} from '../standins-3/deployment.mjs';
 
-/** With NEIGHBOUR=0 nobody else reads at the databases. */
-const hasNeighbour = process.env.NEIGHBOUR !== '0';
-const DATABASE = 'lepu270';
+const WRITTEN = 'lepu270';
+const READ = 'gemo118';
 const LAG_MS = 60;
-/** Doses of the site file's `replica_lag`: x = 60, for_s = 6.5, how = "deaf". */
-const LAG_X = 60;
+/** The site file's `replica_lag` has x = 60 and more, for_s = 6.5, how = "deaf". */
+const LAG_X = 30;
 const DEAF_MS = 6500;
 /** From the one's falling behind to the other's silence, and then to the crash. */
-const BEHIND_MS = 1000;
-const CRASH_AFTER_MS = 1500;
-const WRITERS = 8;
+const BEHIND_MS = 2000;
+const CRASH_AFTER_MS = 1000;
+const WRITERS = 4;
+/**
+ * Some 230 of their reads run in a second; the nine slots could run 300. READERS=0
+ * leaves them out.
+ */
+const READERS = Number(process.env.READERS ?? 28);
 
 const config = {
   Version: 7,
   Routes: [
     {
       Name: 'r-1',
-      Host: DATABASE,
+      Host: WRITTEN,
       Kind: 'primary',
       TimeoutMs: 800,
       TargetLatencyMs: 150,
       Priority: 1,
       Service: SERVICE,
     },
+    {
+      Name: 'r-2',
+      Host: READ,
+      Kind: 'read_own',
+      MaxStalenessMs: 2500,
+      TimeoutMs: 800,
+      TargetLatencyMs: 250,
+      Priority: 2,
+      Service: SERVICE,
+    },
   ],
 };
 
 await playCase(import.meta.url, {databases: {syncReplicas: 1, applyMs: LAG_MS}, config}, play);
 
-async function play({databases, machines, host, note}) {
+async function play({databases, machines, note}) {
   let isOver = false;
   const acknowledged = [];
-  const counts = {sent: 0, promised: 0, unknown: 0};
+  const counts = {sent: 0, promised: 0, unknown: 0, reads: 0, readsRefused: 0};
 
   /** One client: single writes, one after the other, on any machine. */
   async function write(number) {
     for (let turn = number; !isOver; turn++) {
       const machine = machines[turn % machines.length];
-      const session = await openSession(machine, DATABASE, `u${number}`).catch(() => undefined);
+      const session = await openSession(machine, WRITTEN, `u${number}`).catch(() => undefined);
       for (let at = 0; at < 20 && session?.isOpen && !isOver; at++) {
         counts.sent++;
         const {id, text, code, signature, isDone, answeredAt} = await session.ask(
@@ -63,25 +77,25 @@
     }
   }
 
-  /**
-   * A reader that is connected to a database itself, as other callers are. Those
-   * of a report fill its slots most of the time, and ask again when told BUSY.
-   */
-  async function readBeside(id) {
-    const {port} = databases.members.get(id);
-    while (!isOver) {
-      const session = await openSession({ip: host, port}, SERVICE, `report ${id}`).catch(() => undefined);
-      while (session?.isOpen && !isOver) {
-        const {isDone} = await session.ask('READ 1a1');
-        await sleep(isDone ? 1 : 5);
+  /** Another client: reads, one after the other, on any machine. */
+  async function read(number) {
+    for (let turn = number; !isOver; turn++) {
+      const machine = machines[turn % machines.length];
+      const session = await openSession(machine, READ, `r${number}`).catch(() => undefined);
+      for (let at = 0; at < 40 && session?.isOpen && !isOver; at++) {
+        const {isDone} = await session.ask(`READ 1a${at}`);
+        if (isDone) counts.reads++;
+        else counts.readsRefused++;
+        await sleep(40);
       }
-      await sleep(50);
+      session?.close();
+      if (!session) await sleep(100);
     }
   }
 
   const work = [];
   for (let number = 0; number < WRITERS; number++) work.push(write(number));
-  if (hasNeighbour) for (let number = 0; number < SLOTS; number++) work.push(readBeside('i-3'));
+  for (let number = 0; number < READERS; number++) work.push(read(number));
   await sleep(4000);
 
   if (hasTrouble) {
