--- a/review/standins-3/deployment.mjs
+++ b/review/standins-3/deployment.mjs
@@ -32,6 +32,17 @@
   const note = item => record.write(`${Date.now() - startedAt} ms ${JSON.stringify(item)}\n`);
   const owned = [];
   let status;
+
+  function end(code) {
+    for (const item of owned.splice(0).reverse()) item.stop();
+    record.end(() => process.exit(code));
+  }
+  // Also where the script is stopped, nothing that it started goes on.
+  for (const signal of ['SIGTERM', 'SIGINT']) process.once(signal, () => end(2));
+  process.once('uncaughtException', err => {
+    console.error(err);
+    end(2);
+  });
   try {
     const net = freeNet();
     const host = `${net}.2`;
@@ -80,6 +91,5 @@
     note({what: 'not run', why: String(err)});
     status = 2;
   }
-  for (const item of owned.reverse()) item.stop();
-  record.end(() => process.exit(status));
+  end(status);
 }
