--- a/packages/failover/src/change-reason.ts
+++ b/packages/failover/src/change-reason.ts
@@ -1,5 +1,4 @@
-/** Decides when to replace a group's primary, and by which candidate. */
-import {type Position, comparePositions} from '@quetzalreel/position';
+/** Decides when to replace a group's primary. */
 
 /** Why a primary is replaced. */
 export const ChangeReason = {
@@ -59,33 +58,3 @@
   if (view.leaving && canLeave) return ChangeReason.Leaving;
   return isDown ? ChangeReason.Down : undefined;
 }
-
-/** An endpoint that may become the primary. */
-export interface Candidate {
-  readonly endpoint: string;
-  /** The end of the log that it has received. */
-  readonly received: Position;
-  /** Whether it leaves, and will have to be replaced again. */
-  readonly isLeaving: boolean;
-}
-
-/**
- * The candidate with the latest position. Of several that have it, one that stays
- * comes first, then the first by name, so that all instances choose the same one.
- */
-export function mostAdvanced(
-  candidates: readonly Candidate[],
-): Candidate | undefined {
-  let best: Candidate | undefined;
-  for (const candidate of candidates) {
-    if (!best || comesBefore(candidate, best)) best = candidate;
-  }
-  return best;
-}
-
-function comesBefore(a: Candidate, b: Candidate): boolean {
-  const order = comparePositions(a.received, b.received);
-  if (order !== 0) return order > 0;
-  if (a.isLeaving !== b.isLeaving) return b.isLeaving;
-  return a.endpoint < b.endpoint;
-}
--- a/packages/failover/src/change-types.ts
+++ b/packages/failover/src/change-types.ts
@@ -74,6 +74,8 @@
   readonly writtenAt: number | undefined;
   /** When the last order may be sent. Monotonic milliseconds. */
   readonly orderUntil: number;
+  /** The newest change of the group before this one; undefined if none is known. */
+  readonly previous: ChangeRecord | undefined;
 }
 
 /**
--- a/packages/failover/src/index.ts
+++ b/packages/failover/src/index.ts
@@ -29,11 +29,9 @@
 } from './change-types.js';
 export {primaryChanger} from './primary-changer.js';
 export {
-  type Candidate,
   type FailoverThresholds,
   type PrimaryView,
   ChangeReason,
-  mostAdvanced,
   reasonToChange,
 } from './change-reason.js';
 export {
@@ -47,5 +45,13 @@
   leaseStore,
   parseLease,
 } from './lease.js';
+export {
+  type Member,
+  type Succession,
+  type SuccessionContext,
+  Told,
+  chooseSuccessor,
+  mostAdvanced,
+} from './succession.js';
 export {nextFence} from './fence.js';
 export {OrderResult, type PromotionOrder, PromotionOrders} from './orders.js';
--- a/packages/failover/src/primary-changer.ts
+++ b/packages/failover/src/primary-changer.ts
@@ -26,6 +26,15 @@
 import {nextFence} from './fence.js';
 import {OrderResult} from './orders.js';
 
+/** A lease under which a change may go on. */
+interface AcquiredLease {
+  readonly lease: LeaseSnapshot;
+  /** Whether it was written for the change; else it is an earlier one. */
+  readonly isWritten: boolean;
+  /** The newest change of the group before. */
+  readonly previous: ChangeRecord | undefined;
+}
+
 /** Creates a changer that holds no fence yet. */
 export function primaryChanger(context: ChangeContext): PrimaryChanger {
   const {instance, clock, lease, orders, limits, onEvent} = context;
@@ -180,12 +189,15 @@
   async function acquireLease(
     planned: PlannedChange,
     isPlanned: boolean,
-  ): Promise<LeaseSnapshot | ChangeOutcome> {
+  ): Promise<AcquiredLease | ChangeOutcome> {
     const seen = await readLease(Freshness.Current);
     if (mayOtherHolderAct() || (await mayLostHolderAct()))
       return ChangeOutcome.Deferred;
+    const previous = changes.get(planned.group);
     const record = recordAfter(seen, planned, isPlanned);
-    return (await replaceLease(record, seen)) ?? ChangeOutcome.Deferred;
+    const lease = await replaceLease(record, seen);
+    if (!lease) return ChangeOutcome.Deferred;
+    return {lease, isWritten: true, previous};
   }
 
   /** The lease whose fence may be used while the store is unreachable;
@@ -231,12 +243,12 @@
   async function acquireOrReuseLease(
     planned: PlannedChange,
     isPlanned: boolean,
-  ): Promise<{lease: LeaseSnapshot; isWritten: boolean} | ChangeOutcome> {
+  ): Promise<AcquiredLease | ChangeOutcome> {
     try {
       const taken = await acquireLease(planned, isPlanned);
       if (typeof taken === 'string') return taken;
       pendingTarget = undefined;
-      return {lease: taken, isWritten: true};
+      return taken;
     } catch (err) {
       const reusable = leaseWithoutStore(planned);
       onEvent({
@@ -246,7 +258,8 @@
         fence: reusable?.record.fence,
       });
       if (!reusable) return ChangeOutcome.NoFence;
-      return {lease: reusable, isWritten: false};
+      const previous = changes.get(planned.group);
+      return {lease: reusable, isWritten: false, previous};
     }
   }
 
@@ -264,8 +277,9 @@
     const orderUntil = begunAt + limits.orderWindowMs;
     if (prepare) {
       const record = {...planned, fence, isPlanned};
-      const writtenAt = acquired.isWritten ? begunAt : undefined;
-      if (!(await prepare(record, {writtenAt, orderUntil})))
+      const {isWritten, previous} = acquired;
+      const writtenAt = isWritten ? begunAt : undefined;
+      if (!(await prepare(record, {writtenAt, orderUntil, previous})))
         return ChangeOutcome.NotPrepared;
     }
     return sendOrder(planned, orderUntil);
--- a/packages/model/src/index.ts
+++ b/packages/model/src/index.ts
@@ -30,6 +30,14 @@
   grantSteps,
   initialGrantState,
 } from './token-grants.js';
+export {
+  SUCCESSION_INVARIANTS,
+  type SuccessionBounds,
+  SuccessionOmission,
+  type SuccessionState,
+  initialSuccessionState,
+  successionSteps,
+} from './succession.js';
 export {
   CHANGE_INVARIANTS,
   type ChangeBounds,
--- a/packages/model/src/main.ts
+++ b/packages/model/src/main.ts
@@ -16,6 +16,12 @@
 import {OMISSIONS} from './omissions.js';
 import {search} from './search.js';
 import {INVARIANTS} from './spec.js';
+import {
+  SUCCESSION_INVARIANTS,
+  SuccessionOmission,
+  initialSuccessionState,
+  successionSteps,
+} from './succession.js';
 import {
   GRANT_INVARIANTS,
   GrantOmission,
@@ -73,6 +79,18 @@
 const ORDER_BOUNDS = {changes: 3};
 const CHANGE_BOUNDS = {ticks: 2};
 const GRANT_BOUNDS = {ticks: 4};
+const SUCCESSION_BOUNDS = {
+  replicas: 2,
+  syncReplicas: 1,
+  commits: 2,
+  hasEarlierChange: false,
+};
+/** The same where another change may have taken effect before. */
+const EARLIER_CHANGE_BOUNDS = {
+  ...SUCCESSION_BOUNDS,
+  commits: 1,
+  hasEarlierChange: true,
+};
 const READ_BOUNDS = {commits: 1, ticks: 3};
 /** Bounds within which each disabled rule leads to a violation. */
 const OMITTED_READ_BOUNDS = {commits: 2, ticks: 3};
@@ -106,6 +124,17 @@
   );
 }
 
+function searchSuccessions(omit?: SuccessionOmission) {
+  const isOfLastPrimary = omit === SuccessionOmission.LastPrimary;
+  const base = isOfLastPrimary ? EARLIER_CHANGE_BOUNDS : SUCCESSION_BOUNDS;
+  const bounds = omit ? {...base, omit} : base;
+  return search(
+    initialSuccessionState(bounds),
+    state => successionSteps(state, bounds),
+    PLATFORM_STATES,
+  );
+}
+
 function searchGrants(omit?: GrantOmission) {
   const bounds = omit ? {...GRANT_BOUNDS, omit} : GRANT_BOUNDS;
   return search(
@@ -117,18 +146,27 @@
 
 const changes = searchChanges();
 const grants = searchGrants();
+const successions = searchSuccessions();
 const orders = searchOrders();
 const reads = searchReads();
 print({...ORDER_BOUNDS, invariants: ORDER_INVARIANTS, ...orders});
 print({...READ_BOUNDS, invariants: READ_INVARIANTS, ...reads});
 print({...CHANGE_BOUNDS, invariants: CHANGE_INVARIANTS, ...changes});
 print({...GRANT_BOUNDS, invariants: GRANT_INVARIANTS, ...grants});
-for (const {violation} of [orders, reads, changes, grants]) {
+print({
+  ...SUCCESSION_BOUNDS,
+  invariants: SUCCESSION_INVARIANTS,
+  ...successions,
+});
+for (const {violation} of [orders, reads, changes, grants, successions]) {
   if (violation) process.exitCode = 1;
 }
 for (const omit of Object.values(GrantOmission)) {
   print({omitted: omit, ...searchGrants(omit)});
 }
+for (const omit of Object.values(SuccessionOmission)) {
+  print({omitted: omit, ...searchSuccessions(omit)});
+}
 for (const omit of Object.values(ChangeOmission)) {
   print({omitted: omit, ...searchChanges(omit)});
 }
--- a/packages/proxy/src/change-preparation.ts
+++ b/packages/proxy/src/change-preparation.ts
@@ -1,8 +1,8 @@
 /**
- * Prepares a change of primary. On a platform where a replaced primary goes on
- * acknowledging, it has stepped down before the order, or no instance uses it any
- * more. Elsewhere it stops by itself, but what it acknowledges up to that moment
- * may be missing at its successor.
+ * Prepares a change of primary: the old one has stepped down before the order, or
+ * no instance uses it any more. That is needed on a platform where a replaced
+ * primary goes on acknowledging, and where acknowledged commits must be kept: what
+ * a primary acknowledges after its successor was chosen may be missing there.
  */
 import type {Clock} from '@quetzalreel/common';
 import {
@@ -10,11 +10,14 @@
   type Confirmations,
   type PrepareChange,
   type PrimaryChanger,
+  Told,
   orderTime,
 } from '@quetzalreel/failover';
+import {isAtLeast} from '@quetzalreel/position';
 import {PERMISSION_LIMITS} from './defaults.js';
 import type {EndpointControl} from './endpoint-control.js';
 import type {Log} from './log.js';
+import type {SuccessorElection} from './successor-election.js';
 
 /** Dependencies of a preparation. */
 export interface PreparationContext {
@@ -23,8 +26,11 @@
   readonly log: Log;
   readonly changer: PrimaryChanger;
   readonly control: EndpointControl;
+  readonly elect: SuccessorElection;
   /** Whether acknowledged commits have to be in the successor's log. */
   readonly mustKeepCommits: () => boolean;
+  /** Whether a replaced primary stops by itself when the order takes effect. */
+  readonly replacedPrimaryStops: boolean;
   /**
    * Announces a change to all instances; undefined while they are not known.
    */
@@ -33,23 +39,10 @@
   ) => Promise<Confirmations | undefined>;
 }
 
-/**
- * Creates the preparation of planned changes of a group whose acknowledged commits
- * must not be lost, on a platform where a replaced primary stops by itself.
- */
-export function syncedHandOver(control: EndpointControl): PrepareChange {
-  return async ({from, to, isPlanned}) => {
-    // Without the old primary nothing more is acknowledged, and the successor is
-    // the one that has received most.
-    if (!isPlanned) return true;
-    const end = await control.stepDown(from);
-    return end !== undefined && control.waitUntilReceived(to, end);
-  };
-}
-
 /** Creates the preparation of one group's changes. */
 export function changePreparation(context: PreparationContext): PrepareChange {
   const {instance, clock, log, changer, control, mustKeepCommits} = context;
+  const {replacedPrimaryStops} = context;
 
   async function announce(
     change: ChangeRecord,
@@ -81,12 +74,37 @@
    * that still claims the role, and must then start a new term.
    */
   async function isReplica(endpoint: string): Promise<boolean> {
-    const state = await control.requestState(endpoint);
-    if (!state?.isPrimary) return true;
+    const report = await control.requestStatus(endpoint, true);
+    if (report?.type === Told.Status && !report.isPrimary) return true;
     return (await control.stepDown(endpoint)) !== undefined;
   }
 
-  return async (change, {writtenAt, orderUntil}) => {
+  /**
+   * Whether the successor still has all acknowledged commits, now that nothing
+   * more is acknowledged. It was chosen before.
+   */
+  async function hasAllCommits(
+    {group, from: replaced, to}: ChangeRecord,
+    previous: ChangeRecord | undefined,
+  ): Promise<boolean> {
+    const {members, succession} = await context.elect({
+      replaced,
+      mayReturn: to === replaced,
+      isPlanned: false,
+      lastNamed: previous?.to,
+    });
+    if (succession.type === 'chosen') {
+      const positionOf = (endpoint: string) =>
+        members.find(member => member.endpoint === endpoint)?.position;
+      const position = positionOf(to);
+      const best = positionOf(succession.endpoint);
+      if (position && best && isAtLeast(position, best)) return true;
+    }
+    log.warn({event: 'successorOutdated', group, to, members, succession});
+    return false;
+  }
+
+  return async (change, {writtenAt, orderUntil, previous}) => {
     if (change.isPlanned) {
       const answers = await announce(change);
       if (!answers || answers.isOutdated) return false;
@@ -101,6 +119,8 @@
     log.info({event: 'orderTime', ...unplanned, ...order, now: clock.now()});
     if (order.type === 'never' || order.at >= orderUntil) return false;
     await clock.sleep(Math.max(0, order.at - clock.now()));
-    return isReplica(change.to);
+    if (mustKeepCommits() && !(await hasAllCommits(unplanned, previous)))
+      return false;
+    return replacedPrimaryStops || isReplica(change.to);
   };
 }
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -105,8 +105,13 @@
    * Instances start a change of primary at different moments within this time.
    */
   changeJitterMs: 150,
-  /** Timeout for the answer to a status request, which needs a slot. */
+  /**
+   * Timeout for the status of an endpoint, which needs a slot; a busy endpoint is
+   * asked again meanwhile.
+   */
   statusTimeoutMs: 300,
+  /** Interval at which a connection for a control request is tried again. */
+  controlConnectRetryMs: 50,
   /**
    * An endpoint counts as reachable for a peer when the last contact was at
    * most this long before the peer's request.
@@ -286,6 +291,8 @@
    * endpoint nothing until a statement uses them.
    */
   maxRelayedConnections: 8,
+  /** Connections to one endpoint beyond the plan, for requests that control it. */
+  controlConnections: 1,
   /** Maximum number of attempts for one statement. */
   maxAttempts: 5,
   /**
--- a/packages/proxy/src/endpoint-control.ts
+++ b/packages/proxy/src/endpoint-control.ts
@@ -1,11 +1,15 @@
 /** Requests that ask an endpoint for its status or make it a replica. */
 import {type Clock, messageOf} from '@quetzalreel/common';
 import {comparePositions, type Position} from '@quetzalreel/position';
-import type {Answer, EndpointStatus} from '@quetzalreel/requests';
+import {Told} from '@quetzalreel/failover';
+import {
+  type Answer,
+  type EndpointStatus,
+  ErrorCode,
+} from '@quetzalreel/requests';
 import {TIMES} from './defaults.js';
 import type {ConnectionLease, GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
-import {ANY_ENDPOINT} from './placement.js';
 import {sendWithTimeout} from './run-request.js';
 
 /** Dependencies of endpoint control. */
@@ -15,18 +19,30 @@
   readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
 }
 
-/** The state of an endpoint by its own account. */
-export interface ReportedState {
-  /** The end of the log that it has received. */
-  readonly received: Position;
-  /** Undefined if it was too busy to say. */
-  readonly isPrimary: boolean | undefined;
-}
+/** What an endpoint answered to a request for its status. */
+export type StatusReport =
+  | {
+      readonly type: typeof Told.Status;
+      /** The end of the log that it has received. */
+      readonly received: Position;
+      readonly isPrimary: boolean;
+    }
+  | {
+      readonly type: typeof Told.Busy;
+      /** The end of what it is known to have applied. */
+      readonly applied: Position | undefined;
+    };
 
 /** Controls the endpoints of one group. */
 export interface EndpointControl {
-  /** Undefined if the endpoint did not answer. */
-  requestState(endpoint: string): Promise<ReportedState | undefined>;
+  /**
+   * Asks for the status, and again for a bounded time if the endpoint is busy and
+   * `repeats`. Resolves to undefined if it did not answer.
+   */
+  requestStatus(
+    endpoint: string,
+    repeats: boolean,
+  ): Promise<StatusReport | undefined>;
   /**
    * Makes the endpoint a replica; resolves to the end of its log, or undefined
    * if it did not confirm.
@@ -71,56 +87,38 @@
     const status = readStatus(answer);
     if (status) return status;
     const {rows, error} = answer;
+    if (error?.code === ErrorCode.Busy) return undefined;
     log.warn({event: 'statusUnreadable', endpoint, rows, error});
     return undefined;
   }
 
-  /** Takes a connection without a place in the queue of statements. */
-  async function pollForLease(
+  /** Sends a request on a connection of its own; undefined without an answer. */
+  async function ask(
     endpoint: string,
+    req: ControlRequest,
     until: number,
-  ): Promise<ConnectionLease | undefined> {
-    while (clock.now() < until) {
-      const lease = group.acquireForControl(endpoint);
-      if (lease) return lease;
-      await clock.sleep(TIMES.receivePollMs);
-    }
-    return undefined;
-  }
-
-  async function leaseForStatus(
-    endpoint: string,
-    deadline: number,
-  ): Promise<ConnectionLease | undefined> {
-    // The queue has no statements for an endpoint that leaves.
-    if (group.links.get(endpoint)?.listed.leaving)
-      return pollForLease(endpoint, deadline);
-    return group.acquire({
-      primaryOnly: false,
-      need: () => ({...ANY_ENDPOINT, only: endpoint}),
-      priority: 0,
-      account: undefined,
-      accountPriority: 0,
-      settingsKey: '',
-      objectiveAt: deadline,
-      deadline,
-      hasDisconnected: () => false,
-    });
+  ): Promise<Answer | undefined> {
+    const lease = await group.acquireForControl(endpoint, until);
+    return lease && send(lease, req, Math.max(1, until - clock.now()));
   }
 
-  async function requestState(
+  async function requestStatus(
     endpoint: string,
-  ): Promise<ReportedState | undefined> {
-    const deadline = clock.now() + TIMES.statusTimeoutMs;
-    const lease = await leaseForStatus(endpoint, deadline);
-    if (!lease) return undefined;
-    const {facts} = lease.link;
-    const answer = await send(lease, {type: 'status'}, TIMES.statusTimeoutMs);
-    if (!answer) return undefined;
-    const status = parse(endpoint, answer);
-    if (status) return status;
-    const {position} = facts;
-    return position && {received: position, isPrimary: undefined};
+    repeats: boolean,
+  ): Promise<StatusReport | undefined> {
+    const until = clock.now() + TIMES.statusTimeoutMs;
+    let report: StatusReport | undefined;
+    while (clock.now() < until) {
+      const answer = await ask(endpoint, {type: 'status'}, until);
+      if (!answer) return report;
+      const status = parse(endpoint, answer);
+      if (status) return {type: Told.Status, ...status};
+      const applied = group.links.get(endpoint)?.facts.position;
+      report = {type: Told.Busy, applied};
+      if (!repeats) return report;
+      await clock.sleep(TIMES.receivePollMs);
+    }
+    return report;
   }
 
   /** A term above all that are known in the group. */
@@ -133,28 +131,28 @@
   }
 
   return {
-    requestState,
+    requestStatus,
     async stepDown(endpoint) {
       let term = nextTerm();
       const until = clock.now() + TIMES.stepDownTimeoutMs;
-      for (;;) {
-        const lease = await pollForLease(endpoint, until);
-        if (!lease) return undefined;
+      while (clock.now() < until) {
         const req = {type: 'stepDown', term} as const;
-        const answer = await send(lease, req, until - clock.now());
+        const answer = await ask(endpoint, req, until);
         const status = answer && parse(endpoint, answer);
         log.info({event: 'stepDownSent', endpoint, term, status});
-        if (!status) continue;
-        if (!status.isPrimary) return status.received;
+        if (status && !status.isPrimary) return status.received;
         // A new primary without commits has a term that no position shows.
-        term = Math.max(status.term, status.termHeld) + 1;
+        if (status) term = Math.max(status.term, status.termHeld) + 1;
+        else await clock.sleep(TIMES.receivePollMs);
       }
+      return undefined;
     },
     async waitUntilReceived(endpoint, end) {
       const until = clock.now() + TIMES.receiveLastCommitMs;
       let received: Position | undefined;
       while (clock.now() < until) {
-        received = (await requestState(endpoint))?.received;
+        const report = await requestStatus(endpoint, true);
+        if (report?.type === Told.Status) received = report.received;
         if (received && comparePositions(received, end) >= 0) return true;
         await clock.sleep(TIMES.receivePollMs);
       }
--- a/packages/proxy/src/endpoint-directory.ts
+++ b/packages/proxy/src/endpoint-directory.ts
@@ -30,6 +30,8 @@
 export interface DepartedEntry {
   readonly endpoint: ListedEndpoint;
   readonly goneAt: number;
+  /** Until when its entry may be back: it may serve all the while. */
+  readonly mayReturnUntil: number;
 }
 
 /** An event that changes the list. */
@@ -158,13 +160,33 @@
   if (missing.length === 0) return directory;
   const entries = new Map(directory.entries);
   const departed = new Map(directory.departed);
-  for (const [id, {endpoint}] of missing) {
+  for (const [id, {endpoint, missingSince}] of missing) {
     entries.delete(id);
-    departed.set(id, {endpoint, goneAt: now});
+    const since = Math.max(missingSince!, reachedSince, restoredAt);
+    const mayReturnUntil = since + ENTRY_RETURN_MS;
+    departed.set(id, {endpoint, goneAt: now, mayReturnUntil});
   }
   return {...directory, entries, departed};
 }
 
+/**
+ * The endpoints of a group that are not listed, but whose entries may be back: an
+ * entry may lapse while its endpoint serves. One that is not back in that time is
+ * gone.
+ */
+export function lapsedEndpoints(
+  {departed, entries}: Directory,
+  group: string,
+  now: number,
+): readonly string[] {
+  const lapsed: string[] = [];
+  for (const [id, {endpoint, mayReturnUntil}] of departed) {
+    if (endpoint.group !== group || entries.has(id)) continue;
+    if (now < mayReturnUntil) lapsed.push(id);
+  }
+  return lapsed;
+}
+
 /** Forgets entries that are gone for long enough. */
 function forget(directory: Directory, now: number): Directory {
   const isOld = ({goneAt}: DepartedEntry) => now - goneAt >= DEPARTED_MS;
--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -80,6 +80,15 @@
    * settings have `key`.
    */
   acquire(key: string, use: ConnectionUse): PooledConnection | undefined;
+  /**
+   * Takes an idle connection for a request that controls the endpoint, or the
+   * next one that becomes free within `forMs`, before statements that wait; opens
+   * one meanwhile, beyond the plan if all of its connections are in use.
+   */
+  acquireNext(
+    use: ConnectionUse,
+    forMs: number,
+  ): Promise<PooledConnection | undefined>;
   release(connection: PooledConnection, reusable: boolean): void;
   /**
    * Opens another connection for these requests if the limits allow it now. At
@@ -139,6 +148,12 @@
   readonly account: string | undefined;
 }
 
+/** A control request that waits for a connection. */
+interface ControlWaiter {
+  readonly use: ConnectionUse;
+  take(pooled: PooledConnection): void;
+}
+
 function wayOf(relay: RelayAddress | undefined): ConnectionWay {
   return relay ? ConnectionWay.Relayed : ConnectionWay.Direct;
 }
@@ -149,6 +164,7 @@
   {clock, log, driver, relayDriver, onIdle}: LinkContext,
 ): EndpointLink {
   const idle: LinkConnection[] = [];
+  const controlWaiters: ControlWaiter[] = [];
   const all = new Map<PooledConnection, LinkConnection>();
   const path = connectionPath(clock);
   /** Number of connections being opened, direct and through relays. */
@@ -207,7 +223,16 @@
       if (at >= 0) load.closedUnused++;
       else load.closedInUse++;
     });
-    if (!connection.isOpen) return;
+    if (connection.isOpen) offer(member);
+  }
+
+  /** Makes a connection available: to control requests first. */
+  function offer(member: LinkConnection): void {
+    const at = controlWaiters.findIndex(({use}) => serves(member, use));
+    if (at >= 0) {
+      controlWaiters.splice(at, 1)[0]!.take(member.pooled);
+      return;
+    }
     idle.push(member);
     onIdle();
   }
@@ -285,14 +310,33 @@
     void connectThroughRelay(relay);
   }
 
-  function openDirectly(account: string): void {
+  /** `beyondPlan`: how many connections more than planned there may be. */
+  function openDirectly(account: string, beyondPlan = 0): void {
     if (clock.now() < retryAt) return;
     if (opening.direct >= LIMITS.maxConcurrentOpens) return;
-    const isFull = count(false) >= path.plan.maxOwnConnections;
+    const most = path.plan.maxOwnConnections + beyondPlan;
+    const isFull = count(false) >= most;
     if (isFull && !closeIdleOfOthers(account)) return;
     void connectDirectly(account);
   }
 
+  function openFor(
+    {way, account = ''}: ConnectionUse = OWN_USE,
+    beyondPlan: number,
+  ): void {
+    if (disposed) return;
+    const isDirect = way === ConnectionWay.Direct;
+    const relay = isDirect ? undefined : path.nextRelay(account);
+    if (relay) openRelayed(relay);
+    else openDirectly(account, beyondPlan);
+  }
+
+  /** Opens a connection for a control request, unless one is being opened. */
+  function openForControl(use: ConnectionUse): void {
+    if (opening.direct + opening.relayed > 0) return;
+    openFor(use, LIMITS.controlConnections);
+  }
+
   /** Makes room for a connection of `account`; false if all are in use. */
   function closeIdleOfOthers(account: string): boolean {
     for (const member of idle) {
@@ -377,6 +421,25 @@
       }
       return at < 0 ? undefined : idle.splice(at, 1)[0]!.pooled;
     },
+    acquireNext(use, forMs) {
+      const free = link.acquire('', use);
+      if (free) return Promise.resolve(free);
+      openForControl(use);
+      return new Promise(resolve => {
+        const waiter: ControlWaiter = {
+          use,
+          take(pooled) {
+            timer.dispose();
+            resolve(pooled);
+          },
+        };
+        const timer = clock.after(forMs, () => {
+          controlWaiters.splice(controlWaiters.indexOf(waiter), 1);
+          resolve(undefined);
+        });
+        controlWaiters.push(waiter);
+      });
+    },
     release(connection, reusable) {
       const member = all.get(connection);
       if (!member || !reusable || disposed || !connection.isReusable) {
@@ -385,16 +448,9 @@
       }
       connection.trim();
       connection.idleSince = clock.now();
-      idle.push(member);
-      onIdle();
-    },
-    open({way, account = ''} = OWN_USE) {
-      if (disposed) return;
-      const isDirect = way === ConnectionWay.Direct;
-      const relay = isDirect ? undefined : path.nextRelay(account);
-      if (relay) openRelayed(relay);
-      else openDirectly(account);
+      offer(member);
     },
+    open: use => openFor(use, 0),
     closeUnused(least) {
       for (const member of [...idle]) {
         if (isOutdated(member)) member.pooled.connection.dispose();
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -8,7 +8,7 @@
   ConfirmedPosition,
   ReachabilityResult,
 } from '@quetzalreel/peer-queries';
-import type {EndpointLink} from './endpoint-link.js';
+import type {ConnectionWay, EndpointLink} from './endpoint-link.js';
 import type {Log} from './log.js';
 import type {Need, PlacementOption} from './placement.js';
 import type {PlacementDecision} from './placement-decision.js';
@@ -105,6 +105,8 @@
    */
   readonly planFor: (endpoint: SharedEndpoint) => SharingPlan;
   readonly primaryUse: PrimaryUse;
+  /** See `GroupRuntime`. */
+  readonly lapsedEndpoints: () => readonly string[];
 }
 
 /** A group of endpoints with its runtime state. */
@@ -117,6 +119,15 @@
    * Id of the last known primary, even if it is no longer listed; '' for none.
    */
   readonly lastPrimary: string;
+  /**
+   * Whether the primary is lost and none may replace it until more replicas have
+   * told how far their logs reach.
+   */
+  awaitsSuccessor: boolean;
+  /** When the endpoints were listed first; Infinity before. Monotonic ms. */
+  readonly listedSince: number;
+  /** Endpoints that are not listed now, but may be again in a moment. */
+  lapsedEndpoints(): readonly string[];
   /** Time from which no primary is known; undefined while there is one. */
   readonly missingSince: number | undefined;
   /**
@@ -157,10 +168,16 @@
    */
   acquire(req: ConnectionRequest): Promise<ConnectionLease | undefined>;
   /**
-   * Takes an idle connection to the endpoint whatever its role and load, for
-   * requests that control it; opens one if there is none.
+   * Waits for a connection to the endpoint whatever its role and load, for
+   * requests that control it: the next one that is free, before statements that
+   * wait. Resolves to undefined when none was until `until`, or if the endpoint
+   * is not listed.
    */
-  acquireForControl(endpoint: string): ConnectionLease | undefined;
+  acquireForControl(
+    endpoint: string,
+    until: number,
+    way?: ConnectionWay,
+  ): Promise<ConnectionLease | undefined>;
   /** The newest position that this instance has confirmed itself. */
   ownConfirmed(): ConfirmedPosition | undefined;
   /** Adds a position that a peer has confirmed. */
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -38,6 +38,7 @@
 import {type PlacementDecision, decidePlacement} from './placement-decision.js';
 import {paceLog} from './pace-log.js';
 import {probe} from './probe.js';
+import type {PooledConnection} from './pooled-connection.js';
 import type {GroupPolicy, ListedEndpoint} from './routes.js';
 import {type AcquireAttempt, waitingRequests} from './waiting-requests.js';
 
@@ -77,6 +78,7 @@
   });
   const leaving = leavingEndpoints(context);
   let askedHoldersAt = -Infinity;
+  let listedSince = Infinity;
 
   function replan(link: EndpointLink): void {
     const {id, dataCentre} = link.listed;
@@ -131,7 +133,15 @@
     use: ConnectionUse,
   ): ConnectionLease | undefined {
     const pooled = link.acquire(settingsKey, use);
-    if (!pooled) return undefined;
+    return pooled && leaseFor(link, pooled, need);
+  }
+
+  /** The lease of a connection that was taken from its link. */
+  function leaseFor(
+    link: EndpointLink,
+    pooled: PooledConnection,
+    need: Need,
+  ): ConnectionLease {
     let returned = false;
     const lease: ConnectionLease = {
       need,
@@ -195,7 +205,9 @@
    * while peers did not confirm it as down.
    */
   function isOutOfReach(need: Need): boolean {
-    if (!need.primaryOnly || primary.id === undefined) return false;
+    if (!need.primaryOnly) return false;
+    if (group.awaitsSuccessor) return true;
+    if (primary.id === undefined) return false;
     const link = links.get(primary.id);
     if (!link) return false;
     if (link.plan.isHolder && primaryUse.hasLapsed) return true;
@@ -281,6 +293,11 @@
     get missingSince() {
       return primary.missingSince;
     },
+    awaitsSuccessor: false,
+    get listedSince() {
+      return listedSince;
+    },
+    lapsedEndpoints: context.lapsedEndpoints,
     get isUnreachableLocally() {
       return isOutOfReach(PRIMARY_NEED);
     },
@@ -303,12 +320,16 @@
       if (lease || isHopeless) return lease;
       return waiting.wait(req);
     },
-    acquireForControl(endpoint) {
-      const link = links.get(endpoint);
-      if (!link) return undefined;
-      const lease = leaseOf(link, '', ANY_ENDPOINT, OWN_USE);
-      if (!lease) link.open();
-      return lease;
+    async acquireForControl(endpoint, until, way = ConnectionWay.Any) {
+      const use = {...OWN_USE, way};
+      for (;;) {
+        const link = links.get(endpoint);
+        const leftMs = until - clock.now();
+        if (!link || leftMs <= 0) return undefined;
+        const waitMs = Math.min(leftMs, TIMES.controlConnectRetryMs);
+        const pooled = await link.acquireNext(use, waitMs);
+        if (pooled) return leaseFor(link, pooled, ANY_ENDPOINT);
+      }
     },
     requiredPosition: positions.requiredPosition,
     knownRequiredPosition: positions.knownRequiredPosition,
@@ -372,6 +393,8 @@
     },
     setEndpoints(endpoints) {
       const isFirstList = links.size === 0;
+      if (endpoints.length > 0)
+        listedSince = Math.min(listedSince, clock.now());
       const listedIds = new Set(endpoints.map(({id}) => id));
       for (const [id, link] of links) {
         if (listedIds.has(id)) continue;
--- a/packages/proxy/src/metrics.ts
+++ b/packages/proxy/src/metrics.ts
@@ -22,6 +22,8 @@
   observeTickDelay(delayMs: number): void;
   /** Counts that a limit has refused a caller something. */
   countLimit(limit: CallerLimit): void;
+  /** Counts that a lost primary could not be replaced for want of replicas' logs. */
+  countSuccessorWait(group: string): void;
   /** The metrics in the text format of `contentType`. */
   text(): Promise<string>;
   readonly contentType: string;
@@ -85,6 +87,12 @@
     labelNames: ['limit'] as const,
     registers,
   });
+  const successorWaits = new Counter({
+    name: 'quetzalreel_successor_waits_total',
+    help: 'Times that a lost primary could not be replaced, since too few replicas told how far their logs reach.',
+    labelNames: ['group'] as const,
+    registers,
+  });
   const gauges = {
     generation: new Gauge({
       name: 'quetzalreel_configuration_generation',
@@ -214,6 +222,7 @@
       waits.observe({rule}, waitedMs / MS_PER_SECOND);
     },
     countLimit: limit => limited.inc({limit}),
+    countSuccessorWait: group => successorWaits.inc({group}),
     observeTickDelay(delayMs) {
       tickDelays.observe(delayMs / MS_PER_SECOND);
     },
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -1,8 +1,10 @@
 /**
  * Decides whether this instance may use a primary. A platform that checks
  * fences makes a replaced primary stop by itself. Elsewhere it goes on
- * acknowledging commits until it is told to step down, so an instance needs
- * permission, and stops using a primary that a known change replaces.
+ * acknowledging commits until it is told to step down, and so it does everywhere
+ * between the choice of its successor and the promotion. Where that matters, an
+ * instance needs permission, and stops using a primary that a known change
+ * replaces.
  */
 import {type Clock, messageOf} from '@quetzalreel/common';
 import {
@@ -44,15 +46,33 @@
   tick(): void;
 }
 
-/** For platforms that make a replaced primary stop. */
-export const ALWAYS_PERMITTED: RenewedPrimaryUse = {
+/**
+ * For platforms that make a replaced primary stop, where acknowledged commits may
+ * be lost with it.
+ */
+export const ALWAYS_PERMITTED: PrimaryUse = {
   isPermitted: true,
   hasLapsed: false,
-  hasAllChanges: () => false,
   replacementOf: () => undefined,
-  tick() {},
 };
 
+/** The use of one group's primary, which needs permission while `isNeeded()`. */
+export function groupPrimaryUse(
+  renewed: PrimaryUse,
+  isNeeded: () => boolean,
+): PrimaryUse {
+  const use = () => (isNeeded() ? renewed : ALWAYS_PERMITTED);
+  return {
+    get isPermitted() {
+      return use().isPermitted;
+    },
+    get hasLapsed() {
+      return use().hasLapsed;
+    },
+    replacementOf: (group, endpoint) => use().replacementOf(group, endpoint),
+  };
+}
+
 /** Dependencies of a renewed use. */
 export interface PrimaryUseContext {
   readonly clock: Clock;
@@ -63,7 +83,7 @@
   readonly era: StoreEra;
   /** Undefined until the list of instances was read. */
   readonly witnesses: () => Witnesses | undefined;
-  /** Whether this instance holds connections to a primary. */
+  /** Whether this instance holds connections to a primary that needs permission. */
   readonly usesPrimary: () => boolean;
 }
 
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -10,25 +10,27 @@
 } from '@quetzalreel/common';
 import type {Answer, EndpointStatus} from '@quetzalreel/requests';
 import {
-  type Candidate,
   ChangeOutcome,
   type ChangeRecord,
   type Confirmations,
+  type Member,
   type PrepareChange,
   type PrimaryChanger,
   type PrimaryView,
+  type Succession,
   ChangeReason,
-  mostAdvanced,
   reasonToChange,
 } from '@quetzalreel/failover';
 import {Verdict, type PeerQueries} from '@quetzalreel/peer-queries';
 import {backoffMs} from './backoff.js';
-import {changePreparation, syncedHandOver} from './change-preparation.js';
+import {changePreparation} from './change-preparation.js';
 import {FAILOVER_THRESHOLDS, TIMES} from './defaults.js';
 import {endpointControl} from './endpoint-control.js';
 import type {GroupRuntime} from './group-types.js';
+import {lineLimit} from './line-limit.js';
 import type {Log} from './log.js';
-import type {ListedEndpoint} from './routes.js';
+import {successorElection} from './successor-election.js';
+import {successorWait} from './successor-wait.js';
 
 /** Dependencies of a watch. */
 export interface PrimaryWatchContext {
@@ -46,6 +48,8 @@
   readonly announce: (
     change: ChangeRecord,
   ) => Promise<Confirmations | undefined>;
+  /** Called when a lost primary can't be replaced for want of replicas' logs. */
+  readonly onSuccessorAwaited: () => void;
 }
 
 function viewOf(group: GroupRuntime): PrimaryView {
@@ -67,10 +71,8 @@
   ChangeOutcome.Unanswered,
 ]);
 
-/** A candidate, and whether it says that it is the primary. */
-interface StatedCandidate extends Candidate {
-  readonly isPrimary: boolean | undefined;
-}
+/** Lines about changes that an instance considers: a few, then one each time. */
+const CHANGE_LINES = {burst: 5, intervalMs: 2000} as const;
 
 const RETRY_BOUNDS = {
   firstMs: TIMES.changeRetryMs,
@@ -86,9 +88,20 @@
   const control = endpointControl(group, context);
   /** Whether acknowledged commits have to be in the log of a successor. */
   const mustKeepCommits = () => group.policy.syncReplicas > 0;
-  const preparation = context.replacedPrimaryStops
-    ? syncedHandOver(control)
-    : changePreparation({...context, control, mustKeepCommits});
+  const elect = successorElection(group, {clock, control});
+  const preparation = changePreparation({
+    ...context,
+    control,
+    elect,
+    mustKeepCommits,
+  });
+  const wait = successorWait({
+    group: group.name,
+    clock,
+    log,
+    onBegin: context.onSuccessorAwaited,
+  });
+  const changeLines = lineLimit(clock, CHANGE_LINES);
   /** What a change of primary needs before its order; undefined for nothing. */
   function prepareNow(): PrepareChange | undefined {
     const isNeeded = !context.replacedPrimaryStops || mustKeepCommits();
@@ -110,39 +123,10 @@
   let isUnfinished = false;
 
   /**
-   * The endpoints that may become the primary. One that leaves may only if it can
-   * be the only one with acknowledged commits: it confirms them until it ends.
-   */
-  async function candidates(
-    from: string | undefined,
-    isPlanned: boolean,
-  ): Promise<StatedCandidate[]> {
-    const mayLeave = !isPlanned && mustKeepCommits();
-    const requests: Array<Promise<StatedCandidate | undefined>> = [];
-    for (const {listed} of group.links.values()) {
-      if (listed.id === from || (listed.leaving && !mayLeave)) continue;
-      requests.push(candidateOf(listed));
-    }
-    const found: StatedCandidate[] = [];
-    for (const candidate of await Promise.all(requests)) {
-      if (candidate) found.push(candidate);
-    }
-    return found;
-  }
-
-  async function candidateOf({
-    id: endpoint,
-    leaving: isLeaving,
-  }: ListedEndpoint): Promise<StatedCandidate | undefined> {
-    const state = await control.requestState(endpoint);
-    return state && {endpoint, isLeaving, ...state};
-  }
-
-  /**
-   * Whether a candidate already leads as the newest change wants it. It must not
+   * Whether an endpoint already leads as the newest change wants it. It must not
    * be told to step down, as a replaced primary is.
    */
-  function leads({endpoint, isPrimary}: StatedCandidate): boolean {
+  function leads({endpoint, isPrimary}: Member): boolean {
     const change = changer.changes.get(group.name);
     return isPrimary === true && change?.to === endpoint;
   }
@@ -197,25 +181,40 @@
   async function changeFor(reason: ChangeReason): Promise<void> {
     const from = group.primary?.listed.id;
     const isPlanned = reason === ChangeReason.Leaving;
-    const [found, verdict] = await Promise.all([
-      candidates(from, isPlanned),
+    const replaced = from ?? group.lastPrimary;
+    const request = {
+      replaced,
+      mayReturn: from === undefined,
+      isPlanned,
+      lastNamed: changer.changes.get(group.name)?.to,
+    };
+    const [{members, succession}, verdict] = await Promise.all([
+      elect(request),
       isPlanned ? Verdict.Unreached : verdictOfPeers(from),
     ]);
-    const best = mostAdvanced(found);
     failures++;
-    log.warn({
-      event: 'primaryToChange',
-      group: group.name,
-      from,
-      reason,
-      verdict,
-      found,
-    });
-    if (!best || found.some(leads) || !(await mayReplace(verdict))) return;
+    const before = changeLines.ask();
+    if (before !== undefined)
+      log.warn({
+        event: 'primaryToChange',
+        group: group.name,
+        from,
+        reason,
+        verdict,
+        members,
+        succession,
+        before,
+      });
+    if (members.some(leads) || !(await mayReplace(verdict))) return;
+    if (succession.type === 'waits') {
+      if (mustKeepCommits()) noteWait(replaced, succession);
+      return;
+    }
+    endWait('enough replicas were heard');
     const planned = {
       group: group.name,
-      from: from ?? group.lastPrimary,
-      to: best.endpoint,
+      from: replaced,
+      to: succession.endpoint,
     };
     const outcome = await changer.change(planned, isPlanned, prepareNow());
     log.info({event: 'changeEnded', group: group.name, outcome});
@@ -224,6 +223,21 @@
     if (outcome === ChangeOutcome.Ordered) await waitForNewPrimary(from);
   }
 
+  /** Callers are refused at once, unless a replica is only busy for a moment. */
+  function noteWait(
+    replaced: string,
+    succession: Extract<Succession, {type: 'waits'}>,
+  ): void {
+    wait.note(replaced, succession);
+    const {missing, busy} = succession;
+    group.awaitsSuccessor = missing.length > busy.length;
+  }
+
+  function endWait(why: string): void {
+    wait.end(why);
+    group.awaitsSuccessor = false;
+  }
+
   async function waitForNewPrimary(from: string | undefined): Promise<void> {
     const until = clock.now() + TIMES.primaryChangeTimeoutMs;
     while (!disposed && clock.now() < until) {
@@ -278,6 +292,7 @@
       if (!reason) {
         failures = 0;
         openSince = undefined;
+        endWait('a primary is known');
         continue;
       }
       await clock.sleep(startDelayMs());
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -57,8 +57,8 @@
 import type {Log} from './log.js';
 import {type Metrics, proxyMetrics} from './metrics.js';
 import {
-  ALWAYS_PERMITTED,
   type RenewedPrimaryUse,
+  groupPrimaryUse,
   renewedPrimaryUse,
 } from './primary-use.js';
 import {watchPrimary} from './primary-watch.js';
@@ -253,25 +253,29 @@
     }),
   );
 
-  const primaryUse: RenewedPrimaryUse = options.replacedPrimaryStops
-    ? ALWAYS_PERMITTED
-    : renewedPrimaryUse({
-        clock,
-        log,
-        suspensionDetector: guard,
-        changer,
-        era: options.store.era,
-        witnesses: () => peers.witnesses,
-        usesPrimary: () => {
-          for (const {primary, links} of groups.values()) {
-            const used = primary ? [primary] : links.values();
-            for (const {plan, directConnections} of used) {
-              if (plan.isHolder || directConnections > 0) return true;
-            }
-          }
-          return false;
-        },
-      });
+  /** Whether a primary must be out of use before its successor is ordered. */
+  function needsPermission({syncReplicas}: GroupPolicy): boolean {
+    return !options.replacedPrimaryStops || syncReplicas > 0;
+  }
+
+  const primaryUse: RenewedPrimaryUse = renewedPrimaryUse({
+    clock,
+    log,
+    suspensionDetector: guard,
+    changer,
+    era: options.store.era,
+    witnesses: () => peers.witnesses,
+    usesPrimary: () => {
+      for (const {policy, primary, links} of groups.values()) {
+        if (!needsPermission(policy)) continue;
+        const used = primary ? [primary] : links.values();
+        for (const {plan, directConnections} of used) {
+          if (plan.isHolder || directConnections > 0) return true;
+        }
+      }
+      return false;
+    },
+  });
 
   async function finishTransactions({group}: ChangeRecord): Promise<void> {
     const until = clock.now() + TIMES.finishTransactionsMs;
@@ -301,7 +305,7 @@
   }
 
   function addGroup(policy: GroupPolicy): void {
-    const group = groupRuntime(policy, {
+    const group: GroupRuntime = groupRuntime(policy, {
       ...options,
       name: policy.name,
       relayDriver: tcpRelayDriver(options.answerMemory),
@@ -311,7 +315,10 @@
       requestConfirmedPosition: (name, addresses) =>
         peers.peerQueries?.requestConfirmedPosition(name, addresses),
       planFor: peers.planFor,
-      primaryUse,
+      primaryUse: groupPrimaryUse(primaryUse, () =>
+        needsPermission(group.policy),
+      ),
+      lapsedEndpoints: () => view.lapsedEndpoints(policy.name),
     });
     groups.set(policy.name, group);
     owned.add(group);
@@ -322,6 +329,7 @@
         changer,
         peerQueries: witnesses,
         announce: peers.announce,
+        onSuccessorAwaited: () => metrics.countSuccessorWait(policy.name),
       }),
     );
   }
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -22,6 +22,7 @@
   ServedConnection,
 } from '@quetzalreel/relay';
 import {TIMES} from './defaults.js';
+import {ConnectionWay} from './endpoint-link.js';
 import {reportOf} from './endpoint-pace.js';
 import type {ConnectionLease} from './group-types.js';
 import {ANY_ENDPOINT} from './placement.js';
@@ -76,6 +77,11 @@
   }
 }
 
+/** Whether a request asks for the endpoint's status or changes its role. */
+function controlsEndpoint({type}: EndpointRequest): boolean {
+  return type === 'status' || type === 'stepDown';
+}
+
 /** Dependencies of relayed requests. */
 export interface RelayedRequestsContext extends RunContext {
   readonly endpoint: string;
@@ -113,6 +119,10 @@
     req: EndpointRequest,
   ): Promise<ConnectionLease | undefined> {
     const now = clock.now();
+    if (controlsEndpoint(req)) {
+      const until = now + TIMES.relayedAcquireMs;
+      return group.acquireForControl(endpoint, until, ConnectionWay.Direct);
+    }
     const {account, priority, accountPriority, objectiveMs, deadlineMs} =
       originOf(req);
     // Another endpoint may run a read, and another holder may reach the primary.
--- a/packages/proxy/src/store-view.ts
+++ b/packages/proxy/src/store-view.ts
@@ -24,6 +24,7 @@
   type Directory,
   type DirectoryEvent,
   emptyDirectory,
+  lapsedEndpoints,
   stepDirectory,
 } from './endpoint-directory.js';
 import type {Log} from './log.js';
@@ -78,6 +79,8 @@
   offerConfiguration(value: unknown): void;
   /** The listed endpoints, by group. */
   endpointsByGroup(): ReadonlyMap<string, readonly ListedEndpoint[]>;
+  /** The endpoints of a group whose entries lapsed and may be back. */
+  lapsedEndpoints(group: string): readonly string[];
   /** How many objects of the store this instance keeps, by kind. */
   keptObjects(): readonly KeptObjects[];
   /** Handles a message of a linked instance. */
@@ -225,6 +228,7 @@
       }
       return byGroup;
     },
+    lapsedEndpoints: group => lapsedEndpoints(directory, group, clock.now()),
     keptObjects: () => feed.keptObjects(),
     receiveFact: message => feed.receive(message),
     noteLinkLost: address => feed.noteLinkLost(address),
--- a/packages/proxy/test/simulated-fleet.ts
+++ b/packages/proxy/test/simulated-fleet.ts
@@ -105,6 +105,7 @@
           answerPosition(self.relay, asked),
         planFor: endpoint => sharingPlan(self, peers, endpoint),
         primaryUse: ALWAYS_PERMITTED,
+        lapsedEndpoints: () => [],
       },
     );
     const listed = endpoints.map((id, i) => ({
--- a/packages/proxy/test/test-endpoint-link.ts
+++ b/packages/proxy/test/test-endpoint-link.ts
@@ -1,4 +1,4 @@
-/** Tests which unused connections to an endpoint stay open. */
+/** Tests who gets the connections to an endpoint, and which stay open. */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {manualClock} from '@quetzalreel/common';
@@ -98,6 +98,60 @@
   });
 });
 
+describe('a control request', () => {
+  /** A link whose planned connections are all in use, with what it has offered. */
+  async function withoutIdle() {
+    const clock = manualClock();
+    const {driver, endpoints} = simulatedGroup(clock, ['e-0'], TRAITS);
+    let offered = 0;
+    const link = endpointLink(listedEndpoint('e-0'), {
+      clock,
+      log: createLog('test', {write: () => {}}),
+      driver,
+      relayDriver: tcpRelayDriver(MEMORY),
+      onIdle: () => offered++,
+    });
+    const plan = {...NO_CONNECTIONS_PLAN, isHolder: true};
+    link.applyPlan({...plan, maxOwnConnections: 1});
+    link.open();
+    const pass = async (ms: number) => {
+      clock.advance(ms);
+      await new Promise(resolve => setImmediate(resolve));
+    };
+    for (let i = 0; i < 3; i++) await pass(TRAITS.openingMs);
+    const inUse = link.acquire('', OWN_USE)!;
+    const offeredBefore = offered;
+    const offeredSince = () => offered - offeredBefore;
+    return {link, inUse, offeredSince, pass, endpoint: endpoints[0]!};
+  }
+
+  it('gets the next connection that is free, before statements that wait', async () => {
+    const {link, inUse, offeredSince} = await withoutIdle();
+    const taken = link.acquireNext(OWN_USE, 1000);
+    link.release(inUse, true);
+    assert.equal(await taken, inUse);
+    assert.equal(offeredSince(), 0);
+  });
+
+  it('gets one beyond the plan if none is free', async () => {
+    const {link, inUse, pass, endpoint} = await withoutIdle();
+    const taken = link.acquireNext(OWN_USE, 1000);
+    for (let i = 0; i < 3; i++) await pass(TRAITS.openingMs);
+    const extra = await taken;
+    assert.ok(extra && extra !== inUse);
+    assert.equal(endpoint.opened, 2);
+  });
+
+  it('does not get one that is free only after its time', async () => {
+    const {link, inUse, offeredSince, pass} = await withoutIdle();
+    const taken = link.acquireNext(OWN_USE, 10);
+    await pass(10);
+    assert.equal(await taken, undefined);
+    link.release(inUse, true);
+    assert.equal(offeredSince(), 1);
+  });
+});
+
 describe('unused connections', () => {
   it('are closed down to the minimum beyond those that the plan keeps', async () => {
     assert.equal(await leftUnused(0), 1);
--- a/packages/proxy/test/test-endpoint-state.ts
+++ b/packages/proxy/test/test-endpoint-state.ts
@@ -15,6 +15,7 @@
   type Directory,
   type DirectoryEvent,
   emptyDirectory,
+  lapsedEndpoints,
   stepDirectory,
 } from '../src/endpoint-directory.js';
 import {primaryOf} from '../src/leadership.js';
@@ -50,6 +51,48 @@
     assert.deepEqual(after([...restored, later]), ['b']);
   });
 
+  describe('without an entry', () => {
+    const GROUP = listedEndpoint('a').group;
+    const lapsedAt = (
+      events: ReadonlyArray<readonly [number, DirectoryEvent]>,
+      now: number,
+    ) => {
+      let directory: Directory = emptyDirectory(0);
+      for (const [at, event] of events)
+        directory = stepDirectory(directory, event, at);
+      return lapsedEndpoints(directory, GROUP, now);
+    };
+    const deleted = [10_000, {type: 'deleted', id: 'a'}] as const;
+
+    it('has one that may be back for the time in which entries are back', () => {
+      const events = [reached, both, deleted];
+      assert.deepEqual(lapsedAt(events, 10_000), ['a']);
+      assert.deepEqual(lapsedAt(events, 10_000 + ENTRY_RETURN_MS - 1), ['a']);
+      assert.deepEqual(lapsedAt(events, 10_000 + ENTRY_RETURN_MS), []);
+    });
+
+    it('has none that is back', () => {
+      const put = [
+        10_500,
+        {type: 'put', endpoint: listedEndpoint('a')},
+      ] as const;
+      assert.deepEqual(lapsedAt([reached, both, deleted, put], 10_600), []);
+    });
+
+    it('has none whose time ended while it still counted as listed', () => {
+      const events = [
+        reached,
+        both,
+        [9000, {type: 'reach', reached: false}],
+        deleted,
+        [20_000, {type: 'reach', reached: true}],
+        [20_000 + ENTRY_RETURN_MS, {type: 'tick'}],
+      ] as const;
+      assert.deepEqual(after(events), ['b']);
+      assert.deepEqual(lapsedAt(events, 20_000 + ENTRY_RETURN_MS), []);
+    });
+  });
+
   describe('of a restored store, with an entry of before', () => {
     const leaving = {...listedEndpoint('a'), leaving: true, sequence: 7};
     const asBefore = {...listedEndpoint('a'), sequence: 5};
--- a/packages/proxy/test/test-explain.ts
+++ b/packages/proxy/test/test-explain.ts
@@ -91,6 +91,7 @@
     requestConfirmedPosition: () => void done.push('askPosition'),
     planFor: () => PLAN,
     primaryUse,
+    lapsedEndpoints: () => [],
   });
   group.setEndpoints(
     ['i-1', 'i-2', 'i-3'].map(id => ({
--- a/packages/proxy/test/test-pace-report.ts
+++ b/packages/proxy/test/test-pace-report.ts
@@ -58,8 +58,10 @@
   const group = requester!;
   const {facts} = group.links.get(ENDPOINT)!;
   assert.equal(facts.pace.share, 1);
-  const lease: ConnectionLease = group.acquireForControl(ENDPOINT)!;
+  const until = clock.now() + 1;
+  const acquired = group.acquireForControl(ENDPOINT, until);
   await pass(clock, 1);
+  const lease: ConnectionLease = (await acquired)!;
   return {clock, group, facts, lease};
 }
 
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -1,4 +1,7 @@
-/** Which endpoints are told to step down before a change of primary. */
+/**
+ * Which endpoint replaces a primary, and when, and which endpoints are told to
+ * step down before.
+ */
 import assert from 'node:assert/strict';
 import {describe, it} from 'node:test';
 import {manualClock} from '@quetzalreel/common';
@@ -15,8 +18,10 @@
   type Answer,
   type EndpointRequest,
   type EndpointStatus,
+  ErrorCode,
   SessionState,
   localAnswer,
+  localError,
 } from '@quetzalreel/requests';
 import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
 import {TIMES} from '../src/defaults.js';
@@ -32,8 +37,12 @@
 /** An endpoint that says it is the primary, with a log up to `offset`. */
 interface Claimant {
   isPrimary: boolean;
-  readonly offset: number;
+  offset: number;
   readonly leaves?: boolean;
+  /** How many of its first answers are that it is busy. */
+  busyAnswers?: number;
+  /** Until when it does not answer, in milliseconds from the start. */
+  readonly silentUntil?: number;
 }
 
 /** What makes a primary that leaves unavailable. */
@@ -55,6 +64,10 @@
   readonly verdict?: Verdict;
   readonly isStoreDown?: boolean;
   readonly loss?: Loss;
+  /** Endpoints whose entries have lapsed, each until a time. */
+  readonly lapsedUntil?: Readonly<Record<string, number>>;
+  /** Called with each announcement of a change. */
+  readonly onAnnounce?: () => void;
 }
 
 /**
@@ -71,6 +84,8 @@
     verdict = Verdict.Unreached,
     isStoreDown,
     loss,
+    lapsedUntil = {},
+    onAnnounce,
   }: Circumstances = {},
 ): Promise<{
   readonly sent: string[];
@@ -79,8 +94,14 @@
   readonly begunAt: number | undefined;
   /** When the first order was sent; undefined for never. */
   readonly orderedAt: number | undefined;
+  /** How often a wait for the logs of replicas began. */
+  readonly waits: number;
+  /** From when to when callers were refused at once for it. */
+  readonly refusing: {from?: number; until?: number};
 }> {
   const clock = manualClock();
+  let waits = 0;
+  const refusing: {from?: number; until?: number} = {};
   let primary = leaving;
   let isLost = false;
   let orderedAt: number | undefined;
@@ -101,7 +122,12 @@
   function run(id: string, req: EndpointRequest): Answer | Promise<Answer> {
     const claimant = claimants[id]!;
     sent.push(`${req.type} ${id}`);
-    if (isAway(id)) return new Promise(() => {});
+    const isSilent = clock.now() < (claimant.silentUntil ?? 0);
+    if (isAway(id) || isSilent) return new Promise(() => {});
+    const busyAnswers = claimant.busyAnswers ?? 0;
+    claimant.busyAnswers = busyAnswers - 1;
+    if (busyAnswers > 0)
+      return localError(ErrorCode.Busy, 'busy', SessionState.Idle);
     if (req.type === 'stepDown') claimant.isPrimary = false;
     const status: EndpointStatus = {
       isPrimary: claimant.isPrimary,
@@ -134,7 +160,8 @@
           ...listedEndpoint(id),
           leaving: id === leaving || (claimants[id]!.leaves ?? false),
         },
-        facts: {},
+        // The end of what it has told that it has applied.
+        facts: {position: {term: 1, offset: 0}},
         load: noLoad(),
         plan: {isHolder: true},
       },
@@ -148,17 +175,17 @@
     },
     lastPrimary: 'i-1',
     missingSince: leaving ? undefined : 0,
+    awaitsSuccessor: false,
+    listedSince: -Infinity,
+    lapsedEndpoints: () =>
+      Object.keys(lapsedUntil).filter(id => clock.now() < lapsedUntil[id]!),
     policy: {
       name: GROUP,
       maxConnections: 9,
       syncReplicas: syncReplicas ?? 0,
+      hasAccounts: false,
     },
-    // An endpoint that leaves gets no more work through the queue.
-    async acquire({need}) {
-      const id = need().only!;
-      return links.get(id)!.listed.leaving ? undefined : leaseOf(id);
-    },
-    acquireForControl: id =>
+    acquireForControl: async id =>
       isAway(id) && loss?.refuses ? undefined : leaseOf(id),
   } as Partial<GroupRuntime> as GroupRuntime;
   const changer = {
@@ -177,7 +204,11 @@
       begun.push(planned);
       begunAt ??= clock.now();
       const record = {...planned, fence: change.fence + 1, isPlanned};
-      const term = {writtenAt: clock.now(), orderUntil: Infinity};
+      const term = {
+        writtenAt: clock.now(),
+        orderUntil: Infinity,
+        previous: change,
+      };
       const isPrepared = prepare === undefined || (await prepare(record, term));
       if (!isPrepared) return ChangeOutcome.NotPrepared;
       sent.push(`order ${planned.to}`);
@@ -199,24 +230,31 @@
           relay: undefined,
         }),
       }) as Partial<PeerQueries> as PeerQueries,
-    readStatus: ({rows}) => JSON.parse(rows[0]!) as EndpointStatus,
+    readStatus: ({rows: [row]}) =>
+      row === undefined ? undefined : (JSON.parse(row) as EndpointStatus),
     replacedPrimaryStops: replacedStops,
-    announce: async () => ({
-      confirmedBy: clock.now(),
-      told: [],
-      confirmed: new Set(),
-      isOutdated: false,
-      witnesses: ['self'],
-      renewed: new Set(),
-    }),
+    async announce() {
+      onAnnounce?.();
+      return {
+        confirmedBy: clock.now(),
+        told: [],
+        confirmed: new Set(),
+        isOutdated: false,
+        witnesses: ['self'],
+        renewed: new Set(),
+      };
+    },
+    onSuccessorAwaited: () => waits++,
   });
   loseAfter('none');
   for (let ms = 0; ms < RECENT_MS + 8000; ms += 50) {
     clock.advance(50);
     await new Promise(resolve => setImmediate(resolve));
+    if (group.awaitsSuccessor) refusing.from ??= clock.now();
+    else if (refusing.from !== undefined) refusing.until ??= clock.now();
   }
   watch.dispose();
-  return {sent, begun, begunAt, orderedAt};
+  return {sent, begun, begunAt, orderedAt, waits, refusing};
 }
 
 const CHANGE: ChangeRecord = {
@@ -300,6 +338,8 @@
     'i-3': {isPrimary: false, offset},
   });
   const leaves = {leaving: 'i-1', syncReplicas: 1};
+  /** The change that made it the primary. */
+  const MADE_IT: ChangeRecord = {...CHANGE, from: 'i-2', to: 'i-1'};
   const losses: ReadonlyArray<readonly [string, Loss['after'], number]> = [
     ['before it steps down', 'none', 9],
     ['before its successor has its last commit', 'stepDown', 8],
@@ -309,7 +349,7 @@
     for (const refuses of [true, false]) {
       const how = refuses ? 'crashes' : 'hangs';
       it(`is replaced in time when it ${how} ${what}`, async () => {
-        const {sent, orderedAt} = await watchGroup(claimants(offset), CHANGE, {
+        const {sent, orderedAt} = await watchGroup(claimants(offset), MADE_IT, {
           ...leaves,
           loss: {after, refuses},
         });
@@ -355,6 +395,95 @@
   });
 });
 
+describe('a lost primary whose acknowledged commits one replica may have alone', () => {
+  const keeps = {syncReplicas: 1};
+  /** The change that made i-1 the primary, which is lost. */
+  const MADE_IT: ChangeRecord = {...CHANGE, from: 'i-2', to: 'i-1'};
+  /** How soon a replica that is heard again leads, but for the order's own time. */
+  const SOON_MS = 1000;
+  const replicas = (ahead: Partial<Claimant>) => ({
+    'i-2': {isPrimary: false, offset: 5},
+    'i-3': {isPrimary: false, offset: 9, ...ahead},
+  });
+
+  it('is replaced by that one though it is busy when it is asked first', async () => {
+    const {begun} = await watchGroup(
+      replicas({busyAnswers: 3}),
+      MADE_IT,
+      keeps,
+    );
+    assert.equal(begun[0]?.to, 'i-3');
+  });
+
+  it('is not replaced while that one stays busy, and callers wait', async () => {
+    const {begun, refusing, waits} = await watchGroup(
+      replicas({busyAnswers: Infinity}),
+      MADE_IT,
+      keeps,
+    );
+    assert.deepEqual(begun, []);
+    assert.deepEqual(refusing, {});
+    assert.equal(waits, 1);
+  });
+
+  it('is replaced soon after that one is heard again, and not before', async () => {
+    const silentUntil = 9000;
+    const {begun, begunAt, waits, refusing} = await watchGroup(
+      replicas({silentUntil}),
+      MADE_IT,
+      keeps,
+    );
+    assert.equal(begun[0]?.to, 'i-3');
+    assert.ok(begunAt! >= silentUntil && begunAt! < silentUntil + SOON_MS);
+    assert.equal(waits, 1);
+    // Meanwhile callers are refused at once.
+    assert.ok(refusing.from! < silentUntil - 2 * SOON_MS);
+    assert.ok(refusing.until! <= begunAt! + SOON_MS);
+  });
+
+  it('is replaced by another one once the entry of that one is gone for good', async () => {
+    const goneAt = 7000;
+    const {begun, begunAt} = await watchGroup(
+      {'i-2': {isPrimary: false, offset: 5}},
+      MADE_IT,
+      {...keeps, lapsedUntil: {'i-3': goneAt}},
+    );
+    assert.equal(begun[0]?.to, 'i-2');
+    assert.ok(begunAt! >= goneAt && begunAt! < goneAt + SOON_MS);
+  });
+
+  it('is not replaced by one that another has passed before all stopped using it', async () => {
+    const claimants = replicas({offset: 5});
+    const {sent} = await watchGroup(claimants, MADE_IT, {
+      ...keeps,
+      onAnnounce: () => (claimants['i-3'].offset = 6),
+    });
+    const orders = sent.filter(text => text.startsWith('order'));
+    assert.deepEqual([...new Set(orders)], ['order i-3']);
+  });
+
+  it('is replaced at once by another one where a commit needs no replica', async () => {
+    const {begun} = await watchGroup(
+      replicas({silentUntil: Infinity}),
+      MADE_IT,
+      {syncReplicas: 0},
+    );
+    assert.equal(begun[0]?.to, 'i-2');
+  });
+});
+
+describe('a replaced primary that goes on acknowledging and is busy', () => {
+  it('steps down before it is ordered to lead again', async () => {
+    const {sent} = await watchGroup(
+      {'i-1': {isPrimary: true, offset: 9, busyAnswers: 2}},
+      CHANGE,
+      {replacedStops: false},
+    );
+    const steps = sent.filter(text => !text.startsWith('status'));
+    assert.deepEqual(steps.slice(0, 2), ['stepDown i-1', 'order i-1']);
+  });
+});
+
 describe('a missing primary of which too few peers tell', () => {
   const REPLICAS = {'i-3': {isPrimary: false, offset: 9}};
   /** Time without writes that a loss of half of the instances may cause. */
