End sessions of a dropped key also without their route

Cause: accountNow answered with the session's old account while its route was missing, as the session was to end for want of its route; but endIfIdle spares an open transaction. So nobody asked whether the key was still there.

Change: sessionRight decides in one place what an open session may still do; the route lets an open transaction end, the key does not, whether the route is there or not.

--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -67,6 +67,7 @@
 import {periodicTick} from './periodic-tick.js';
 import {type CallerSession, callerSession} from './session.js';
 import {routeRefusal, sessionRefusal} from './session-refusal.js';
+import {sessionRight} from './session-right.js';
 import {type Shutdown, beginShutdown} from './shutdown.js';
 import {storeView} from './store-view.js';
 
@@ -297,10 +298,7 @@
     }
     updateGroupEndpoints();
     quotas.applyAccounts(next.accounts);
-    for (const session of sessions) {
-      session.applyAccounts();
-      if (!next.routes.has(session.database)) session.endIfIdle();
-    }
+    for (const session of sessions) session.applyConfiguration();
     onConfigured();
   }
 
@@ -416,8 +414,7 @@
 
   const accept: AcceptCaller = ({database, keyDigest}, connection) => {
     const caller = {type: 'keyDigest', digest: keyDigest} as const;
-    const accountNow = () => accountFor(view.table, database, caller);
-    const account = accountNow();
+    const account = accountFor(view.table, database, caller);
     const refusal = sessionRefusal(database, {
       table: view.table,
       account,
@@ -428,6 +425,7 @@
       log.info({event: 'sessionRefused', database, code, why: text});
       return localError(code, text, SessionState.Idle);
     }
+    let lastRoute = view.table!.routes.get(database)!;
     const session = callerSession({
       clock,
       log,
@@ -435,9 +433,11 @@
       database,
       connection,
       account,
-      // Without a route the session ends for that reason.
-      accountNow: () =>
-        view.table?.routes.has(database) ? accountNow() : account,
+      right() {
+        lastRoute = view.table!.routes.get(database) ?? lastRoute;
+        const opened = {database, keyDigest, account, lastRoute};
+        return sessionRight(view.table!, opened);
+      },
       afterPendingReads,
       route: () => view.table?.routes.get(database),
       group: name => groups.get(name),
--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -24,6 +24,7 @@
 import {type ServeContext, newSessionData} from './session-context.js';
 import {limitedSessionData} from './session-limits.js';
 import {routeRefusal} from './session-refusal.js';
+import type {SessionRight} from './session-right.js';
 import {serveRead, serveWrite} from './single-statement.js';
 import {type Transaction, callerTransaction} from './transaction.js';
 
@@ -35,11 +36,8 @@
   readonly connection: CallerConnection;
   /** On whose behalf the session runs when it starts. */
   readonly account: ClientAccount;
-  /**
-   * The account that holds the session's key now; undefined once the key is
-   * removed.
-   */
-  readonly accountNow: () => ClientAccount | undefined;
+  /** What the session may do by the configuration in force. */
+  readonly right: () => SessionRight;
   /** Calls back once what callers had sent by now was read. */
   readonly afterPendingReads: (callback: () => void) => void;
   /** The route in force; undefined once the route has been removed. */
@@ -67,9 +65,10 @@
   readonly account: string;
   /**
    * Applies a new configuration: a session whose key was removed, or belongs to
-   * another account now, ends after what it has under way.
+   * another account now, ends after what it has under way, and one whose route was
+   * dropped after its open transaction.
    */
-  applyAccounts(): void;
+  applyConfiguration(): void;
   /** Ends the session unless a request or a transaction is open. */
   endIfIdle(): void;
   /** Rolls back an idle transaction, with `why` as the caller's error text. */
@@ -298,6 +297,21 @@
     if (isRevoked() && !ended && !isBusy) closeSession();
   }
 
+  function noteRevoked(): void {
+    if (revokedAt !== undefined) return;
+    revokedAt = clock.now();
+    log.info({
+      event: 'sessionRevoked',
+      database: context.database,
+      account: account.name,
+    });
+    hasPendingReads = true;
+    context.afterPendingReads(() => {
+      hasPendingReads = false;
+      endRevoked();
+    });
+  }
+
   function isRevoked(): boolean {
     if (revokedAt === undefined) return false;
     return (
@@ -310,24 +324,14 @@
     get account() {
       return account.name;
     },
-    applyAccounts() {
-      const now = context.accountNow();
-      if (now?.name === account.name) {
-        account = now;
+    applyConfiguration() {
+      const right = context.right();
+      if (right.type === 'revoked') {
+        noteRevoked();
         return;
       }
-      if (revokedAt !== undefined) return;
-      revokedAt = clock.now();
-      log.info({
-        event: 'sessionRevoked',
-        database: context.database,
-        account: account.name,
-      });
-      hasPendingReads = true;
-      context.afterPendingReads(() => {
-        hasPendingReads = false;
-        endRevoked();
-      });
+      ({account} = right);
+      if (right.type === 'routeDropped') session.endIfIdle();
     },
     request(req) {
       if (ended) return;
