Answer requests that are on their way while their route is dropped

Callers saw their connection close without an answer to a request that they had sent before a version dropped their route came into force here.

Cause: endIfIdle closed the session at once, though a request could be unread; sessions of removed keys wait for what was sent since.

Evidence: the new test of test-accounts fails without the change, over own connections and through a relay (2 of 33): no answer in place of NODB.

Change: the session ends after what its caller had sent was read. Measured after: 33 of 33 pass.

--- a/packages/proxy/src/session.ts
+++ b/packages/proxy/src/session.ts
@@ -331,7 +331,9 @@
         return;
       }
       ({account} = right);
-      if (right.type === 'routeDropped') session.endIfIdle();
+      // A request that was sent before gets an answer first.
+      if (right.type === 'routeDropped')
+        context.afterPendingReads(session.endIfIdle);
     },
     request(req) {
       if (ended) return;
