--- a/packages/proxy/src/endpoint-link.ts
+++ b/packages/proxy/src/endpoint-link.ts
@@ -18,6 +18,7 @@
   type RelayDriver,
 } from '@quetzalreel/relay';
 import {NO_REFUSALS, afterRefusal} from './catch-up.js';
+import {controlWaiters} from './control-waiters.js';
 import {LIMITS, TIMES} from './defaults.js';
 import {afterReport, afterReturn} from './endpoint-pace.js';
 import {type EndpointFacts, noFacts} from './endpoint-facts.js';
@@ -148,12 +149,6 @@
   readonly account: string | undefined;
 }
 
-/** A control request that waits for a connection. */
-interface ControlWaiter {
-  readonly use: ConnectionUse;
-  take(pooled: PooledConnection): void;
-}
-
 function wayOf(relay: RelayAddress | undefined): ConnectionWay {
   return relay ? ConnectionWay.Relayed : ConnectionWay.Direct;
 }
@@ -164,7 +159,7 @@
   {clock, log, driver, relayDriver, onIdle}: LinkContext,
 ): EndpointLink {
   const idle: LinkConnection[] = [];
-  const controlWaiters: ControlWaiter[] = [];
+  const waiters = controlWaiters(clock);
   const all = new Map<PooledConnection, LinkConnection>();
   const path = connectionPath(clock);
   /** Number of connections being opened, direct and through relays. */
@@ -228,11 +223,7 @@
 
   /** Makes a connection available: to control requests first. */
   function offer(member: LinkConnection): void {
-    const at = controlWaiters.findIndex(({use}) => serves(member, use));
-    if (at >= 0) {
-      controlWaiters.splice(at, 1)[0]!.take(member.pooled);
-      return;
-    }
+    if (waiters.offer(member.pooled, use => serves(member, use))) return;
     idle.push(member);
     onIdle();
   }
@@ -425,20 +416,7 @@
       const free = link.acquire('', use);
       if (free) return Promise.resolve(free);
       openForControl(use);
-      return new Promise(resolve => {
-        const waiter: ControlWaiter = {
-          use,
-          take(pooled) {
-            timer.dispose();
-            resolve(pooled);
-          },
-        };
-        const timer = clock.after(forMs, () => {
-          controlWaiters.splice(controlWaiters.indexOf(waiter), 1);
-          resolve(undefined);
-        });
-        controlWaiters.push(waiter);
-      });
+      return waiters.wait(use, forMs);
     },
     release(connection, reusable) {
       const member = all.get(connection);
