Take a list of instances for known only if it is as new as the own entry

Cause: the list was read first, always as a copy that may be old, and the own entry written after that; whatever was read counted as known. So each of those that started together took itself for the only one, at both readings of the first 15 s.

Change: the own entry is written first; a list counts as known if the store was at least at that revision, as settled once it was read from the store itself 2.5 s later or if the entry of an earlier life was there. Lists never go back; an instance that a list lacks writes its entry at once. Until it is settled, an instance reads the list from the store itself before nobody's answer counts as consent to replace a primary, before a change is announced and before it counts witnesses.

--- a/packages/peer-queries/src/index.ts
+++ b/packages/peer-queries/src/index.ts
@@ -21,6 +21,8 @@
 } from './presence.js';
 export {
   type InstanceRegistration,
+  type InstanceSnapshot,
+  type WrittenEntry,
   INSTANCE_KIND,
   INSTANCE_SELECTION,
   type ListedInstance,
--- a/packages/peer-queries/src/instance-registry.ts
+++ b/packages/peer-queries/src/instance-registry.ts
@@ -1,9 +1,11 @@
 /** Registry of the instances; each one maintains its entry in the store. */
+import {randomInt} from 'node:crypto';
 import {parseAddress} from '@quetzalreel/common';
 import {
   Freshness,
   type KindObject,
   type KindStore,
+  type ReadObject,
   RevisionConflictError,
   type StoreVersion,
   isRevision,
@@ -13,6 +15,9 @@
 /** Kind of the instances' entries in the store. */
 export const INSTANCE_KIND = 'instances';
 
+/** Bound of the counter in the first entry of a life. */
+const MAX_FIRST_RENEWAL = 2 ** 31;
+
 /** What is used of an entry. */
 export const INSTANCE_SELECTION = scalarsOf(
   'address',
@@ -66,10 +71,21 @@
   };
 }
 
+/** The result of writing an entry. */
+export interface WrittenEntry {
+  /** The store when it took the entry: a list at least as new contains it. */
+  readonly version: StoreVersion;
+  /** Whether an earlier life of this instance had left one. */
+  readonly wasListed: boolean;
+}
+
 /** Maintains this instance's entry. */
 export interface InstanceRegistration {
-  /** Writes the entry again, to show peers that this instance is alive. */
-  renew(location: InstanceLocation): Promise<void>;
+  /**
+   * Writes the entry again, to show peers that this instance is alive. Resolves to
+   * undefined once the entry was removed for good.
+   */
+  renew(location: InstanceLocation): Promise<WrittenEntry | undefined>;
   /** Removes the entry; a later `renew` does nothing. */
   deregister(): Promise<void>;
 }
@@ -81,10 +97,15 @@
 ): InstanceRegistration {
   let revision: number | undefined;
   let isDeregistered = false;
-  /** Counter written to the entry so that each renewal changes it. */
-  let renewal = 0;
+  /**
+   * Counter written to the entry so that each renewal changes it, also the first one
+   * of another life.
+   */
+  let renewal = randomInt(MAX_FIRST_RENEWAL);
+  let attempts = 0;
+  let wasListed = false;
 
-  async function write(value: unknown): Promise<KindObject> {
+  async function write(value: unknown): Promise<ReadObject> {
     if (revision !== undefined) {
       return store.replace(INSTANCE_KIND, instance, value, revision);
     }
@@ -93,19 +114,28 @@
 
   return {
     async renew({address, relay, dataCentre, facts}) {
-      if (isDeregistered) return;
+      if (isDeregistered) return undefined;
       const value = {address, relay, dataCentre, facts, renewal: ++renewal};
+      attempts++;
+      let written: ReadObject;
       try {
-        revision = (await write(value)).revision;
+        written = await write(value);
       } catch (err) {
         if (!(err instanceof RevisionConflictError)) throw err;
         // An entry from before a restart is replaced; an entry that a peer
         // has removed is created again.
         const current =
           err.current ?? (await store.get(INSTANCE_KIND, instance));
+        // Later it may be one that was written here without an answer.
+        wasListed ||= attempts === 1 && current !== undefined;
         revision = current?.revision;
-        revision = (await write(value)).revision;
+        written = await write(value);
       }
+      ({revision} = written);
+      return {
+        version: {era: written.era, revision: written.revision},
+        wasListed,
+      };
     },
     async deregister() {
       isDeregistered = true;
@@ -133,20 +163,27 @@
   }
 }
 
+/** The registered instances, as the store had them at a version. */
+export interface InstanceSnapshot extends StoreVersion {
+  readonly entries: readonly ListedInstance[];
+}
+
 /**
  * Lists the registered instances; leaves out malformed entries, and calls
  * `onMalformed` with the name of each.
  */
 export async function listInstances(
   store: KindStore,
+  freshness: Freshness,
   onMalformed: (name: string) => void,
-): Promise<ListedInstance[]> {
-  const {objects, era} = await store.list(INSTANCE_KIND, Freshness.Stale);
+): Promise<InstanceSnapshot> {
+  const list = await store.list(INSTANCE_KIND, freshness);
+  const {objects, era, revision} = list;
   const entries: ListedInstance[] = [];
   for (const object of objects) {
     const entry = parseListedInstance(object, era);
     if (entry) entries.push(entry);
     else onMalformed(object.name);
   }
-  return entries;
+  return {era, revision, entries};
 }
--- a/packages/peer-queries/src/peer-queries.ts
+++ b/packages/peer-queries/src/peer-queries.ts
@@ -4,7 +4,7 @@
 import type {Position} from '@quetzalreel/position';
 import type {ChangeQueries} from './change-queries.js';
 import type {PeerQueryMessage} from './messages.js';
-import {type Verdict, verdictOf} from './verdict.js';
+import {Verdict, verdictOf} from './verdict.js';
 
 /** A log position reported by a confirmed primary. */
 export interface ConfirmedPosition {
@@ -34,6 +34,11 @@
   readonly relay: () => string;
   /** Addresses of the peers. */
   readonly peerAddresses: () => readonly string[];
+  /**
+   * Makes sure that these are all peers that are listed by now; an instance that
+   * starts may not know any. Resolves to whether they are.
+   */
+  readonly confirmPeers: () => Promise<boolean>;
   /** Time limit for the answers to a query, in milliseconds. */
   readonly answerTimeoutMs: number;
   /** Most peers to ask about an endpoint, in a fleet of any size. */
@@ -193,6 +198,35 @@
     if (isReached || isComplete) query.end();
   }
 
+  function askPeers(
+    group: string,
+    endpoint: string,
+  ): Promise<ReachabilityResult> {
+    const seq = ++lastSeq;
+    const chosen = nextPeers(context.peerAddresses(), maxQueriedPeers);
+    return new Promise(resolve => {
+      const timeout = clock.after(answerTimeoutMs, () => query.end());
+      const query: PendingReachabilityQuery = {
+        asked: chosen.length,
+        reached: 0,
+        unreached: 0,
+        relay: undefined,
+        end() {
+          if (!pendingQueries.delete(seq)) return;
+          timeout.dispose();
+          resolve({verdict: verdictOf(query), relay: query.relay});
+        },
+        dispose: () => timeout.dispose(),
+      };
+      pendingQueries.set(seq, query);
+      if (chosen.length === 0) query.end();
+      const from = transport.address;
+      for (const address of chosen) {
+        transport.send(address, {type: 'reaches', from, seq, group, endpoint});
+      }
+    });
+  }
+
   return {
     receive(message) {
       switch (message.type) {
@@ -224,39 +258,12 @@
           return;
       }
     },
-    queryReachability(group, endpoint) {
-      const seq = ++lastSeq;
-      const chosen = nextPeers(context.peerAddresses(), maxQueriedPeers);
-      if (chosen.length === 0) {
-        const verdict = verdictOf({asked: 0, reached: 0, unreached: 0});
-        return Promise.resolve({verdict, relay: undefined});
-      }
-      return new Promise(resolve => {
-        const timeout = clock.after(answerTimeoutMs, () => query.end());
-        const query: PendingReachabilityQuery = {
-          asked: chosen.length,
-          reached: 0,
-          unreached: 0,
-          relay: undefined,
-          end() {
-            if (!pendingQueries.delete(seq)) return;
-            timeout.dispose();
-            resolve({verdict: verdictOf(query), relay: query.relay});
-          },
-          dispose: () => timeout.dispose(),
-        };
-        pendingQueries.set(seq, query);
-        for (const address of chosen) {
-          const from = transport.address;
-          transport.send(address, {
-            type: 'reaches',
-            from,
-            seq,
-            group,
-            endpoint,
-          });
-        }
-      });
+    async queryReachability(group, endpoint) {
+      // Nobody could contradict an instance that does not know its peers.
+      const isAlone = context.peerAddresses().length === 0;
+      if (isAlone && !(await context.confirmPeers()))
+        return {verdict: Verdict.Inconclusive, relay: undefined};
+      return askPeers(group, endpoint);
     },
     requestConfirmedPosition(group, addresses) {
       const seq = ++lastSeq;
--- a/packages/peer-queries/test/test-fuzz.ts
+++ b/packages/peer-queries/test/test-fuzz.ts
@@ -90,6 +90,7 @@
     },
     relay: () => '10.0.0.1:2',
     peerAddresses: () => [FROM],
+    confirmPeers: async () => true,
     answerTimeoutMs: 100,
     maxQueriedPeers: 2,
     onConfiguration: () => {},
--- a/packages/proxy/src/defaults.ts
+++ b/packages/proxy/src/defaults.ts
@@ -235,9 +235,15 @@
    * reading.
    */
   instanceEntryExpiryMs: 105_000,
+  /**
+   * How long an instance that starts waits for a list that is known before it plans
+   * connections by what it has: longer than a few calls to a slow store.
+   */
+  firstInstanceListMs: 1000,
   /**
    * Delay between the start and the second reading of the list of instances,
-   * and between readings until the own entry is written.
+   * and between readings until the list is settled: longer than it takes until all
+   * that start together have written their entries.
    */
   firstInstanceListPollMs: 2500,
   /**
--- a/packages/proxy/src/instance-list.ts
+++ b/packages/proxy/src/instance-list.ts
@@ -1,6 +1,7 @@
 /**
  * Follows the list of instances in the store, and maintains the entry of this
- * one.
+ * one. Reads may be answered with data that is seconds old, so a list counts as
+ * known only if it is at least as new as the own entry.
  */
 import {
   type Clock,
@@ -9,9 +10,15 @@
   hashFraction,
   messageOf,
 } from '@quetzalreel/common';
-import type {KindStore} from '@quetzalreel/object-store';
+import {
+  Freshness,
+  type KindStore,
+  type StoreVersion,
+  compareVersions,
+} from '@quetzalreel/object-store';
 import {
   type InstanceLocation,
+  type InstanceSnapshot,
   type ListedInstance,
   NO_INSTANCES,
   entriesToRemove,
@@ -36,19 +43,28 @@
   readonly store: KindStore;
   /** What this instance's entry says. */
   readonly location: () => InstanceLocation;
-  /** Called after the first read, and when instances have joined or left. */
+  /** Called when it can be used, becomes known or settled, or instances change. */
   readonly onChange: () => void;
 }
 
 /** The instances that are present. */
 export interface InstanceList extends Disposable {
   /**
-   * Whether the list was requested at least once, with or without success.
+   * Whether connections may be planned by it: it is known, or the store did not
+   * take the own entry or show a list in time.
+   */
+  readonly isUsable: boolean;
+  /**
+   * Whether a list was read that is at least as new as the own entry. Of two
+   * instances that start together, the one that wrote later then sees the other.
    */
-  readonly wasRead: boolean;
-  /** Whether the store has answered such a request. */
   readonly isKnown: boolean;
-  /** Whether the first answer contained this instance, from an earlier life. */
+  /**
+   * Whether it also contains those that started together with this one and wrote
+   * their entries later.
+   */
+  readonly isSettled: boolean;
+  /** Whether this instance had an entry of an earlier life when it started. */
   readonly wasListedAtStart: boolean;
   /** When the entry was last written, in monotonic milliseconds. */
   readonly renewedAt: number;
@@ -56,12 +72,21 @@
   readonly present: readonly ListedInstance[];
   /** When the store was last restored; -Infinity for never. Monotonic ms. */
   readonly restoredAt: number;
+  /**
+   * Reads the list from the store itself unless it is settled. Resolves to whether
+   * it has all instances that have an entry by now.
+   */
+  confirm(): Promise<boolean>;
   /** Reads the list and renews the entry until disposed. */
   run(): Promise<void>;
   /** Removes the entry. Rejects with the store's errors. */
   leave(): Promise<void>;
 }
 
+function isAsNewAs(a: StoreVersion, b: StoreVersion): boolean {
+  return compareVersions(a, b) >= 0;
+}
+
 /** Names and relay addresses of instances as one string, to detect changes. */
 function signatureOf(entries: readonly ListedInstance[]): string {
   return entries
@@ -77,12 +102,19 @@
   const registration = instanceRegistration(store, instance);
   let presence = NO_INSTANCES;
   let present: readonly ListedInstance[] = [];
+  /** The newest version of the store whose list was read. */
+  let newestRead: StoreVersion | undefined;
+  /** The store when it first took the own entry, and when it last did. */
+  let firstEntry: {version: StoreVersion; at: number} | undefined;
+  let lastEntry: StoreVersion | undefined;
   let renewedAt = -Infinity;
   let restoredAt = -Infinity;
-  let wasRead = false;
+  let isUsable = false;
   let isKnown = false;
-  let wasKnown = false;
+  let isSettled = false;
   let wasListedAtStart = false;
+  /** What the last call of `onChange` rested on. */
+  let notedState = '';
   const entryLines = lineLimit(clock, ENTRY_LINES);
 
   function noteUnreadable(other: string): void {
@@ -94,23 +126,60 @@
   async function renew(): Promise<void> {
     const now = clock.now();
     if (now - renewedAt < TIMES.instanceEntryRenewMs) return;
-    await registration.renew(context.location());
+    const written = await registration.renew(context.location());
     renewedAt = now;
+    if (!written) return;
+    lastEntry = written.version;
+    firstEntry ??= {version: written.version, at: clock.now()};
+    wasListedAtStart = written.wasListed;
+  }
+
+  /** Whether a list of this version contains the own entry. */
+  function hasOwnEntry(list: StoreVersion): boolean {
+    return firstEntry !== undefined && isAsNewAs(list, firstEntry.version);
+  }
+
+  /**
+   * Reads the list: a copy that may be old, and the store itself until the list is
+   * known and settled.
+   */
+  async function readList(): Promise<InstanceSnapshot> {
+    const list = (freshness: Freshness) =>
+      listInstances(store, freshness, noteUnreadable);
+    if (isKnown && !isSettled) return list(Freshness.Current);
+    const copy = await list(Freshness.Stale);
+    if (isKnown || !firstEntry || hasOwnEntry(copy)) return copy;
+    return list(Freshness.Current);
   }
 
   async function read(): Promise<void> {
+    const askedAt = clock.now();
     try {
-      const listed = await listInstances(store, noteUnreadable);
-      if (!isKnown)
-        wasListedAtStart = listed.some(entry => entry.instance === instance);
-      isKnown = true;
-      presence = updatePresence(presence, listed, clock.now(), restoredAt);
+      noteList(await readList(), askedAt);
     } catch (err) {
       log.warn({event: 'instancesNotRead', why: messageOf(err)});
     }
     notePresent();
   }
 
+  function noteList(list: InstanceSnapshot, askedAt: number): void {
+    const {era, revision, entries} = list;
+    // A copy may be older than what was read before.
+    if (newestRead && !isAsNewAs(list, newestRead)) return;
+    newestRead = {era, revision};
+    presence = updatePresence(presence, entries, clock.now(), restoredAt);
+    if (!hasOwnEntry(list)) return;
+    const knownBefore = isKnown;
+    isKnown = true;
+    isUsable = true;
+    // Those that started together have written their entries by now.
+    const isLater =
+      knownBefore && askedAt - firstEntry!.at >= TIMES.firstInstanceListPollMs;
+    isSettled ||= wasListedAtStart || isLater;
+    const isListed = entries.some(entry => entry.instance === instance);
+    if (!isListed && isAsNewAs(list, lastEntry!)) renewedAt = -Infinity;
+  }
+
   async function tryRenew(): Promise<void> {
     try {
       await renew();
@@ -120,7 +189,9 @@
   }
 
   async function refresh(): Promise<void> {
+    await tryRenew();
     await read();
+    // A list without the own entry shows that it was removed.
     await tryRenew();
   }
 
@@ -135,16 +206,14 @@
   }
 
   function notePresent(): void {
-    const before = present;
-    const isFirst = !wasRead || isKnown !== wasKnown;
-    wasRead = true;
-    wasKnown = isKnown;
     present = presentInstances(
       presence,
       clock.now(),
       TIMES.instanceEntryExpiryMs,
     ).filter(entry => entry.instance !== instance);
-    if (!isFirst && signatureOf(present) === signatureOf(before)) return;
+    const state = [isUsable, isKnown, isSettled, signatureOf(present)].join();
+    if (!isUsable || state === notedState) return;
+    notedState = state;
     context.onChange();
   }
 
@@ -163,15 +232,41 @@
     }
   }
 
+  async function confirm(): Promise<boolean> {
+    if (isSettled) return true;
+    const askedAt = clock.now();
+    try {
+      const list = await listInstances(
+        store,
+        Freshness.Current,
+        noteUnreadable,
+      );
+      noteList(list, askedAt);
+    } catch (err) {
+      log.warn({event: 'instancesNotRead', why: messageOf(err)});
+      return false;
+    }
+    notePresent();
+    return isKnown;
+  }
+
+  /** Without the store connections are planned by what is known. */
+  function useAnyList(): void {
+    isUsable = true;
+    notePresent();
+  }
+
   async function run(): Promise<void> {
+    owned.add(clock.after(TIMES.firstInstanceListMs, useAnyList));
     await refresh();
+    useAnyList();
     await clock.sleep(TIMES.firstInstanceListPollMs);
     while (!owned.disposed) {
       await refresh();
       await removeExpired().catch(err =>
         log.warn({event: 'silentInstanceNotRemoved', why: messageOf(err)}),
       );
-      const isListed = renewedAt > -Infinity;
+      const isListed = renewedAt > -Infinity && isSettled;
       await clock.sleep(
         isListed ? TIMES.instanceListPollMs : TIMES.firstInstanceListPollMs,
       );
@@ -181,12 +276,16 @@
   owned.add(store.era.onRestored(() => void noteRestored()));
   return {
     run,
-    get wasRead() {
-      return wasRead;
+    confirm,
+    get isUsable() {
+      return isUsable;
     },
     get isKnown() {
       return isKnown;
     },
+    get isSettled() {
+      return isSettled;
+    },
     get wasListedAtStart() {
       return wasListedAtStart;
     },
--- a/packages/proxy/src/peers.ts
+++ b/packages/proxy/src/peers.ts
@@ -96,11 +96,11 @@
 /** The peers of this instance. */
 export interface Peers extends Disposable {
   readonly peerQueries: PeerQueries | undefined;
-  /** Undefined until the list of instances was read. */
+  /** Undefined until the list of instances is known. */
   readonly witnesses: Witnesses | undefined;
   /**
-   * Announces a change to all listed instances; undefined until the list of
-   * instances was read.
+   * Announces a change to all listed instances; undefined if they can't be
+   * told.
    */
   announce(change: ChangeRecord): Promise<Confirmations | undefined>;
   /**
@@ -110,9 +110,16 @@
   areIdle(era: number, idleMs: number): Promise<boolean>;
   /**
    * Addresses of the instances that facts are spread to; undefined until the
-   * list of instances was read.
+   * list of instances can be used.
    */
   readonly links: readonly string[] | undefined;
+  /**
+   * Makes sure that all instances that have an entry by now are known; resolves to
+   * whether they are.
+   */
+  confirm(): Promise<boolean>;
+  /** Whether the store has this instance's entry, so that others can know it. */
+  readonly hasEntry: boolean;
   /** Number of known instances, with this one. */
   readonly fleetSize: number;
   /** This instance and the others; undefined until the store has told them. */
@@ -258,6 +265,7 @@
       relay: relayAddress,
       source: context.source,
       peerAddresses: () => list.present.map(entry => entry.address),
+      confirmPeers: list.confirm,
       answerTimeoutMs: TIMES.peerQueryTimeoutMs,
       maxQueriedPeers: LIMITS.maxQueriedPeers,
       changeQueries: changes,
@@ -288,7 +296,8 @@
       list.present.filter(({facts}) => facts === FACTS_VERSION),
     ).map(linked => linked.address);
     const others = list.present.length;
-    log.info({event: 'instancesListed', others, links});
+    const {isKnown, isSettled} = list;
+    log.info({event: 'instancesListed', others, links, isKnown, isSettled});
     context.onChange();
   }
 
@@ -319,7 +328,7 @@
       return current;
     },
     get witnesses() {
-      if (!list.wasRead || !changes) return undefined;
+      if (!list.isKnown || !changes) return undefined;
       return {
         peers: list.present.filter(entry => witnesses.includes(entry.instance)),
         includesSelf: witnesses.includes(instance),
@@ -327,15 +336,19 @@
       };
     },
     async announce(change) {
-      if (!list.wasRead) return undefined;
+      if (!(await list.confirm())) return undefined;
       return changes?.announce(change, list.present, witnesses);
     },
     async areIdle(era, idleMs) {
-      if (!list.wasRead || !changes) return false;
+      if (!changes || !(await list.confirm())) return false;
       return changes.areIdle(list.present, era, idleMs);
     },
     get links() {
-      return list.wasRead ? links : undefined;
+      return list.isUsable ? links : undefined;
+    },
+    confirm: list.confirm,
+    get hasEntry() {
+      return list.isKnown;
     },
     get fleetSize() {
       return list.present.length + 1;
@@ -364,7 +377,7 @@
     planFor(endpoint) {
       // Instances that start together must not open connections before they
       // know how many they are.
-      if (!list.wasRead) return NO_CONNECTIONS_PLAN;
+      if (!list.isUsable) return NO_CONNECTIONS_PLAN;
       const self = {instance, dataCentre, address, relay: relayAddress()};
       return sharingPlan(self, list.present, endpoint);
     },
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -81,8 +81,15 @@
   readonly changer: PrimaryChanger;
   /** The era of the store. */
   readonly era: StoreEra;
-  /** Undefined until the list of instances was read. */
+  /** Undefined until the list of instances is known. */
   readonly witnesses: () => Witnesses | undefined;
+  /**
+   * Makes sure that all instances that have an entry by now are known; resolves to
+   * whether they are.
+   */
+  readonly confirmPeers: () => Promise<boolean>;
+  /** Whether those that change a primary can know this instance. */
+  readonly hasEntry: () => boolean;
   /** Whether this instance holds connections to a primary that needs permission. */
   readonly usesPrimary: () => boolean;
 }
@@ -123,19 +130,21 @@
     noteChange();
   }
 
-  function askWitnesses(): void {
-    const witnesses = context.witnesses();
-    if (!witnesses) return;
+  async function askWitnesses(): Promise<void> {
     const sentAt = clock.now();
     const suspensions = seenSuspensions;
     const era = context.era.current;
+    askedWitnessesAt = sentAt;
+    // Of those that start together, each could be its own majority.
+    if (!(await context.confirmPeers())) return;
+    const witnesses = context.witnesses();
+    if (!witnesses) return;
     const {peers, includesSelf} = witnesses;
     const total = peers.length + Number(includesSelf);
     const renew = () => {
       const byWitnessesAt = Math.max(permission.byWitnessesAt, sentAt);
       permission = {...permission, byWitnessesAt};
     };
-    askedWitnessesAt = sentAt;
     const onAnswer = (answers: number) => {
       const agreeing = answers + Number(includesSelf);
       if (!isMajority(agreeing, total)) return;
@@ -194,9 +203,9 @@
     },
     tick() {
       noteChange();
-      if (!context.usesPrimary()) return;
+      if (!context.hasEntry() || !context.usesPrimary()) return;
       const now = clock.now();
-      if (now - askedWitnessesAt >= TIMES.askWitnessesMs) askWitnesses();
+      if (now - askedWitnessesAt >= TIMES.askWitnessesMs) void askWitnesses();
       const sinceWitnesses = now - permission.byWitnessesAt;
       if (sinceWitnesses < TIMES.askStoreAfterMs) return;
       if (now - askedStoreAt >= TIMES.askStoreMs) void readStore();
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -266,6 +266,8 @@
     changer,
     era: options.store.era,
     witnesses: () => peers.witnesses,
+    confirmPeers: peers.confirm,
+    hasEntry: () => peers.hasEntry,
     usesPrimary: () => {
       for (const {policy, primary, links} of groups.values()) {
         if (!needsPermission(policy)) continue;
