Read the list of instances from the store itself at once until it is settled

An instance that starts read a copy first, which is older than its own entry where it counts, and then the store itself. One call fewer at each start, and confirm() has no reader of its own.

--- a/packages/proxy/src/instance-list.ts
+++ b/packages/proxy/src/instance-list.ts
@@ -140,26 +140,27 @@
   }
 
   /**
-   * Reads the list: a copy that may be old, and the store itself until the list is
-   * known and settled.
+   * Reads a copy of the list that may be old once it is settled, and while the store
+   * does not take the own entry.
    */
-  async function readList(): Promise<InstanceSnapshot> {
-    const list = (freshness: Freshness) =>
-      listInstances(store, freshness, noteUnreadable);
-    if (isKnown && !isSettled) return list(Freshness.Current);
-    const copy = await list(Freshness.Stale);
-    if (isKnown || !firstEntry || hasOwnEntry(copy)) return copy;
-    return list(Freshness.Current);
+  function readList(): Promise<InstanceSnapshot> {
+    const mayBeOld = isSettled || !firstEntry;
+    const freshness = mayBeOld ? Freshness.Stale : Freshness.Current;
+    return listInstances(store, freshness, noteUnreadable);
   }
 
-  async function read(): Promise<void> {
+  /** Resolves to whether the store has answered. */
+  async function read(): Promise<boolean> {
     const askedAt = clock.now();
+    let isRead = false;
     try {
       noteList(await readList(), askedAt);
+      isRead = true;
     } catch (err) {
       log.warn({event: 'instancesNotRead', why: messageOf(err)});
     }
     notePresent();
+    return isRead;
   }
 
   function noteList(list: InstanceSnapshot, askedAt: number): void {
@@ -234,20 +235,7 @@
 
   async function confirm(): Promise<boolean> {
     if (isSettled) return true;
-    const askedAt = clock.now();
-    try {
-      const list = await listInstances(
-        store,
-        Freshness.Current,
-        noteUnreadable,
-      );
-      noteList(list, askedAt);
-    } catch (err) {
-      log.warn({event: 'instancesNotRead', why: messageOf(err)});
-      return false;
-    }
-    notePresent();
-    return isKnown;
+    return firstEntry !== undefined && (await read());
   }
 
   /** Without the store connections are planned by what is known. */
