Refuse no caller while a primary that leaves still serves

With SyncReplicas callers are refused at once while a lost primary can't be replaced. That also held while a primary that leaves had no successor yet: a write that found it at its limit was refused in place of waiting a moment. Found by reading; the new test of test-primary-watch fails without the change. A wait also ends once peers reach the primary.

--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -71,7 +71,7 @@
   ChangeOutcome.Unanswered,
 ]);
 
-/** Lines about changes that an instance considers: a few, then one each time. */
+/** Lines about changes that an instance considers: a few, then one each 2 s. */
 const CHANGE_LINES = {burst: 5, intervalMs: 2000} as const;
 
 const RETRY_BOUNDS = {
@@ -205,9 +205,10 @@
         succession,
         before,
       });
+    if (verdict === Verdict.Reached) endWait('peers reach the primary');
     if (members.some(leads) || !(await mayReplace(verdict))) return;
     if (succession.type === 'waits') {
-      if (mustKeepCommits()) noteWait(replaced, succession);
+      if (!isPlanned && mustKeepCommits()) noteWait(replaced, succession);
       return;
     }
     endWait('enough replicas were heard');
--- a/packages/proxy/test/test-primary-watch.ts
+++ b/packages/proxy/test/test-primary-watch.ts
@@ -462,6 +462,29 @@
     assert.deepEqual([...new Set(orders)], ['order i-3']);
   });
 
+  it('refuses no caller of a primary that leaves and serves', async () => {
+    const {refusing, waits} = await watchGroup(
+      {
+        'i-1': {isPrimary: true, offset: 9},
+        'i-3': {isPrimary: false, offset: 9, silentUntil: Infinity},
+      },
+      MADE_IT,
+      {...keeps, leaving: 'i-1'},
+    );
+    assert.deepEqual(refusing, {});
+    assert.equal(waits, 0);
+  });
+
+  it('is not waited for while a peer reaches it', async () => {
+    const {refusing, waits} = await watchGroup(
+      replicas({silentUntil: Infinity}),
+      MADE_IT,
+      {...keeps, verdict: Verdict.Reached},
+    );
+    assert.deepEqual(refusing, {});
+    assert.equal(waits, 0);
+  });
+
   it('is replaced at once by another one where a commit needs no replica', async () => {
     const {begun} = await watchGroup(
       replicas({silentUntil: Infinity}),
