End connections whose startup message is too short before the library reads it

Cause: pg-gateway reads beyond the end of a startup message of less than eight bytes, catches the error and prints it.

Change: the length is checked before the library gets the data.

--- a/packages/login/src/login.ts
+++ b/packages/login/src/login.ts
@@ -56,6 +56,39 @@
 /** Maximum number of bytes that a client may send before it is logged in. */
 const MAX_LOGIN_BYTES = 16 * 1024;
 
+/** Length of a message's length field, in bytes. */
+const LENGTH_BYTES = 4;
+/** Length of the shortest message before the login: its length and a request code. */
+const MIN_STARTUP_BYTES = 8;
+
+/**
+ * Refuses startup messages that are too short: the library reads beyond their end and
+ * writes the error to the output.
+ */
+class LoginConnection extends PostgresConnection {
+  /** What was received of a message before the login starts. */
+  private startup: Buffer = Buffer.alloc(0);
+
+  override async handleData(data: Buffer): Promise<void> {
+    if (!this.hasStarted && this.hasShortMessage(data)) {
+      this.socket.destroy();
+      return;
+    }
+    await super.handleData(data);
+  }
+
+  private hasShortMessage(data: Buffer): boolean {
+    this.startup = Buffer.concat([this.startup, data]);
+    while (this.startup.length >= LENGTH_BYTES) {
+      const length = this.startup.readUInt32BE();
+      if (length < MIN_STARTUP_BYTES) return true;
+      if (this.startup.length < length) return false;
+      this.startup = this.startup.subarray(length);
+    }
+    return false;
+  }
+}
+
 /**
  * Logs in the client on `socket`. Returns undefined and closes the socket if the
  * client was refused, disconnected, sent more than MAX_LOGIN_BYTES or a message that
@@ -89,7 +122,7 @@
     socket.on('error', () => {});
     socket.on('close', onClose);
     socket.on('data', countBytes);
-    const connection: PostgresConnection = new PostgresConnection(socket, {
+    const connection: PostgresConnection = new LoginConnection(socket, {
       authMode: options.verify ? 'cleartextPassword' : 'none',
       serverVersion: '15.0',
       ...(options.tls ? {tls: options.tls} : {}),
--- a/packages/login/test/test-fuzz.ts
+++ b/packages/login/test/test-fuzz.ts
@@ -113,6 +113,18 @@
   await fc.assert(property, {seed: SEED, numRuns: 5});
 });
 
+it('a startup message that is too short ends the connection at once, also in pieces', async t => {
+  const written = t.mock.method(console, 'error', () => {});
+  const message = Buffer.from([0, 0, 0, 7, 0, 0, 0, 0]);
+  logins = [];
+  await send(
+    [...message].map(byte => Buffer.from([byte])),
+    false,
+  );
+  assert.deepEqual(await Promise.all(logins), [undefined]);
+  assert.equal(written.mock.callCount(), 0);
+});
+
 it('refuses a client that sends too much before it is logged in', async () => {
   const start = fc.constantFrom(
     startup(PROTOCOL_VERSION, 'u'.repeat(TOO_MANY_BYTES)),
