Say once when a primary needs permission, and drop a needless condition

Cause: whether a primary must be out of use before its successor is ordered stood twice, in proxy.ts and primary-watch.ts, and the two had to agree. A list counted as settled only if one was known before; a read 2.5 s after the own entry was written shows the same without that. Change: needsPermission in primary-use.ts; the condition goes. Tests of test-primary-watch and test-instance-list as before.

--- a/packages/proxy/src/instance-list.ts
+++ b/packages/proxy/src/instance-list.ts
@@ -60,8 +60,8 @@
    */
   readonly isKnown: boolean;
   /**
-   * Whether it also contains those that started together with this one and wrote
-   * their entries later.
+   * Whether it was read long enough after the own entry was written: instances
+   * that started together with this one are listed by then.
    */
   readonly isSettled: boolean;
   /** Whether this instance had an entry of an earlier life when it started. */
@@ -170,12 +170,10 @@
     newestRead = {era, revision};
     presence = updatePresence(presence, entries, clock.now(), restoredAt);
     if (!hasOwnEntry(list)) return;
-    const knownBefore = isKnown;
     isKnown = true;
     isUsable = true;
     // Those that started together have written their entries by now.
-    const isLater =
-      knownBefore && askedAt - firstEntry!.at >= TIMES.firstInstanceListPollMs;
+    const isLater = askedAt - firstEntry!.at >= TIMES.firstInstanceListPollMs;
     isSettled ||= wasListedAtStart || isLater;
     const isListed = entries.some(entry => entry.instance === instance);
     if (!isListed && isAsNewAs(list, lastEntry!)) renewedAt = -Infinity;
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -20,6 +20,7 @@
 import {PERMISSION_LIMITS, TIMES} from './defaults.js';
 import type {Log} from './log.js';
 import type {Witnesses} from './peers.js';
+import type {GroupPolicy} from './routes.js';
 
 /** Whether the primaries of groups may be used. */
 export interface PrimaryUse {
@@ -56,6 +57,17 @@
   replacementOf: () => undefined,
 };
 
+/**
+ * Whether instances need permission to use a group's primary, so that it is out of
+ * use before its successor is ordered.
+ */
+export function needsPermission(
+  {syncReplicas}: GroupPolicy,
+  replacedPrimaryStops: boolean,
+): boolean {
+  return !replacedPrimaryStops || syncReplicas > 0;
+}
+
 /** The use of one group's primary, which needs permission while `isNeeded()`. */
 export function groupPrimaryUse(
   renewed: PrimaryUse,
--- a/packages/proxy/src/primary-watch.ts
+++ b/packages/proxy/src/primary-watch.ts
@@ -29,6 +29,7 @@
 import type {GroupRuntime} from './group-types.js';
 import {lineLimit} from './line-limit.js';
 import type {Log} from './log.js';
+import {needsPermission} from './primary-use.js';
 import {successorElection} from './successor-election.js';
 import {successorWait} from './successor-wait.js';
 
@@ -104,8 +105,10 @@
   const changeLines = lineLimit(clock, CHANGE_LINES);
   /** What a change of primary needs before its order; undefined for nothing. */
   function prepareNow(): PrepareChange | undefined {
-    const isNeeded = !context.replacedPrimaryStops || mustKeepCommits();
-    return isNeeded ? preparation : undefined;
+    const {replacedPrimaryStops} = context;
+    return needsPermission(group.policy, replacedPrimaryStops)
+      ? preparation
+      : undefined;
   }
   /** Spreads the attempts of instances over time. */
   const delayMs = hashFraction(instance + group.name) * TIMES.changeJitterMs;
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -59,6 +59,7 @@
 import {
   type RenewedPrimaryUse,
   groupPrimaryUse,
+  needsPermission,
   renewedPrimaryUse,
 } from './primary-use.js';
 import {watchPrimary} from './primary-watch.js';
@@ -254,11 +255,6 @@
     }),
   );
 
-  /** Whether a primary must be out of use before its successor is ordered. */
-  function needsPermission({syncReplicas}: GroupPolicy): boolean {
-    return !options.replacedPrimaryStops || syncReplicas > 0;
-  }
-
   const primaryUse: RenewedPrimaryUse = renewedPrimaryUse({
     clock,
     log,
@@ -270,7 +266,7 @@
     hasEntry: () => peers.hasEntry,
     usesPrimary: () => {
       for (const {policy, primary, links} of groups.values()) {
-        if (!needsPermission(policy)) continue;
+        if (!needsPermission(policy, options.replacedPrimaryStops)) continue;
         const used = primary ? [primary] : links.values();
         for (const {plan, directConnections} of used) {
           if (plan.isHolder || directConnections > 0) return true;
@@ -316,7 +312,7 @@
         peers.peerQueries?.requestConfirmedPosition(name, addresses),
       planFor: peers.planFor,
       primaryUse: groupPrimaryUse(primaryUse, () =>
-        needsPermission(group.policy),
+        needsPermission(group.policy, options.replacedPrimaryStops),
       ),
       lapsedEndpoints: () => view.lapsedEndpoints(policy.name),
     });
