--- a/packages/failover/test/test-succession.ts
+++ b/packages/failover/test/test-succession.ts
@@ -117,6 +117,7 @@
       told: fc.constantFrom(...Object.values(Told)),
     });
     const fleet = fc.array(member, {minLength: 1, maxLength: 5});
+    let chosenCount = 0;
     fc.assert(
       fc.property(fleet, fc.integer({min: 1, max: 5}), (found, k) => {
         const members = found.map(({offset, told}, at) => ({
@@ -131,6 +132,7 @@
           lastNamed: undefined,
         });
         if (result.type !== 'chosen' || k > found.length) return;
+        chosenCount++;
         const offsets = found.map(({offset}) => offset).sort((a, b) => b - a);
         const acknowledged = offsets[k - 1]!;
         const chosen = members.find(
@@ -138,7 +140,8 @@
         )!;
         assert.ok(chosen.position!.offset >= acknowledged);
       }),
-      {seed: 52},
+      {seed: 52, numRuns: 500},
     );
+    assert.ok(chosenCount >= 50, `${chosenCount} chosen`);
   });
 });
