--- a/packages/facts/src/reader-role.ts
+++ b/packages/facts/src/reader-role.ts
@@ -1,9 +1,9 @@
 /**
  * Decides which instances read the store for the others. Readers send beats;
- * an instance that hears of too few reads for itself, after a delay that
- * differs between instances, and stops when enough preferred ones read. So
- * readers that die, are cut off or are turned away by the store are replaced
- * without an agreement, and an instance that hears nobody reads for itself.
+ * an instance that receives beats of too few readers becomes one, after a delay
+ * that differs between instances, and stops when enough preferred ones read. So
+ * readers that die, are cut off or are refused by the store are replaced without
+ * coordination, and an instance that is cut off from its peers reads the store.
  */
 
 /** The last beat that was received from a reader. */
--- a/packages/failover/src/succession.ts
+++ b/packages/failover/src/succession.ts
@@ -1,9 +1,9 @@
 /**
- * Chooses the endpoint that replaces a group's primary. Where an acknowledged
- * commit is at `k` replicas or more, it is in the log of one that was heard only
- * if all but `k - 1` of those that may have counted for it were heard with what
- * they have received: any `k` replicas then include one that was heard. This is
- * the overlap of quorums of viewstamped replication and of Raft's elections.
+ * Chooses the endpoint that replaces a group's primary. An acknowledged commit has
+ * been received by `k` of the `n` endpoints beside the primary. If `n - k + 1` of
+ * them report what they have received, at least one of these has the commit, and so
+ * has the one with the latest log. Viewstamped replication and Raft's elections rest
+ * on the same overlap of quorums.
  */
 import {type Position, comparePositions} from '@quetzalreel/position';
 
@@ -37,7 +37,7 @@
 
 /** What the choice depends on. */
 export interface SuccessionContext {
-  /** All that may have counted for a commit, and those that may lead. */
+  /** All endpoints that may have received a commit, the old primary included. */
   readonly members: readonly Member[];
   /** The primary that is replaced, as far as is known here; '' for none. */
   readonly replaced: string;
--- a/packages/membership/src/shares.ts
+++ b/packages/membership/src/shares.ts
@@ -270,7 +270,8 @@
 }
 
 /**
- * Reduces shares at once and starts the growth delay of those that increase.
+ * Applies smaller shares immediately, and starts the delay after which larger ones
+ * are applied.
  */
 function updateTargets(
   state: ShareState,
--- a/packages/model/src/fenced-orders.ts
+++ b/packages/model/src/fenced-orders.ts
@@ -3,8 +3,8 @@
  * fence. Two instances compete for a lease in a store that may be unavailable,
  * and the platform may apply an order late. The store may be restored from a copy
  * without the last write of the lease. The fences are those of production code.
- * A paused instance is one that takes no step. Time isn't modelled: steps may
- * happen in any sequence.
+ * Time isn't modelled: steps may happen in any sequence, so an instance that takes
+ * none for a while stands for a suspended one.
  */
 import {nextFence} from '@quetzalreel/failover';
 import type {ModelStep} from './search.js';
--- a/packages/proxy/src/probe-schedule.ts
+++ b/packages/proxy/src/probe-schedule.ts
@@ -33,9 +33,8 @@
 
 /**
  * Whether an endpoint counts as reachable in the answer to a peer that asked at
- * `askedAt`. Contact long before that time is not evidence: all instances that
- * reach the endpoint through the same holder would vouch for one that has just
- * failed.
+ * `askedAt`. Earlier contact is not evidence: if the endpoint has just failed, all
+ * instances that use the same holder still know of contact before the failure.
  */
 export function isReachable(view: ContactInputs, askedAt: number): boolean {
   const {isHolder, lastContactAt, unansweredSince} = view;
