Reword more comments of the proxy, and name a type after what it holds

Cause: some comments read oddly, and the local type Told of pace-log was named like the exported one of failover. Change: comments in wait-estimate, answer-baseline, overload-log, pace-log and endpoint-directory; the type is LastLine. No change of behaviour; formatter, linter and build are clean.

--- a/packages/proxy/src/answer-baseline.ts
+++ b/packages/proxy/src/answer-baseline.ts
@@ -34,13 +34,13 @@
  */
 const RECENT_HALF_LIFE_MS = 2000;
 /**
- * Time constants with which the baseline follows the last times, in
- * milliseconds. Upwards it is longer than most disturbances last, and ends the
- * effect of statements that have become longer.
+ * Time constants with which the baseline follows the recent times, in milliseconds.
+ * It rises more slowly than most disturbances last, but does rise, since the work of
+ * statements may grow.
  */
 const RISE_MS = 60_000;
 const FALL_MS = 10_000;
-/** Most time between two samples that counts for the baseline. */
+/** Longer gaps between two samples count as this, in milliseconds. */
 const MAX_GAP_MS = 1000;
 
 /** Moving average of the last times at `now`, in milliseconds. */
@@ -79,8 +79,8 @@
 }
 
 /**
- * The state after a statement that had no answer for `waitedMs`: a lower bound
- * of its time, which tells something only if it exceeds the last times.
+ * The state after a statement without an answer for `waitedMs`. That is a lower
+ * bound of its time, so it is used only if it exceeds the recent times.
  */
 export function afterNoAnswer(
   known: AnswerBaseline,
--- a/packages/proxy/src/endpoint-directory.ts
+++ b/packages/proxy/src/endpoint-directory.ts
@@ -1,8 +1,8 @@
 /**
  * The listed endpoints. An entry that disappears while the store is
  * unreachable, or shortly after, counts as listed until its endpoint has had
- * time to write it again. A restored store lists entries of before: what an
- * endpoint itself wrote later counts, so that one that leaves is not used again.
+ * time to write it again. A restored store lists older entries: they don't
+ * replace later ones of the same endpoint, so that one that leaves is not used again.
  */
 import type {ListedEndpoint} from './routes.js';
 
--- a/packages/proxy/src/overload-log.ts
+++ b/packages/proxy/src/overload-log.ts
@@ -1,4 +1,4 @@
-/** Logs what becomes of the work for endpoints that turn some of it away. */
+/** Logs the load of endpoints that refuse work, and what happened to that work. */
 import type {Clock} from '@quetzalreel/common';
 import {expectedMs} from './answer-time.js';
 import type {EndpointLink} from './endpoint-link.js';
--- a/packages/proxy/src/pace-log.ts
+++ b/packages/proxy/src/pace-log.ts
@@ -10,8 +10,8 @@
   observe(link: EndpointLink): void;
 }
 
-/** What the last line told of an endpoint. */
-interface Told {
+/** The last line about an endpoint. */
+interface LastLine {
   readonly reason: PaceReason;
   readonly at: number;
 }
@@ -21,7 +21,7 @@
 
 /** Creates the log of a group. */
 export function paceLog({name, clock, log}: OverloadLogContext): PaceLog {
-  const told = new WeakMap<EndpointLink, Told>();
+  const told = new WeakMap<EndpointLink, LastLine>();
 
   return {
     observe(link) {
--- a/packages/proxy/src/wait-estimate.ts
+++ b/packages/proxy/src/wait-estimate.ts
@@ -1,9 +1,8 @@
 /**
- * Estimates how long a request would wait, from the rate at which waiting requests
- * of its rank were served since there have been any: those that rank above it take
- * what they need first. Answers the load of a burst above the capacity: a request
- * that can't be served in its time learns so at once, and its caller can try
- * elsewhere, in place of waiting until its deadline.
+ * Estimates how long a request would wait, from the recent rate at which waiting
+ * requests of its rank were served; higher ranks are served first. In a burst above
+ * the capacity, a request that can't be served by its deadline is refused at once,
+ * so that its caller can try elsewhere.
  */
 import type {QueueRank, QueuedRequest, WaitQueue} from './wait-queue.js';
 
@@ -37,11 +36,11 @@
 /** Served requests from which a rate is computed. */
 const MIN_SERVED = 8;
 /**
- * Share of the time until the objective in which a request has to be expected to be
- * served, to count as one that is served in time.
+ * A request counts as served in time if its expected wait is at most this share of
+ * the time until its objective.
  */
 const IN_TIME_SHARE = 0.8;
-/** Time after which what was served counts half, in milliseconds. */
+/** Half-life of the counts of served requests, in milliseconds. */
 const WINDOW_MS = 500;
 
 function noCount(): ServedCount {
