Split the acceptance of callers, contact and types from large files

Change: accept-callers.ts opens sessions, proxy-types.ts has what a proxy needs and offers, usesPrimary stands beside the permission that it decides about, endpoint-contact.ts records contact in the facts of an endpoint, connection-use.ts says which connections a request may use, so control-waiters.ts imports the link no more. Moved as it was, no change of behaviour.

--- a/packages/proxy/src/control-waiters.ts
+++ b/packages/proxy/src/control-waiters.ts
@@ -3,7 +3,7 @@
  * status or change its role, and get a free connection before statements do.
  */
 import type {Clock} from '@quetzalreel/common';
-import type {ConnectionUse} from './endpoint-link.js';
+import type {ConnectionUse} from './connection-use.js';
 import type {PooledConnection} from './pooled-connection.js';
 
 /** The control requests that wait. */
--- a/packages/proxy/src/group-types.ts
+++ b/packages/proxy/src/group-types.ts
@@ -8,7 +8,8 @@
   ConfirmedPosition,
   ReachabilityResult,
 } from '@quetzalreel/peer-queries';
-import type {ConnectionWay, EndpointLink} from './endpoint-link.js';
+import type {ConnectionWay} from './connection-use.js';
+import type {EndpointLink} from './endpoint-link.js';
 import type {Log} from './log.js';
 import type {Need, PlacementOption} from './placement.js';
 import type {PlacementDecision} from './placement-decision.js';
--- a/packages/proxy/src/group.ts
+++ b/packages/proxy/src/group.ts
@@ -7,13 +7,8 @@
 import {afterAnswer} from './answer-time.js';
 import {endpointReachability} from './endpoint-reachability.js';
 import {LIMITS, TIMES} from './defaults.js';
-import {
-  type ConnectionUse,
-  ConnectionWay,
-  type EndpointLink,
-  OWN_USE,
-  endpointLink,
-} from './endpoint-link.js';
+import {type ConnectionUse, ConnectionWay, OWN_USE} from './connection-use.js';
+import {type EndpointLink, endpointLink} from './endpoint-link.js';
 import {confirmedPositions} from './confirmed-positions.js';
 import {
   type GroupContext,
--- a/packages/proxy/src/index.ts
+++ b/packages/proxy/src/index.ts
@@ -25,7 +25,8 @@
 export {type Log, type LogTarget, createLog} from './log.js';
 export {type Metrics} from './metrics.js';
 export {storeSelections} from './store-selections.js';
-export {type Proxy, type ProxyOptions, startProxy} from './proxy.js';
+export type {Proxy, ProxyOptions} from './proxy-types.js';
+export {startProxy} from './proxy.js';
 export {
   StoreFormat,
   type GroupPolicy,
--- a/packages/proxy/src/link-placement.ts
+++ b/packages/proxy/src/link-placement.ts
@@ -5,7 +5,8 @@
 import {catchUpDelayMs} from './catch-up.js';
 import {maxInFlightPerHolder} from './concurrency.js';
 import {TIMES} from './defaults.js';
-import type {ConnectionUse, EndpointLink} from './endpoint-link.js';
+import type {ConnectionUse} from './connection-use.js';
+import type {EndpointLink} from './endpoint-link.js';
 import {excessFailing, limitOf} from './endpoint-pace.js';
 import type {PlacementOption} from './placement.js';
 
--- a/packages/proxy/src/primary-use.ts
+++ b/packages/proxy/src/primary-use.ts
@@ -18,6 +18,7 @@
 import type {SuspensionDetector} from '@quetzalreel/freshness';
 import type {StoreEra} from '@quetzalreel/object-store';
 import {PERMISSION_LIMITS, TIMES} from './defaults.js';
+import type {GroupRuntime} from './group-types.js';
 import type {Log} from './log.js';
 import type {Witnesses} from './peers.js';
 import type {GroupPolicy} from './routes.js';
@@ -68,6 +69,21 @@
   return !replacedPrimaryStops || syncReplicas > 0;
 }
 
+/** Whether this instance holds connections to a primary that needs permission. */
+export function usesPrimary(
+  groups: Iterable<GroupRuntime>,
+  replacedPrimaryStops: boolean,
+): boolean {
+  for (const {policy, primary, links} of groups) {
+    if (!needsPermission(policy, replacedPrimaryStops)) continue;
+    const used = primary ? [primary] : links.values();
+    for (const {plan, directConnections} of used) {
+      if (plan.isHolder || directConnections > 0) return true;
+    }
+  }
+  return false;
+}
+
 /** The use of one group's primary, which needs permission while `isNeeded()`. */
 export function groupPrimaryUse(
   renewed: PrimaryUse,
--- a/packages/proxy/src/proxy.ts
+++ b/packages/proxy/src/proxy.ts
@@ -2,49 +2,23 @@
  * Assembles the proxy: the store view, groups, sessions, peers and the
  * shutdown.
  */
-import {
-  afterPendingReads,
-  type Clock,
-  disposableStore,
-  messageOf,
-} from '@quetzalreel/common';
-import {
-  type AcceptCaller,
-  type Answer,
-  type AnswerMemory,
-  type CallerLimit,
-  type CallerMemory,
-  type EndpointDriver,
-  type EndpointStatus,
-  type OnLimit,
-  type SessionLimits,
-  SessionState,
-  localError,
-  unlimitedCallerMemory,
-} from '@quetzalreel/requests';
+import {disposableStore, messageOf} from '@quetzalreel/common';
+import {type CallerLimit, unlimitedCallerMemory} from '@quetzalreel/requests';
 import {suspensionDetector} from '@quetzalreel/freshness';
-import type {KindStore} from '@quetzalreel/object-store';
 import {
   type ChangeRecord,
-  type PromotionOrders,
   leaseStore,
   primaryChanger,
 } from '@quetzalreel/failover';
-import type {QuotaRule} from '@quetzalreel/quota';
 import {
   type KeepForRequester,
   type RelayTarget,
   type ServedConnection,
   tcpRelayDriver,
 } from '@quetzalreel/relay';
-import {accountFor} from './accounts.js';
+import {acceptCallers} from './accept-callers.js';
 import {callerLimitLog} from './caller-limit-log.js';
 import {CHANGE_LIMITS, SESSION_LIMITS, TIMES} from './defaults.js';
-import {
-  type ExplainQuery,
-  type Explanation,
-  type InstanceDescription,
-} from './explain-types.js';
 import {
   type ExplainContext,
   describeInstance,
@@ -54,94 +28,23 @@
 import {groupRuntime} from './group.js';
 import {operationQuotas} from './operation-quotas.js';
 import {serveRelayedRequests} from './relayed-requests.js';
-import type {Log} from './log.js';
-import {type Metrics, proxyMetrics} from './metrics.js';
+import {proxyMetrics} from './metrics.js';
 import {
   type RenewedPrimaryUse,
   groupPrimaryUse,
   needsPermission,
   renewedPrimaryUse,
+  usesPrimary,
 } from './primary-use.js';
 import {watchPrimary} from './primary-watch.js';
-import type {StoreFormat, GroupPolicy, RoutingTable} from './routes.js';
+import type {GroupPolicy, RoutingTable} from './routes.js';
 import {joinPeers} from './peers.js';
+import type {Proxy, ProxyOptions} from './proxy-types.js';
 import {periodicTick} from './periodic-tick.js';
-import {type CallerSession, callerSession} from './session.js';
-import {routeRefusal, sessionRefusal} from './session-refusal.js';
-import {sessionRight} from './session-right.js';
+import type {CallerSession} from './session.js';
 import {type Shutdown, beginShutdown} from './shutdown.js';
 import {storeView} from './store-view.js';
 
-/** Dependencies of the proxy; the exchangeable ones are abstract classes. */
-export interface ProxyOptions {
-  readonly instance: string;
-  readonly dataCentre: string;
-  /** Address at which peers reach this instance. */
-  readonly peers: {readonly host: string; readonly port: number};
-  /** Address of the relay that peers use to reach endpoints. */
-  readonly relay: {readonly host: string; readonly port: number};
-  /** Time between the stop request and the kill, in milliseconds. */
-  readonly graceMs: number;
-  /** For how long an endpoint that leaves may get new work, in milliseconds. */
-  readonly leavingMs: number;
-  readonly clock: Clock;
-  /** The time of day in Unix milliseconds; only compared with the clock. */
-  readonly timeOfDay: () => number;
-  readonly log: Log;
-  readonly store: KindStore;
-  readonly catalog: StoreFormat;
-  readonly driver: EndpointDriver;
-  /** Shared with `driver` and the listener for callers. */
-  readonly answerMemory: AnswerMemory;
-  /** Counts what callers and peers' relayed requests make this process keep;
-   * not bounded without it. */
-  readonly callerMemory?: CallerMemory;
-  readonly sessionLimits?: SessionLimits;
-  /** Requesters that may be connected to the relay at the same time. */
-  readonly maxRequesters?: number;
-  /** Connections of callers that are open. */
-  readonly callerConnections?: () => number;
-  readonly readStatus: (answer: Answer) => EndpointStatus | undefined;
-  readonly orders: PromotionOrders;
-  /**
-   * Whether a replaced primary stops acknowledging by itself when the order to
-   * replace it takes effect.
-   */
-  readonly replacedPrimaryStops: boolean;
-  /** Whether the whole fleet starts for the first time. */
-  readonly isFirstStart: boolean;
-  /** What client accounts may start beyond their limits. */
-  readonly quotaRule: QuotaRule;
-}
-
-/** A running proxy. */
-export interface Proxy {
-  readonly metrics: Metrics;
-  /** Reports that a limit has refused a caller something. */
-  readonly onLimit: OnLimit;
-  /** Accepts a caller's session. */
-  readonly accept: AcceptCaller;
-  /**
-   * Resolves once a configuration is in force. Before that, every caller would
-   * get the error that its database does not exist.
-   */
-  readonly configured: Promise<void>;
-  /** Whether callers may be routed to this instance. */
-  readonly ready: boolean;
-  /** Describes where a request would go now; sends nothing. */
-  explain(query: ExplainQuery): Explanation;
-  /** Describes this instance and its groups. */
-  describe(): InstanceDescription;
-  /**
-   * Ends all sessions within the grace period: idle sessions first, later idle
-   * transactions by rollback; a request in progress is not interrupted before
-   * the end of the period.
-   */
-  stop(): Promise<void>;
-  /** Stops everything immediately. */
-  dispose(): void;
-}
-
 /** Starts the proxy. */
 export function startProxy(options: ProxyOptions): Proxy {
   const {clock, log, instance} = options;
@@ -264,16 +167,8 @@
     witnesses: () => peers.witnesses,
     confirmPeers: peers.confirm,
     hasEntry: () => peers.hasEntry,
-    usesPrimary: () => {
-      for (const {policy, primary, links} of groups.values()) {
-        if (!needsPermission(policy, options.replacedPrimaryStops)) continue;
-        const used = primary ? [primary] : links.values();
-        for (const {plan, directConnections} of used) {
-          if (plan.isHolder || directConnections > 0) return true;
-        }
-      }
-      return false;
-    },
+    usesPrimary: () =>
+      usesPrimary(groups.values(), options.replacedPrimaryStops),
   });
 
   async function finishTransactions({group}: ChangeRecord): Promise<void> {
@@ -398,58 +293,29 @@
     }
   }
 
-  const takesSessions = () => shutdown?.takesSessions ?? true;
   const explainContext = (): ExplainContext => ({
     instance,
     dataCentre: options.dataCentre,
     table: view.table,
     groups,
     quotas: quotas.state,
-    takesSessions: takesSessions(),
+    takesSessions: shutdown?.takesSessions ?? true,
     sessions: sessions.size,
     now: clock.now(),
   });
 
-  const accept: AcceptCaller = ({database, keyDigest}, connection) => {
-    const caller = {type: 'keyDigest', digest: keyDigest} as const;
-    const account = accountFor(view.table, database, caller);
-    const refusal = sessionRefusal(database, {
-      table: view.table,
-      account,
-      takesSessions: takesSessions(),
-    });
-    if (refusal || !account) {
-      const {code, text} = refusal ?? routeRefusal(database);
-      log.info({event: 'sessionRefused', database, code, why: text});
-      return localError(code, text, SessionState.Idle);
-    }
-    let lastRoute = view.table!.routes.get(database)!;
-    const session = callerSession({
-      clock,
-      log,
-      metrics,
-      database,
-      connection,
-      account,
-      right() {
-        lastRoute = view.table!.routes.get(database) ?? lastRoute;
-        const opened = {database, keyDigest, account, lastRoute};
-        return sessionRight(view.table!, opened);
-      },
-      afterPendingReads,
-      route: () => view.table?.routes.get(database),
-      group: name => groups.get(name),
-      admit: quotas.admit,
-      idleTransactionMs: () => view.table!.idleTransactionMs,
-      stopping: () => shutdown?.endsSessions ?? false,
-      answerBy: () => shutdown?.answerBy ?? Infinity,
-      limits: sessionLimits,
-      onLimit,
-      onEnd: () => sessions.delete(session),
-    });
-    sessions.add(session);
-    return session;
-  };
+  const accept = acceptCallers({
+    clock,
+    log,
+    metrics,
+    sessions,
+    table: () => view.table,
+    group: name => groups.get(name),
+    admit: quotas.admit,
+    limits: sessionLimits,
+    onLimit,
+    shutdown: () => shutdown,
+  });
 
   return {
     accept,
--- a/packages/proxy/src/relayed-requests.ts
+++ b/packages/proxy/src/relayed-requests.ts
@@ -22,7 +22,7 @@
   ServedConnection,
 } from '@quetzalreel/relay';
 import {TIMES} from './defaults.js';
-import {ConnectionWay} from './endpoint-link.js';
+import {ConnectionWay} from './connection-use.js';
 import {reportOf} from './endpoint-pace.js';
 import type {ConnectionLease} from './group-types.js';
 import {ANY_ENDPOINT} from './placement.js';
--- a/packages/proxy/test/test-endpoint-link.ts
+++ b/packages/proxy/test/test-endpoint-link.ts
@@ -9,7 +9,8 @@
 } from '@quetzalreel/relay';
 import {NO_CONNECTIONS_PLAN} from '../src/connection-sharing.js';
 import {ANSWER_LIMITS, TIMES} from '../src/defaults.js';
-import {OWN_USE, endpointLink} from '../src/endpoint-link.js';
+import {OWN_USE} from '../src/connection-use.js';
+import {endpointLink} from '../src/endpoint-link.js';
 import {createLog} from '../src/log.js';
 import {listedEndpoint} from './listed.js';
 import {simulatedGroup} from './simulated-endpoint.js';
--- a/packages/proxy/test/test-relayed-control.ts
+++ b/packages/proxy/test/test-relayed-control.ts
@@ -7,7 +7,7 @@
   SessionState,
   localAnswer,
 } from '@quetzalreel/requests';
-import {ConnectionWay} from '../src/endpoint-link.js';
+import {ConnectionWay} from '../src/connection-use.js';
 import {noFacts} from '../src/endpoint-facts.js';
 import type {ConnectionLease, GroupRuntime} from '../src/group-types.js';
 import {serveRelayedRequests} from '../src/relayed-requests.js';
